--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,9 +1,11 @@
 """Starts a whole deployment on this machine, and ends it."""
 
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -79,17 +81,21 @@
     return dataclasses.replace(shape, services=services, entries=entries)
 
 
-_reserved: set[int] = set()
+# Below the ports that the system gives to outgoing connections.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+_ports = itertools.count(random.SystemRandom().randrange(LAST_PORT))
 
 
 def free_port() -> int:
     """Returns a port that nothing listens on now."""
     while True:
+        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
         with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _reserved:
-            _reserved.add(port)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
             return port
 
 
