Mend the dump of an entry that has no lease yet; log failed requests

Cause: /dump rounded a lease end of minus infinity and answered 500, and hypercorn's own error log was off, so nothing said so. Ruled out: a port in use (the reply came from the entry itself).

--- a/features/run.py
+++ b/features/run.py
@@ -31,8 +31,8 @@
         done = subprocess.run(
             [
                 *[sys.executable, "-m", "behave", "--no-capture"],
-                *["--format", "plain", "--outfile", "/dev/stdout"],
                 *["--format", "json", "--outfile", report.name],
+                *["--format", "plain"],
                 *["--no-skipped", "--logging-level", "WARNING", *args],
             ],
             cwd=ROOT,
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -104,13 +104,12 @@
         """Returns the state of this process."""
         now = self.clk.now()
         view = self.session.view
+        left_ms = self.session.lease_until - now
         return {
             "name": self.cfg.name,
             "session": self.session.id,
             "fresh": self.session.is_fresh(),
-            "lease_left_ms": round(self.session.lease_until - now)
-            if self.session.id
-            else None,
+            "lease_left_ms": int(max(0.0, left_ms)),
             "revision": view.revision,
             "version": view.version,
             "targets": len(view.targets),
--- a/src/cardamomkeel/daemons/serve.py
+++ b/src/cardamomkeel/daemons/serve.py
@@ -5,9 +5,25 @@
 import anyio
 from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
+import loguru
 
 GRACE_S = 5.0
 
+logger = loguru.logger
+
+
+def _log_failures(app: typing.Callable) -> typing.Callable:
+    """Returns an application whose exceptions are written to the log."""
+
+    async def logged(scope, receive, send) -> None:
+        try:
+            await app(scope, receive, send)
+        except Exception:
+            logger.exception("a request failed", path=scope.get("path"))
+            raise
+
+    return logged
+
 
 async def serve(app: typing.Callable, address: str, stop: anyio.Event) -> None:
     """Serves an application at one address.
@@ -23,4 +39,6 @@
     cfg.errorlog = None
     cfg.graceful_timeout = GRACE_S
     cfg.keep_alive_timeout = 60.0
-    await hypercorn_asyncio.serve(app, cfg, shutdown_trigger=stop.wait)
+    await hypercorn_asyncio.serve(
+        _log_failures(app), cfg, shutdown_trigger=stop.wait
+    )
