Mend the votes of new members, foreign answers and damaged logs

A folder that init made again voted under the lost disk's id. Now the first members ask each other whether the group has begun before any of them votes.

A frame's header has its own checksum, so that a damaged length in the middle no longer looks like a torn tail. A disk that can't be written ends the process. The first append that gets no answer is repeated on another connection before the follower calls an election. Commands that change no row no longer wake every poll.

--- /dev/null
+++ b/features/steps/log_replication.py
@@ -0,0 +1,367 @@
+"""Steps of the replicated log, without processes."""
+
+import os
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.wire import control_pb2
+from features import replicas
+
+EXAMPLES = int(os.environ.get("HISTORIES", "60"))
+ACTIONS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            [
+                *["run", "run", "part", "deliver", "deliver", "repeat"],
+                *["drop", "propose", "propose", "crash", "compact"],
+                *["lose_disk", "cut", "heal"],
+            ]
+        ),
+        strategies.integers(0, 60),
+    ),
+    min_size=20,
+    max_size=120,
+)
+
+
+def act(group, action, number):
+    """Does one action of a history."""
+    names = list(group.replicas)
+    name = names[number % len(names)]
+    leader = group.leader()
+    if action == "run":
+        group.run(50 * (number + 1))
+    elif action == "part":
+        group.now += 20 * number
+        group.pump()
+    elif action in ("deliver", "repeat"):
+        group.deliver(number, keep=action == "repeat")
+    elif action == "propose" and leader is not None:
+        group.propose(group.name_of(leader))
+    elif action == "crash":
+        group.restart(name)
+    elif action == "cut" and not group.cut:
+        group.cut.add(name)
+    elif action == "heal":
+        group.cut.clear()
+    elif action == "lose_disk" and is_whole(group):
+        group.lose_disk(name)
+    elif action in ("drop", "compact"):
+        getattr(group, action)(number if action == "drop" else name)
+    group.check()
+
+
+def is_whole(group):
+    """Tells whether every replica votes, so that one disk may be lost."""
+    leader = group.leader()
+    ids = {replica.id for replica in group.replicas.values()}
+    return (
+        leader is not None
+        and not group.cut
+        and set(members_lib.voters(leader.members)) == ids
+        and all(
+            replica.commit == leader.commit == leader.last_index
+            for replica in group.replicas.values()
+        )
+    )
+
+
+@then("no history of {count:d} replicas breaks what must hold")
+def check_histories(context, count):  # noqa: ARG001
+    names = [f"control-{number + 1}" for number in range(count)]
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(strategies.integers(0, 2**16), ACTIONS)
+    def check(seed, actions):
+        group = replicas.Group(names, seed)
+        for action, number in actions:
+            act(group, action, number)
+        group.cut.clear()
+        group.run(6000)
+        assert group.leader() is not None, "no leader after all has healed"
+
+    check()
+
+
+@given("a group of replicas {names} that expects {expected}")
+def make_group_that_expects(context, names, expected):
+    context.group = replicas.Group(names.split(), 1, expected)
+    context.group.run(2500)
+    context.leader = context.group.leader()
+
+
+@given("a group of replicas {names}")
+def make_group(context, names):
+    make_group_that_expects(context, names, "")
+
+
+def add_learner(context, name):
+    group = context.group
+    group.replicas[name] = None
+    group.lose_disk(name)
+    own = group.replicas[name].id
+    member = control_pb2.Member(id=own, name=name, address="-")
+    changed = members_lib.with_learner(context.leader.members, member)
+    assert context.leader.propose_members(changed) is not None
+    group.cut.add(name)
+    group.run(400)
+    return own
+
+
+@when("{name} is made a voter but hears nothing of it")
+def promote_unheard(context, name):
+    group = context.group
+    own = add_learner(context, name)
+    changed = members_lib.with_voter(context.leader.members, own)
+    context.index = context.leader.propose_members(changed)
+    assert context.index is not None
+    group.run(400)
+    group.cut.clear()
+    # It has all but the newest entry.
+    storage = group.storages[name]
+    behind = context.leader.entries(1, context.index - 1)
+    storage.append([control_pb2.LogEntry.FromString(raw(e)) for e in behind])
+    storage.sync()
+    group.restart(name)
+
+
+def raw(entry):
+    """Returns an entry as bytes."""
+    return entry.SerializeToString()
+
+
+@when("{name} is made a voter and only it hears of it")
+def promote_heard_alone(context, name):
+    group = context.group
+    own = add_learner(context, name)
+    leader = context.leader
+    changed = members_lib.with_voter(leader.members, own)
+    index = leader.propose_members(changed)
+    storage = group.storages[name]
+    known = leader.entries(1, index)
+    storage.append([control_pb2.LogEntry.FromString(raw(e)) for e in known])
+    storage.sync()
+    group.cut.clear()
+    group.restart(name)
+
+
+@then("the change is not committed")
+def check_not_committed(context):
+    assert context.leader.commit < context.index, context.leader.commit
+
+
+@when("the leader is lost for good")
+def lose_leader(context):
+    context.group.net.clear()
+    context.group.cut.add(context.group.name_of(context.leader))
+
+
+@then("another replica leads within {ms:d} ms")
+def check_other_leads(context, ms):
+    context.group.run(ms)
+    leader = context.group.leader()
+    assert leader is not None and leader is not context.leader
+
+
+@when("the leader gets an answer of another disk to a snapshot")
+def answer_snapshot(context):
+    group = context.group
+    leader = context.leader
+    group.compact(group.name_of(leader))
+    group.net.clear()
+    group.now += 500
+    context.asked_at = group.now
+    for member in leader.progress:
+        req = leader.make_snapshot_request(group.now, member)
+        name = member.rpartition(".")[0]
+        group.lose_disk(name)
+        reply = group.replicas[name].handle_snapshot(group.now, req)
+        leader.on_snapshot_reply(group.now, req, group.now, reply)
+
+
+@then("the leader is not confirmed by it")
+def check_not_confirmed(context):
+    confirmed_at = context.leader.quorum_acked_at(context.group.now)
+    assert confirmed_at < context.asked_at
+
+
+@when("the leader gets a higher term from another disk")
+def answer_with_term(context):
+    leader, now = context.leader, context.group.now
+    member = next(iter(leader.progress))
+    leader.on_append_reply(
+        now,
+        leader.make_append_request(now, member),
+        now,
+        control_pb2.AppendReply(term=leader.term + 1, wrong_member=True),
+    )
+
+
+@then("it still leads")
+def check_still_leads(context):
+    assert context.leader.is_leader
+
+
+@when("the leader removes itself")
+def remove_leader(context):
+    leader = context.leader
+    name = context.group.name_of(leader)
+    assert leader.propose_members(members_lib.without(leader.members, name))
+    context.group.run(500)
+
+
+@then("the removed replica does not lead")
+def check_removed(context):
+    assert not context.leader.is_leader
+
+
+@when("a follower gets other entries for what is committed")
+def replace_committed(context):
+    group = context.group
+    follower = group.replicas[context.leader.members.members[-1].name]
+    if follower is context.leader:
+        follower = group.replicas[context.leader.members.members[0].name]
+    entry = control_pb2.LogEntry(index=1, term=follower.term + 1, noop=True)
+    req = control_pb2.AppendRequest(
+        to=follower.id, leader="x", term=follower.term + 1, entries=[entry]
+    )
+    context.raised = None
+    try:
+        follower.handle_append(group.now, req)
+    except storage_lib.StorageFailedError as exc:
+        context.raised = exc
+
+
+@then("it refuses them aloud")
+def check_refused(context):
+    assert context.raised is not None
+    assert "committed" in str(context.raised), context.raised
+
+
+@when("a follower that has compacted its log gets it again")
+def repeat_old_append(context):
+    group = context.group
+    leader = context.leader
+    name = next(iter(leader.progress)).rpartition(".")[0]
+    req = control_pb2.AppendRequest(
+        to=group.replicas[name].id,
+        leader=leader.id,
+        term=leader.term,
+        entries=leader.entries(1, 1),
+    )
+    group.compact(name)
+    context.follower = group.replicas[name]
+    context.reply = context.follower.handle_append(group.now, req)
+
+
+@then("it answers with what it has committed")
+def check_covered(context):
+    assert context.reply.accepted, context.reply
+    assert context.reply.match_index == context.follower.commit
+
+
+@when("{name} is a learner that has been silent for {ms:d} ms")
+def silence_learner(context, name, ms):
+    context.own = add_learner(context, name)
+    progress = context.leader.progress[context.own]
+    progress.match_index = context.leader.commit
+    progress.acked_sent_at = context.group.now - ms
+
+
+@then("it does not count as caught up")
+def check_not_caught_up(context):
+    assert not context.leader.is_caught_up(context.own, context.group.now)
+
+
+def first_follower(context):
+    """Returns the name of a replica that does not lead."""
+    return next(iter(context.leader.progress)).rpartition(".")[0]
+
+
+def vote_request(context, to, candidate):
+    """Returns a request that every live voter should grant."""
+    return control_pb2.VoteRequest(
+        to=to,
+        candidate=candidate,
+        term=context.leader.term + 1,
+        last_index=context.leader.last_index,
+        last_term=context.leader.last_term,
+    )
+
+
+@when("a follower loses its disk and is asked by its earlier name")
+def ask_earlier_disk(context):
+    group, leader = context.group, context.leader
+    name = first_follower(context)
+    earlier = group.replicas[name].id
+    group.lose_disk(name)
+    group.now += 5000
+    request = leader.make_append_request(group.now, earlier)
+    vote = vote_request(context, earlier, leader.id)
+    replica = group.replicas[name]
+    context.vote = replica.handle_vote(group.now, vote)
+    context.taken = replica.handle_append(group.now, request)
+
+
+@then("it neither votes nor takes entries")
+def check_earlier_disk(context):
+    assert not context.vote.granted
+    assert context.taken.wrong_member and not context.taken.accepted
+
+
+@when("a follower votes, restarts and is asked by another candidate")
+def vote_twice(context):
+    group = context.group
+    name = first_follower(context)
+    own = group.replicas[name].id
+    group.now += 5000
+    first = vote_request(context, own, context.leader.id)
+    assert group.replicas[name].handle_vote(group.now, first).granted
+    group.restart(name)
+    group.now += 5000
+    second = vote_request(context, own, "control-x.first")
+    context.vote = group.replicas[name].handle_vote(group.now, second)
+
+
+@then("it refuses the second vote of the term")
+def check_second_vote(context):
+    assert not context.vote.granted
+
+
+@when("a new leader learns that all have an entry of an earlier term")
+def count_earlier_term(context):
+    group = context.group
+    name = group.name_of(context.leader)
+    group.cut = set(group.replicas) - {name}
+    group.propose(name)
+    context.index = context.leader.last_index
+    group.net.clear()
+    group.restart(name)
+    candidate = group.replicas[name]
+    context.leader = candidate
+    group.now += 5000
+    for vote in candidate.tick(group.now):
+        reply = control_pb2.VoteReply(term=candidate.term, granted=True)
+        for real in candidate.on_vote_reply(group.now, vote, reply):
+            candidate.on_vote_reply(group.now, real, reply)
+    assert candidate.is_leader
+    for member in candidate.progress:
+        request = candidate.make_append_request(group.now, member)
+        reply = control_pb2.AppendReply(
+            term=candidate.term, accepted=True, match_index=context.index
+        )
+        candidate.on_append_reply(group.now, request, group.now, reply)
+
+
+@then("it has committed nothing of it and is not ready")
+def check_earlier_term(context):
+    assert context.leader.commit < context.index, context.leader.commit
+    assert not context.leader.is_ready
--- /dev/null
+++ b/src/cardamomkeel/control/formation.py
@@ -0,0 +1,141 @@
+"""The first start of a control group.
+
+A data folder that `init` made may stand in for one that was lost, whose votes
+the group still counts on. So a new folder takes part only once every other
+first member has said that the group has not begun. Where it has, the folder
+becomes that of a new member, which learns before it votes.
+"""
+
+import pathlib
+import secrets
+
+import anyio
+from grpclib import const as grpc_const
+from grpclib import exceptions as grpc_exceptions
+from grpclib import server as grpc_server
+import loguru
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.replication import disk
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.wire import control_grpc
+from cardamomkeel.wire import control_pb2
+
+GREET_PAUSE_MS = 100.0
+GREET_TIMEOUT_MS = 1000.0
+LOG_EVERY = 50
+
+logger = loguru.logger
+
+
+def create_joining(folder: pathlib.Path, name: str) -> None:
+    """Makes the data folder of a replica that joins under an id of its own."""
+    member_id = members_lib.member_id(name, secrets.token_hex(6))
+    disk.create(folder, member_id, control_pb2.Members(), formed=True)
+
+
+class _GreetService(control_grpc.ReplicationBase):
+    """Answers other first members, and nothing else."""
+
+    def __init__(self, hard_state: control_pb2.HardState):
+        self.hard_state = hard_state
+
+    async def Greet(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Tells whether the group has begun as far as is known here."""
+        await stream.recv_message()
+        await stream.send_message(
+            control_pb2.GreetReply(
+                member_id=self.hard_state.member_id,
+                term=self.hard_state.term,
+                formed=self.hard_state.formed,
+            )
+        )
+
+    async def _refuse(self, stream: grpc_server.Stream) -> None:
+        raise grpc_exceptions.GRPCError(
+            grpc_const.Status.UNAVAILABLE, "the group is being formed"
+        )
+
+    Vote = Append = InstallSnapshot = Join = _refuse
+
+
+class Formation:
+    """Settles whether a new data folder begins a group or joins one."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        name: str,
+        addresses: dict[str, str],
+        reach: dict[str, str],
+        hard_state: control_pb2.HardState,
+    ):
+        self._folder = folder
+        self._name = name
+        self._address = addresses[name]
+        self._others = {n: a for n, a in addresses.items() if n != name}
+        self._channels = channels_lib.Channels(reach)
+        self._hard_state = hard_state
+
+    async def run(self) -> None:
+        """Returns once the data folder may take part."""
+        service = _GreetService(self._hard_state)
+        server = grpc_server.Server([service])
+        await server.start(*channels_lib.split_address(self._address))
+        try:
+            await self._settle()
+        finally:
+            server.close()
+            self._channels.close()
+
+    async def _settle(self) -> None:
+        rounds = 0
+        while True:
+            replies = await self._greet_all()
+            if self._hard_state.formed:
+                if self._are_all_formed(replies):
+                    return
+            elif any(self._has_begun(n, r) for n, r in replies.items()):
+                logger.warning("the group has begun; joins it as a new member")
+                create_joining(self._folder, self._name)
+                return
+            elif len(replies) == len(self._others):
+                self._hard_state.formed = True
+                disk.save_hard_state(self._folder, self._hard_state)
+                continue
+            if rounds % LOG_EVERY == 0:
+                missing = sorted(set(self._others) - set(replies))
+                logger.info("waits for the first members", missing=missing)
+            rounds += 1
+            await anyio.sleep(clock.seconds(GREET_PAUSE_MS))
+
+    def _are_all_formed(
+        self, replies: dict[str, control_pb2.GreetReply]
+    ) -> bool:
+        formed = [name for name, reply in replies.items() if reply.formed]
+        return len(formed) == len(self._others)
+
+    def _has_begun(self, name: str, reply: control_pb2.GreetReply) -> bool:
+        first = members_lib.member_id(name, members_lib.FIRST_INCARNATION)
+        return reply.term > 0 or reply.member_id != first
+
+    async def _greet_all(self) -> dict[str, control_pb2.GreetReply]:
+        replies = {}
+
+        async def greet(name: str, address: str) -> None:
+            reply = await self._channels.call(
+                address,
+                control_grpc.ReplicationStub,
+                "Greet",
+                control_pb2.GreetRequest(),
+                GREET_TIMEOUT_MS,
+            )
+            if isinstance(reply, result.Success):
+                replies[name] = reply.unwrap()
+
+        async with anyio.create_task_group() as tasks:
+            for name, address in self._others.items():
+                tasks.start_soon(greet, name, address)
+        return replies
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -75,6 +75,8 @@
         self._ready_since = 0.0
         self._swept_at = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._failure: storage_lib.StorageFailedError | None = None
+        self._failed = anyio.Event()
         self.changed = signal.Signal()
         self.confirmed = signal.Signal()
         self.leases = leases_lib.Leases(lease_ms)
@@ -104,12 +106,13 @@
         replica = self.replica
         if self.applied < replica.snapshot.index:
             self._load_snapshot()
-        before = self.applied
+        before = self.tables.version
         for entry in replica.entries(self.applied + 1, replica.commit):
             self._apply(entry)
         self._compact()
         self._note_role()
-        if self.applied != before:
+        # Nobody waits for commands that change no row, such as claims.
+        if self.tables.version != before:
             self.changed.notify()
         self._send.notify()
 
@@ -155,15 +158,40 @@
     def _sessions(self) -> list[int]:
         return [entry.session for entry in self.tables.entries()]
 
+    def handle(self, handler: typing.Callable, req: typing.Any) -> typing.Any:
+        """Has the replica answer a request of another control VM.
+
+        Args:
+            handler: The method of the replica.
+            req: The request.
+
+        Returns:
+            The reply, once what it promises is on the disk.
+        """
+        try:
+            reply = handler(self._clock.now(), req)
+            self.after_step()
+        except storage_lib.StorageFailedError as exc:
+            self._failure = exc
+            self._failed.set()
+            raise
+        return reply
+
     # Tasks.
 
     async def run(self) -> None:
-        """Runs until cancelled."""
+        """Runs until cancelled.
+
+        Raises:
+            StorageFailedError: The disk did not keep what it was given.
+        """
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._run_ticks)
             tasks.start_soon(self._run_batches)
             tasks.start_soon(self._run_duties)
+            await self._failed.wait()
+            raise self._failure
 
     async def _run_ticks(self) -> None:
         while True:
@@ -223,6 +251,7 @@
 
     async def _run_sender(self, member: str) -> None:
         """Sends a member what it lacks for as long as this node leads."""
+        failures = 0
         try:
             while member in self.replica.progress:
                 now = self._clock.now()
@@ -230,12 +259,28 @@
                 if wait_ms > 0:
                     await self._send.wait(clock.seconds(wait_ms))
                     continue
-                if not await self._send_once(now, member):
+                if await self._send_once(now, member, failures):
+                    failures = 0
+                    continue
+                failures += 1
+                if failures > 1:
                     await anyio.sleep(clock.seconds(PEER_PAUSE_MS))
         finally:
             self._senders.discard(member)
 
-    async def _send_once(self, now: clock.Millis, member: str) -> bool:
+    def _append_timeout(self, failures: int) -> clock.Millis:
+        """Returns how long an answer may take after some failed requests.
+
+        The first request leaves time to open another connection before the
+        member calls an election; a slow disk is given more in the end.
+        """
+        least = self._timings.election_least_ms
+        first = (least - self._timings.heartbeat_ms) / 2
+        return min(first * 2**failures, least)
+
+    async def _send_once(
+        self, now: clock.Millis, member: str, failures: int
+    ) -> bool:
         replica = self.replica
         snapshot = replica.needs_snapshot(member)
         if snapshot:
@@ -245,7 +290,7 @@
         else:
             req = replica.make_append_request(now, member)
             method, handle = "Append", replica.on_append_reply
-            timeout_ms = self._timings.election_least_ms
+            timeout_ms = self._append_timeout(failures)
         reply = await self._call_member(member, method, req, timeout_ms)
         if not isinstance(reply, result.Success):
             return False
@@ -351,8 +396,9 @@
         await self._promote_learners()
 
     async def _promote_learners(self) -> None:
+        now = self._clock.now()
         for member in self.replica.members.members:
-            if member.voter or not self.replica.is_caught_up(member.id):
+            if member.voter or not self.replica.is_caught_up(member.id, now):
                 continue
             changed = members_lib.with_voter(self.replica.members, member.id)
             if self.replica.propose_members(changed) is not None:
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -20,15 +20,13 @@
     async def Vote(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Answers a candidate."""
         req = await stream.recv_message()
-        reply = self._node.replica.handle_vote(self._clock.now(), req)
-        self._node.after_step()
+        reply = self._node.handle(self._node.replica.handle_vote, req)
         await stream.send_message(reply)
 
     async def Append(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Takes entries of the leader."""
         req = await stream.recv_message()
-        reply = self._node.replica.handle_append(self._clock.now(), req)
-        self._node.after_step()
+        reply = self._node.handle(self._node.replica.handle_append, req)
         await stream.send_message(reply)
 
     async def InstallSnapshot(  # noqa: N802
@@ -36,9 +34,18 @@
     ) -> None:
         """Takes the whole state of the leader."""
         req = await stream.recv_message()
-        reply = self._node.replica.handle_snapshot(self._clock.now(), req)
-        self._node.after_step()
-        await stream.send_message(reply or control_pb2.SnapshotReply())
+        reply = self._node.handle(self._node.replica.handle_snapshot, req)
+        await stream.send_message(reply)
+
+    async def Greet(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Tells a first member whether the group has begun."""
+        await stream.recv_message()
+        replica = self._node.replica
+        await stream.send_message(
+            control_pb2.GreetReply(
+                member_id=replica.id, term=replica.term, formed=True
+            )
+        )
 
     async def Join(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Takes a control VM in as a learner."""
@@ -54,6 +61,11 @@
             )
         if members_lib.get_member_by_id(replica.members, member.id):
             return control_pb2.JoinReply(accepted=True)
+        known = members_lib.get_member_by_name(replica.members, member.name)
+        if known and replica.is_live(known.id, self._clock.now()):
+            return control_pb2.JoinReply(
+                message=f"{member.name} is taken by a control VM that is live"
+            )
         changed = members_lib.with_learner(replica.members, member)
         if changed is None:
             return control_pb2.JoinReply(
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import random
-import secrets
 import typing
 
 import anyio
@@ -13,9 +12,11 @@
 import typer
 
 from cardamomkeel import clock
+from cardamomkeel import errors
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import channels
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.control import formation
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.control import service
 from cardamomkeel.daemons import serve
@@ -26,6 +27,7 @@
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members
 from cardamomkeel.replication import replica
+from cardamomkeel.replication import storage
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
@@ -52,7 +54,7 @@
         return
     first = members.first_members(cfg.control)
     own_id = members.member_id(cfg.name, members.FIRST_INCARNATION)
-    disk.create(folder, own_id, first)
+    disk.create(folder, own_id, first, formed=len(cfg.control) == 1)
     print(f"made {folder}")
 
 
@@ -67,15 +69,15 @@
     clk = clock.MonotonicClock()
     secret = start.unwrap(secret_lib.read_secret(pathlib.Path(cfg.secret_file)))
     folder = pathlib.Path(cfg.data_folder)
-    joins = disk.is_empty(folder)
-    if joins:
-        incarnation = secrets.token_hex(6)
-        disk.create(
-            folder,
-            members.member_id(cfg.name, incarnation),
-            control_pb2.Members(),
-        )
+    if disk.is_empty(folder):
+        formation.create_joining(folder, cfg.name)
     stored = start.unwrap(disk.load(folder))
+    if not stored.hard_state.formed:
+        forming = formation.Formation(
+            folder, cfg.name, cfg.control, cfg.reach, stored.hard_state
+        )
+        await forming.run()
+        stored = start.unwrap(disk.load(folder))
     node = node_lib.ControlNode(
         stored,
         disk.DiskStorage(folder, stored),
@@ -89,7 +91,21 @@
         clk,
         random.Random(),
     )
-    await _serve(cfg, node, clk, secret)
+    failed: list[errors.Error] = []
+    try:
+        await _serve(cfg, node, clk, secret)
+    except* storage.StorageFailedError as group:
+        failed.append(_first_error(group))
+    if failed:
+        start.fail(failed[0])
+
+
+def _first_error(group: BaseExceptionGroup) -> errors.Error:
+    """Returns the error of the first storage failure of a nested group."""
+    first = group.exceptions[0]
+    if isinstance(first, storage.StorageFailedError):
+        return first.error
+    return _first_error(first)
 
 
 async def _serve(
--- a/src/cardamomkeel/replication/disk.py
+++ b/src/cardamomkeel/replication/disk.py
@@ -1,11 +1,13 @@
 """Storage of a replica in files of one data folder.
 
 The folder holds `hard-state`, `snapshot` and `log`. Each is a run of frames:
-length, checksum of the payload, payload. A torn frame at the end of the log
-is cut off, since nothing that was synced can be torn; any other damage is
-refused, since what follows it can't be trusted.
+length, checksum of the payload, checksum of these two, payload. A torn frame
+at the end of the log is cut off, since nothing that was synced can be torn;
+any other damage is refused, since what follows it can't be trusted.
 """
 
+import collections.abc
+import contextlib
 import os
 import pathlib
 import struct
@@ -17,14 +19,31 @@
 from cardamomkeel.replication import storage
 from cardamomkeel.wire import control_pb2
 
-FRAME = struct.Struct("<II")
+FRAME = struct.Struct("<III")
+FIELDS = struct.Struct("<II")
 HARD_STATE = "hard-state"
 SNAPSHOT = "snapshot"
 LOG = "log"
+REMEDY = (
+    "move the data folder away and start this control VM with an empty "
+    "one: it joins again and learns the state from the others"
+)
 
 
 def _frame(payload: bytes) -> bytes:
-    return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+    fields = FIELDS.pack(len(payload), zlib.crc32(payload))
+    checksum = zlib.crc32(fields)
+    return FRAME.pack(*FIELDS.unpack(fields), checksum) + payload
+
+
+def _read_length(raw: bytes, offset: int) -> int | None:
+    """Returns the length that a frame states, or None where it is damaged."""
+    if offset + FRAME.size > len(raw):
+        return None
+    length, _, checksum = FRAME.unpack_from(raw, offset)
+    if checksum != zlib.crc32(raw[offset : offset + FIELDS.size]):
+        return None
+    return length
 
 
 def _sync_folder(folder: pathlib.Path) -> None:
@@ -46,22 +65,30 @@
     _sync_folder(path.parent)
 
 
+def _read_file(path: pathlib.Path) -> result.Result[bytes, errors.Error]:
+    try:
+        return result.Success(path.read_bytes())
+    except FileNotFoundError:
+        return result.Failure(errors.StorageError(f"{path} is missing", REMEDY))
+    except OSError as exc:
+        return result.Failure(
+            errors.StorageError(f"{path} can't be read: {exc}", REMEDY)
+        )
+
+
 def _read_one(path: pathlib.Path) -> result.Result[bytes, errors.Error]:
-    raw = path.read_bytes()
-    payload = raw[FRAME.size :]
-    if len(raw) >= FRAME.size:
-        length, checksum = FRAME.unpack_from(raw)
-        if length == len(payload) and checksum == zlib.crc32(payload):
-            return result.Success(payload)
-    return result.Failure(_damaged(path, 0))
+    """Reads a file that is one frame."""
+    raw = _read_file(path)
+    if not isinstance(raw, result.Success):
+        return raw
+    payload = _frame_at(raw.unwrap(), 0)
+    if payload is None or FRAME.size + len(payload) != len(raw.unwrap()):
+        return result.Failure(_damaged(path, 0))
+    return result.Success(payload)
 
 
 def _damaged(path: pathlib.Path, offset: int) -> errors.StorageError:
-    return errors.StorageError(
-        f"{path} is damaged at byte {offset}",
-        "move the data folder away and start this control VM with an empty "
-        "one: it joins again and learns the state from the others",
-    )
+    return errors.StorageError(f"{path} is damaged at byte {offset}", REMEDY)
 
 
 def is_empty(folder: pathlib.Path) -> bool:
@@ -70,15 +97,34 @@
 
 
 def create(
-    folder: pathlib.Path, member_id: str, members: control_pb2.Members
+    folder: pathlib.Path,
+    member_id: str,
+    members: control_pb2.Members,
+    formed: bool,
 ) -> None:
-    """Writes the files of a replica that has seen nothing yet."""
+    """Writes the files of a replica that has seen nothing yet.
+
+    Args:
+        folder: The data folder.
+        member_id: The id of the new replica.
+        members: The members that the group starts with; none for a replica
+            that joins.
+        formed: Whether the id is certain to be new.
+    """
     folder.mkdir(parents=True, exist_ok=True)
     snapshot = control_pb2.Snapshot(members=members)
     _replace(folder / SNAPSHOT, _frame(snapshot.SerializeToString()))
     _replace(folder / LOG, b"")
     # The hard state is last: a folder without it counts as empty.
-    hard_state = control_pb2.HardState(member_id=member_id)
+    save_hard_state(
+        folder, control_pb2.HardState(member_id=member_id, formed=formed)
+    )
+
+
+def save_hard_state(
+    folder: pathlib.Path, hard_state: control_pb2.HardState
+) -> None:
+    """Replaces the term, vote and member id, and syncs them."""
     _replace(folder / HARD_STATE, _frame(hard_state.SerializeToString()))
 
 
@@ -99,11 +145,25 @@
     stored = storage.Stored(
         hard_state=control_pb2.HardState.FromString(hard_state.unwrap()),
         snapshot=last,
-        entries=[e for e in entries.unwrap() if e.index > last.index],
+        entries=_entries_after(last, entries.unwrap()),
     )
     return _check_gaps(folder / LOG, stored)
 
 
+def _entries_after(
+    snapshot: control_pb2.Snapshot, entries: list[control_pb2.LogEntry]
+) -> list[control_pb2.LogEntry]:
+    """Returns the entries that a snapshot is followed by.
+
+    A crash between the writes of a snapshot and of the log may leave entries
+    behind that the snapshot has replaced.
+    """
+    for entry in entries:
+        if entry.index == snapshot.index and entry.term != snapshot.term:
+            return []
+    return [entry for entry in entries if entry.index > snapshot.index]
+
+
 def _check_gaps(
     path: pathlib.Path, stored: storage.Stored
 ) -> result.Result[storage.Stored, errors.Error]:
@@ -114,7 +174,7 @@
                 errors.StorageError(
                     f"{path} holds entry {entry.index} where {expected} "
                     "should be",
-                    _damaged(path, 0).remedy,
+                    REMEDY,
                 )
             )
         expected += 1
@@ -124,7 +184,10 @@
 def _load_log(
     path: pathlib.Path,
 ) -> result.Result[list[control_pb2.LogEntry], errors.Error]:
-    raw = path.read_bytes()
+    read = _read_file(path)
+    if not isinstance(read, result.Success):
+        return read
+    raw = read.unwrap()
     entries = []
     offset = 0
     while offset < len(raw):
@@ -140,11 +203,12 @@
 
 
 def _frame_at(raw: bytes, offset: int) -> bytes | None:
-    start = offset + FRAME.size
-    if start > len(raw):
+    length = _read_length(raw, offset)
+    if length is None:
         return None
-    length, checksum = FRAME.unpack_from(raw, offset)
+    start = offset + FRAME.size
     payload = raw[start : start + length]
+    _, checksum, _ = FRAME.unpack_from(raw, offset)
     if len(payload) < length or checksum != zlib.crc32(payload):
         return None
     return payload
@@ -152,26 +216,44 @@
 
 def _is_torn_tail(raw: bytes, offset: int) -> bool:
     """Tells whether the bad frame at an offset is the last of the log."""
-    start = offset + FRAME.size
-    if start > len(raw):
-        return True
-    length, _ = FRAME.unpack_from(raw, offset)
-    return start + length >= len(raw)
+    length = _read_length(raw, offset)
+    if length is not None:
+        return offset + FRAME.size + length >= len(raw)
+    # The length can't be trusted: what was synced may follow.
+    return not any(
+        _frame_at(raw, later) is not None
+        for later in range(offset + 1, len(raw) - FRAME.size + 1)
+    )
 
 
 class DiskStorage:
-    """Storage in a data folder that `create` made and `load` has read."""
+    """Storage in a data folder that `create` made and `load` has read.
+
+    After a write or a sync has failed nobody knows what is on the disk, so
+    every later call fails too.
+    """
 
     def __init__(self, folder: pathlib.Path, stored: storage.Stored):
         self._folder = folder
         self._log = open(folder / LOG, "r+b")  # noqa: SIM115
         self._first = stored.snapshot.index + 1
         self._ends: list[int] = []
-        self._rewrite_if_needed(stored)
-
-    def _rewrite_if_needed(self, stored: storage.Stored) -> None:
-        """Drops entries that the snapshot covers and finds frame ends."""
-        self._write_log(stored.entries)
+        self._error: errors.Error | None = None
+        with self._fail_stop():
+            self._write_log(stored.entries)
+
+    @contextlib.contextmanager
+    def _fail_stop(self) -> collections.abc.Iterator[None]:
+        if self._error is not None:
+            raise storage.StorageFailedError(self._error)
+        try:
+            yield
+        except OSError as exc:
+            self._error = errors.StorageError(
+                f"{self._folder} can't be written: {exc}",
+                "free or mend the disk and start this control VM again",
+            )
+            raise storage.StorageFailedError(self._error) from exc
 
     def _write_log(self, entries: list[control_pb2.LogEntry]) -> None:
         frames = [_frame(e.SerializeToString()) for e in entries]
@@ -187,27 +269,28 @@
 
     def save_hard_state(self, hard_state: control_pb2.HardState) -> None:
         """Replaces the term, vote and member id, and syncs them."""
-        _replace(
-            self._folder / HARD_STATE, _frame(hard_state.SerializeToString())
-        )
+        with self._fail_stop():
+            save_hard_state(self._folder, hard_state)
 
     def append(self, entries: list[control_pb2.LogEntry]) -> None:
         """Adds entries to the end of the log."""
-        end = self._ends[-1] if self._ends else 0
-        for entry in entries:
-            frame = _frame(entry.SerializeToString())
-            self._log.write(frame)
-            end += len(frame)
-            self._ends.append(end)
+        with self._fail_stop():
+            end = self._ends[-1] if self._ends else 0
+            for entry in entries:
+                frame = _frame(entry.SerializeToString())
+                self._log.write(frame)
+                end += len(frame)
+                self._ends.append(end)
 
     def truncate(self, last_index: int) -> None:
         """Drops the entries after an index."""
-        keep = max(0, last_index - self._first + 1)
-        end = self._ends[keep - 1] if keep else 0
-        del self._ends[keep:]
-        self._log.flush()
-        self._log.truncate(end)
-        self._log.seek(end)
+        with self._fail_stop():
+            keep = max(0, last_index - self._first + 1)
+            end = self._ends[keep - 1] if keep else 0
+            del self._ends[keep:]
+            self._log.flush()
+            self._log.truncate(end)
+            self._log.seek(end)
 
     def save_snapshot(
         self,
@@ -215,11 +298,14 @@
         entries: list[control_pb2.LogEntry],
     ) -> None:
         """Replaces the snapshot and the entries that follow it, and syncs."""
-        _replace(self._folder / SNAPSHOT, _frame(snapshot.SerializeToString()))
-        self._first = snapshot.index + 1
-        self._write_log(entries)
+        with self._fail_stop():
+            frame = _frame(snapshot.SerializeToString())
+            _replace(self._folder / SNAPSHOT, frame)
+            self._first = snapshot.index + 1
+            self._write_log(entries)
 
     def sync(self) -> None:
         """Returns once all that was written is on the disk."""
-        self._log.flush()
-        os.fdatasync(self._log.fileno())
+        with self._fail_stop():
+            self._log.flush()
+            os.fdatasync(self._log.fileno())
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -11,6 +11,7 @@
 import random
 
 from cardamomkeel import clock
+from cardamomkeel import errors
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import storage as storage_lib
 from cardamomkeel.wire import control_pb2
@@ -183,6 +184,7 @@
         """
         if self.is_leader:
             self._check_quorum(now)
+            self._check_membership(now)
             return []
         if now < self._election_at or not self.is_voter:
             return []
@@ -194,6 +196,11 @@
         if max(self.quorum_acked_at(now), self._led_since) < limit:
             self._follow(now, self.term, "")
 
+    def _check_membership(self, now: clock.Millis) -> None:
+        """Ends a leadership once the leader's removal is committed."""
+        if self.is_leader and not self.is_voter and not self._has_open_change():
+            self._follow(now, self.term, "")
+
     # Elections.
 
     def _save_hard_state(self, term: int, voted_for: str) -> None:
@@ -201,7 +208,10 @@
         self._voted_for = voted_for
         self._storage.save_hard_state(
             control_pb2.HardState(
-                term=term, voted_for=voted_for, member_id=self.id
+                term=term,
+                voted_for=voted_for,
+                member_id=self.id,
+                formed=True,
             )
         )
 
@@ -247,6 +257,7 @@
         self._track_members()
         self._term_start = self.last_index + 1
         self._append_own([control_pb2.LogEntry(noop=True)])
+        self._advance_commit()
         return []
 
     def handle_vote(
@@ -269,10 +280,8 @@
         """Returns why a vote is refused, or nothing."""
         if req.to != self.id:
             return "the vote of an earlier disk does not count"
-        if not self.is_voter:
-            return "this member has no vote"
-        if req.candidate not in members_lib.voters(self.members):
-            return "the candidate has no vote"
+        # Neither side's vote depends on the membership known here: it may be
+        # older than the one that the candidate counts by.
         if req.term < self.term:
             return "the term is old"
         # A live leader is not disturbed by a member that lost sight of it.
@@ -325,7 +334,6 @@
         self._storage.append(bodies)
         self._storage.sync()
         self._log.extend(bodies)
-        self._advance_commit()
 
     def propose(
         self, commands: list[control_pb2.Command]
@@ -341,6 +349,7 @@
         self._append_own(
             [control_pb2.LogEntry(command=command) for command in commands]
         )
+        self._advance_commit()
         return first, self.last_index
 
     def propose_members(self, changed: control_pb2.Members) -> int | None:
@@ -421,10 +430,12 @@
         reply: control_pb2.AppendReply,
     ) -> None:
         """Takes note of what a member has."""
+        if reply.wrong_member:
+            return
         if self._is_stale_reply(now, req.term, reply.term):
             return
         progress = self.progress.get(req.to)
-        if progress is None or reply.wrong_member:
+        if progress is None:
             return
         progress.acked_sent_at = max(progress.acked_sent_at, sent_at)
         if reply.accepted:
@@ -441,6 +452,8 @@
         reply: control_pb2.SnapshotReply,
     ) -> None:
         """Takes note of a member that has taken a snapshot."""
+        if reply.wrong_member:
+            return
         if self._is_stale_reply(now, req.term, reply.term):
             return
         progress = self.progress.get(req.to)
@@ -491,10 +504,20 @@
             {m: p.acked_sent_at for m, p in self.progress.items()}, now
         )
 
-    def is_caught_up(self, member: str) -> bool:
-        """Tells whether a member has every committed entry."""
+    def is_live(self, member: str, now: clock.Millis) -> bool:
+        """Tells whether a member has answered this leader of late."""
+        if member == self.id:
+            return True
         progress = self.progress.get(member)
-        return progress is not None and progress.match_index >= self.commit
+        if progress is None:
+            return False
+        return progress.acked_sent_at >= now - self._timings.election_least_ms
+
+    def is_caught_up(self, member: str, now: clock.Millis) -> bool:
+        """Tells whether a live member has every committed entry."""
+        if not self.is_live(member, now):
+            return False
+        return self.progress[member].match_index >= self.commit
 
     # Following.
 
@@ -512,8 +535,9 @@
             return control_pb2.AppendReply(term=self.term)
         self._hear_leader(now, req.term, req.leader)
         if req.previous_index < self.snapshot.index:
+            # A leader has every committed entry, so they agree up to there.
             return control_pb2.AppendReply(
-                term=self.term, hint_index=self.snapshot.index + 1
+                term=self.term, accepted=True, match_index=self.commit
             )
         if self._term_at(req.previous_index) != req.previous_term:
             return control_pb2.AppendReply(
@@ -540,21 +564,38 @@
         if not new:
             return
         first = new[0].index
+        self._check_not_committed(first)
         new = [e for e in entries if e.index >= first]
-        if first <= self.last_index:
+        replaces = first <= self.last_index
+        if replaces:
             del self._log[first - self.first_index :]
             self._storage.truncate(first - 1)
         self._storage.append(new)
         self._storage.sync()
         self._log.extend(new)
-        self.members = self._find_members()
+        if replaces or any(entry.HasField("members") for entry in new):
+            self.members = self._find_members()
+
+    def _check_not_committed(self, index: int) -> None:
+        """Raises StorageFailedError where a committed entry would change."""
+        if index > self.commit:
+            return
+        raise storage_lib.StorageFailedError(
+            errors.StorageError(
+                f"a leader sent another entry for index {index}, but "
+                f"{self.commit} is committed here",
+                "stop this control VM, see that no data folder was copied "
+                "or restored from an older state, and start it with an "
+                "empty one",
+            )
+        )
 
     def handle_snapshot(
         self, now: clock.Millis, req: control_pb2.SnapshotRequest
-    ) -> control_pb2.SnapshotReply | None:
-        """Takes a snapshot in place of the log; None for an earlier disk."""
+    ) -> control_pb2.SnapshotReply:
+        """Takes a snapshot in place of the log."""
         if req.to != self.id:
-            return None
+            return control_pb2.SnapshotReply(wrong_member=True)
         if req.term < self.term:
             return control_pb2.SnapshotReply(term=self.term)
         self._hear_leader(now, req.term, req.leader)
--- a/src/cardamomkeel/replication/storage.py
+++ b/src/cardamomkeel/replication/storage.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from cardamomkeel import errors
 from cardamomkeel.wire import control_pb2
 
 
@@ -15,9 +16,24 @@
     entries: list[control_pb2.LogEntry]
 
 
+class StorageFailedError(Exception):
+    """The storage can't keep what it was given; the replica has to end.
+
+    Attributes:
+        error: What went wrong and what to do about it.
+    """
+
+    def __init__(self, error: errors.Error):
+        super().__init__(str(error))
+        self.error = error
+
+
 class Storage(typing.Protocol):
     """Keeps the log over restarts.
 
+    Each method raises StorageFailedError where the storage does not do what
+    it was asked for, and from then on for every call.
+
     Nothing counts as kept before `sync` has returned.
     """
 
--- a/src/cardamomkeel/state/commands/configuration.py
+++ b/src/cardamomkeel/state/commands/configuration.py
@@ -8,10 +8,11 @@
 
 
 def _accept(
-    tables: tables_lib.Tables, change_id: str, index: int
+    tables: tables_lib.Tables, change_id: str
 ) -> control_pb2.CommandResult:
+    # Of a change that touches no row, the newest row is as new.
     accepted = control_pb2.CommandResult(
-        status=OK, revision=tables.revision, version=index
+        status=OK, revision=tables.revision, version=tables.version
     )
     tables.remember_change(change_id, accepted)
     return accepted
@@ -49,7 +50,7 @@
             change_id=cmd.change_id,
         ),
     )
-    return _accept(tables, cmd.change_id, index)
+    return _accept(tables, cmd.change_id)
 
 
 def take_out(
@@ -69,7 +70,7 @@
             revision=tables.revision,
         ),
     )
-    return _accept(tables, cmd.change_id, index)
+    return _accept(tables, cmd.change_id)
 
 
 def bring_back(
@@ -80,4 +81,4 @@
         return tables.changes[cmd.change_id]
     tables.revision += 1
     tables.delete(tables_lib.out_key(cmd.data_centre, cmd.address), index)
-    return _accept(tables, cmd.change_id, index)
+    return _accept(tables, cmd.change_id)
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -140,7 +140,10 @@
         )
 
     def load(self, state: control_pb2.State) -> None:
-        """Replaces all rows by those of a message."""
+        """Replaces all rows by those of a message, which stays as it is."""
+        copied = control_pb2.State()
+        copied.CopyFrom(state)
+        state = copied
         self.log_ms = state.log_ms
         self.revision = state.revision
         self.version = state.version
--- a/src/cardamomkeel/wire/control_grpc.py
+++ b/src/cardamomkeel/wire/control_grpc.py
@@ -30,6 +30,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.JoinRequest, cardamomkeel.wire.control_pb2.JoinReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Greet(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.GreetRequest, cardamomkeel.wire.control_pb2.GreetReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamomkeel.wire.Replication/Vote': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 cardamomkeel.wire.control_pb2.JoinRequest,
                 cardamomkeel.wire.control_pb2.JoinReply,
             ),
+            '/cardamomkeel.wire.Replication/Greet': grpclib.const.Handler(
+                self.Greet,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomkeel.wire.control_pb2.GreetRequest,
+                cardamomkeel.wire.control_pb2.GreetReply,
+            ),
         }
 
 
@@ -86,6 +96,12 @@
             cardamomkeel.wire.control_pb2.JoinRequest,
             cardamomkeel.wire.control_pb2.JoinReply,
         )
+        self.Greet = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomkeel.wire.Replication/Greet',
+            cardamomkeel.wire.control_pb2.GreetRequest,
+            cardamomkeel.wire.control_pb2.GreetReply,
+        )
 
 
 class ControlBase(abc.ABC):
