--- /dev/null
+++ b/features/control_repair.feature
@@ -0,0 +1,46 @@
+Feature: Control VMs that lose their disks, fall silent and return
+
+  @fixture.small
+  Scenario: A second control VM is lost right after the first was repaired
+    Given control-1 is killed and its data folder wiped
+    When control-1 starts again
+    Then control-1 votes under a new id within 15 s
+    When control-2 is killed
+    Then a change of the settings is accepted within 10 s
+    And every entry has it in force within 6 s
+
+  @fixture.small
+  Scenario: The vote of a lost disk does not come back by init
+    Given control-1 is killed and its data folder wiped
+    And control-3 is killed
+    When init is run again for control-1
+    And control-1 starts again
+    Then no change of the settings is accepted for 4 s
+    When control-3 starts again
+    Then control-1 votes under a new id within 15 s
+    And a change of the settings is accepted within 10 s
+
+  @fixture.small
+  Scenario: A control VM that can't write its disk ends and says why
+    Given the leader can't write more than it has written
+    When a large change of the settings is sent to another control VM
+    Then the leader ends with status 1 and names the disk
+    And a change of the settings is accepted within 10 s
+    And every entry has it in force within 6 s
+
+  @fixture.small
+  Scenario: Operators change the control group
+    When an operator removes control-4 and adds it
+    Then control-4 is expected
+    Given control-3 is killed
+    When an operator removes control-2
+    Then that is refused since control-3 does not answer
+    When an operator removes control-3
+    Then the group has the voters control-1 control-2
+
+  @fixture.small_relayed
+  Scenario: Connections of the leader fall silent for good
+    Given the leader and its term are noted
+    When all connections between control VMs and from entries fall silent
+    Then no lease runs out for 5 s
+    And the same leader leads in the same term
--- /dev/null
+++ b/features/steps/control_repair.py
@@ -0,0 +1,194 @@
+"""Steps of control VMs that fail and are repaired."""
+
+import resource
+import shutil
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import deployment as deployment_lib
+
+SPARE_BYTES = 50_000
+
+
+def control_process(context, name):
+    return context.deployment.controls[name]
+
+
+@given("{name} is killed and its data folder wiped")
+def wipe(context, name):
+    control_process(context, name).kill()
+    shutil.rmtree(context.deployment.folder / f"{name}-data")
+
+
+@given("{name} is killed")
+@when("{name} is killed")
+def kill_control(context, name):
+    control_process(context, name).kill()
+
+
+@when("{name} starts again")
+def start_control(context, name):
+    control_process(context, name).start()
+
+
+@when("init is run again for {name}")
+def init_again(context, name):
+    context.deployment.init(name)
+
+
+@then("{name} votes under a new id within {seconds:d} s")
+def check_votes(context, name, seconds):
+    def votes():
+        dump = context.deployment.dump_control(name)
+        voters = [
+            member["id"]
+            for member in dump.get("members", {}).get("members", [])
+            if member.get("voter")
+        ]
+        return dump.get("member") in voters
+
+    deployment_lib.wait_for(votes, seconds, f"{name} votes")
+    own = context.deployment.dump_control(name)["member"]
+    assert own != f"{name}.first", own
+
+
+def change(context, timeout_s):
+    """Applies a text made from the revision in force; returns the answer."""
+    deployment = context.deployment
+    got = deployment.operate("/v1/show", {}, timeout_s)
+    base = next(
+        int(record["settings"]["revision"])
+        for record in got["records"]
+        if "settings" in record
+    )
+    return deployment.apply(deployment.shape.text + " ", base)
+
+
+@then("a change of the settings is accepted within {seconds:d} s")
+def check_accepted(context, seconds):
+    context.got = change(context, seconds)
+    assert "revision" in context.got, context.got
+
+
+@then("no change of the settings is accepted for {seconds:d} s")
+def check_not_accepted(context, seconds):
+    try:
+        got = context.deployment.operate("/v1/show", {}, seconds)
+    except TimeoutError:
+        return
+    raise AssertionError(got)
+
+
+@then("every entry has it in force within {seconds:d} s")
+def check_in_force(context, seconds):
+    deployment = context.deployment
+    revision = context.got["revision"]
+    deployment_lib.wait_for(
+        lambda: all(
+            deployment.dump_entry(name).get("revision") == revision
+            and deployment.dump_entry(name)["fresh"]
+            for name in deployment.entries
+        ),
+        seconds,
+        f"revision {revision} is in force",
+    )
+
+
+@given("the leader can't write more than it has written")
+def limit_disk(context):
+    deployment = context.deployment
+    context.leader = deployment.leader()
+    log = deployment.folder / f"{context.leader}-data" / "log"
+    # Room for what the process writes to its own log.
+    size = log.stat().st_size + SPARE_BYTES
+    pid = control_process(context, context.leader).pid
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, size))
+
+
+@when("a large change of the settings is sent to another control VM")
+def send_change(context):
+    text = context.deployment.shape.text + " " * 2 * SPARE_BYTES
+    deployment = context.deployment
+    follower = next(n for n in deployment.controls if n != context.leader)
+    body = {
+        "text": text,
+        "base_revision": 1,
+        "change_id": "change-on-a-full-disk",
+        "operator": "tests",
+    }
+    address = deployment.control_operators[follower]
+    got = deployment.call(address, "/v1/apply", body).json()
+    assert got.get("revision") == 2, got
+
+
+@then("the leader ends with status {status:d} and names the disk")
+def check_ended_by_disk(context, status):
+    process = control_process(context, context.leader)
+    deployment_lib.wait_for(lambda: not process.is_running(), 10, "it ends")
+    ended, log = process.stop(), process.log.read_text()
+    assert ended == status, f"{ended}: {log}"
+    assert "can't be written" in log, log
+
+
+@when("an operator removes {name} and adds it")
+def remove_and_add(context, name):
+    context.deployment.operate("/v1/member-remove", {"name": name})
+    context.got = context.deployment.operate("/v1/member-add", {"name": name})
+
+
+@then("{name} is expected")
+def check_expected(context, name):
+    assert context.got.get("expected") == [name], context.got
+
+
+@when("an operator removes {name}")
+def remove_member(context, name):
+    # A majority has to have noticed who does not answer.
+    time.sleep(1.5)
+    context.got = context.deployment.operate(
+        "/v1/member-remove", {"name": name}
+    )
+
+
+@then("that is refused since {name} does not answer")
+def check_removal_refused(context, name):
+    assert "do not answer" in context.got.get("message", ""), context.got
+    assert name in context.got["message"]
+
+
+@then("the group has the voters {names}")
+def check_voters(context, names):
+    voters = [m["name"] for m in context.got["members"] if m.get("voter")]
+    assert sorted(voters) == names.split(), context.got
+
+
+@given("the leader and its term are noted")
+def note_leader(context):
+    context.leader = context.deployment.leader()
+    context.term = context.deployment.dump_control(context.leader)["term"]
+
+
+@when("all connections between control VMs and from entries fall silent")
+def silence_open(context):
+    for client in [*context.deployment.controls, *context.deployment.entries]:
+        for server in context.deployment.controls:
+            context.deployment.relays.inject("silence_open", client, server)
+
+
+@then("no lease runs out for {seconds:d} s")
+def check_leases(context, seconds):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for name in context.deployment.entries:
+            assert context.deployment.dump_entry(name)["fresh"], name
+        time.sleep(0.05)
+
+
+@then("the same leader leads in the same term")
+def check_same_leader(context):
+    dump = context.deployment.dump_control(context.leader)
+    assert dump["role"] == "leader", dump
+    assert dump["term"] == context.term, dump
--- /dev/null
+++ b/features/steps/log_disk.py
@@ -0,0 +1,119 @@
+"""Steps of the data folder, without processes."""
+
+import errno
+import os
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+from returns import result
+
+from cardamomkeel.replication import disk
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.wire import control_pb2
+
+
+def make_entry(index):
+    """Returns a log entry of some size."""
+    change = control_pb2.ChangeSettings(text="x" * 40, change_id=str(index))
+    command = control_pb2.Command(change_settings=change)
+    return control_pb2.LogEntry(index=index, term=1, command=command)
+
+
+@given("a data folder with {count:d} entries, the last {unsynced:d} not synced")
+def make_data_folder(context, count, unsynced):
+    context.data = context.folder / "data"
+    first = members_lib.first_members({"control-1": "-"})
+    disk.create(context.data, "control-1.first", first, formed=True)
+    context.storage = disk.DiskStorage(
+        context.data, disk.load(context.data).unwrap()
+    )
+    context.ends = []
+    for index in range(1, count + 1):
+        context.storage.append([make_entry(index)])
+        context.storage.sync()
+        context.ends.append((context.data / disk.LOG).stat().st_size)
+    context.unsynced = unsynced
+
+
+def overwrite(path, offset, content):
+    raw = bytearray(path.read_bytes())
+    raw[offset : offset + len(content)] = content
+    path.write_bytes(raw)
+
+
+@when('the log is damaged by "{damage}"')
+def damage_log(context, damage):
+    log = context.data / disk.LOG
+    last, middle = context.ends[-2], context.ends[9]
+    size = context.ends[-1] - last
+    flipped = b"\xff\xfe\xfd"
+    jobs = {
+        "cut in the last payload": lambda: os.truncate(log, last + 20),
+        "cut in the last header": lambda: os.truncate(log, last + 5),
+        "zeros for the last": lambda: overwrite(log, last, bytes(size)),
+        "payload in the middle": lambda: overwrite(log, middle + 20, flipped),
+        "length in the middle": lambda: overwrite(log, middle, b"\x02"),
+        "large length in middle": lambda: overwrite(log, middle + 2, b"\x7f"),
+        "first header": lambda: overwrite(log, 0, flipped),
+        "log deleted": lambda: os.unlink(log),
+        "snapshot flipped": lambda: overwrite(
+            context.data / disk.SNAPSHOT, 14, flipped
+        ),
+        "hard state flipped": lambda: overwrite(
+            context.data / disk.HARD_STATE, 14, flipped
+        ),
+    }
+    jobs[damage]()
+
+
+@when("a snapshot of index {index:d} and another term replaces only its file")
+def replace_snapshot(context, index):
+    real = disk.DiskStorage._write_log
+    snapshot = control_pb2.Snapshot(index=index, term=2)
+    with mock.patch.object(disk.DiskStorage, "_write_log"):
+        context.storage.save_snapshot(snapshot, [])
+    assert disk.DiskStorage._write_log is real
+
+
+@then('it reads as "{outcome}"')
+def check_reads(context, outcome):
+    got = disk.load(context.data)
+    if outcome == "refused":
+        assert not isinstance(got, result.Success), got
+        assert "data folder away" in got.failure().remedy
+        return
+    assert isinstance(got, result.Success), got
+    _, first, _, last = outcome.split()
+    indexes = [entry.index for entry in got.unwrap().entries]
+    assert indexes == list(range(int(first), int(last) + 1)), indexes
+
+
+@when('"{call}" fails with {error} once')
+def fail_once(context, call, error):
+    number = getattr(errno, error)
+    failing = mock.Mock(side_effect=OSError(number, os.strerror(number)))
+    with mock.patch.object(disk.os, call, failing):
+        context.refusals = [try_write(context.storage, call)]
+    context.refusals.append(try_write(context.storage, call))
+
+
+def try_write(storage, call):
+    """Returns how a write was refused, or None."""
+    try:
+        if call == "fsync":
+            storage.save_hard_state(control_pb2.HardState(term=9))
+        else:
+            storage.append([make_entry(21)])
+            storage.sync()
+    except storage_lib.StorageFailedError as exc:
+        return exc
+    return None
+
+
+@then("the storage refuses that and what comes after")
+def check_refusals(context):
+    assert all(context.refusals), context.refusals
+    assert "mend the disk" in str(context.refusals[0])
--- a/src/cardamomkeel/control/channels.py
+++ b/src/cardamomkeel/control/channels.py
@@ -1,5 +1,6 @@
 """Connections to control VMs that are replaced when they go silent."""
 
+import dataclasses
 import typing
 
 import anyio
@@ -10,6 +11,8 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 
+MAX_IDLE_MS = 1000.0
+
 Reply = typing.TypeVar("Reply")
 
 
@@ -19,29 +22,50 @@
     return host, int(port)
 
 
+@dataclasses.dataclass
+class _Open:
+    """An open connection."""
+
+    channel: grpc_client.Channel
+    used_at: clock.Millis
+    in_flight: int = 0
+
+
 class Channels:
-    """One connection per address, opened when first needed."""
+    """One connection per address, opened when first needed.
 
-    def __init__(self, reach: dict[str, str]):
+    A connection that nobody has used for a while may have gone silent, so
+    another one is opened in its place.
+    """
+
+    def __init__(self, reach: dict[str, str], clk: clock.Clock):
         """Makes an empty set of connections.
 
         Args:
             reach: Addresses to connect to in place of others.
+            clk: The clock that tells how long a connection was not used.
         """
         self._reach = reach
-        self._channels: dict[str, grpc_client.Channel] = {}
+        self._clock = clk
+        self._channels: dict[str, _Open] = {}
 
-    def _open(self, address: str) -> grpc_client.Channel:
+    def _open(self, address: str) -> _Open:
+        known = self._channels.get(address)
+        unused_since = self._clock.now() - MAX_IDLE_MS
+        if known and not known.in_flight and known.used_at < unused_since:
+            self.drop(address)
         if address not in self._channels:
             host, port = split_address(self._reach.get(address, address))
-            self._channels[address] = grpc_client.Channel(host, port)
+            self._channels[address] = _Open(
+                grpc_client.Channel(host, port), self._clock.now()
+            )
         return self._channels[address]
 
     def drop(self, address: str) -> None:
         """Closes the connection to an address, if there is one."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        known = self._channels.pop(address, None)
+        if known is not None:
+            known.channel.close()
 
     def close(self) -> None:
         """Closes all connections."""
@@ -71,17 +95,19 @@
         Returns:
             The reply, or why there is none.
         """
-        channel = self._open(address)
+        known = self._open(address)
+        known.in_flight += 1
         try:
             with anyio.fail_after(clock.seconds(timeout_ms)):
-                return result.Success(await getattr(stub(channel), method)(req))
+                call = getattr(stub(known.channel), method)
+                return result.Success(await call(req))
         except (
             OSError,
             TimeoutError,
             grpc_exceptions.GRPCError,
             grpc_exceptions.StreamTerminatedError,
         ) as exc:
-            if self._channels.get(address) is channel:
+            if self._channels.get(address) is known:
                 self.drop(address)
             return result.Failure(
                 errors.UnavailableError(
@@ -89,3 +115,6 @@
                     "see that it runs and can be reached",
                 )
             )
+        finally:
+            known.in_flight -= 1
+            known.used_at = self._clock.now()
--- a/src/cardamomkeel/control/client.py
+++ b/src/cardamomkeel/control/client.py
@@ -26,7 +26,7 @@
     ):
         self._addresses = list(addresses)
         self._clock = clk
-        self._channels = channels_lib.Channels(reach)
+        self._channels = channels_lib.Channels(reach, clk)
         self._next = 0
         self._leader = ""
 
@@ -100,6 +100,15 @@
         reply = await self._call("Propose", req, attempt_ms, timeout_ms)
         return reply.map(lambda done: list(done.results))
 
+    async def change_members(
+        self,
+        req: control_pb2.ChangeMembersRequest,
+        timeout_ms: clock.Millis,
+        attempt_ms: clock.Millis = 2000.0,
+    ) -> result.Result[control_pb2.ChangeMembersReply, errors.Error]:
+        """Lets a control VM join, or removes it."""
+        return await self._call("ChangeMembers", req, attempt_ms, timeout_ms)
+
     async def read(
         self,
         req: control_pb2.ReadRequest,
--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -71,12 +71,13 @@
         addresses: dict[str, str],
         reach: dict[str, str],
         hard_state: control_pb2.HardState,
+        clk: clock.Clock,
     ):
         self._folder = folder
         self._name = name
         self._address = addresses[name]
         self._others = {n: a for n, a in addresses.items() if n != name}
-        self._channels = channels_lib.Channels(reach)
+        self._channels = channels_lib.Channels(reach, clk)
         self._hard_state = hard_state
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/cardamomkeel/control/membership.py
@@ -0,0 +1,74 @@
+"""Changes of the control group that operators ask for."""
+
+from cardamomkeel import clock
+from cardamomkeel.control import node as node_lib
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.wire import control_pb2
+
+REFUSED = control_pb2.STATUS_REFUSED
+OK = control_pb2.STATUS_OK
+COMMIT_PAUSE_MS = 250.0
+
+
+def explain_lost_quorum(
+    members: control_pb2.Members, live: set[str], name: str
+) -> str:
+    """Returns why a member can't be removed, or nothing.
+
+    Args:
+        members: The members in force.
+        live: The ids of the members that answer the leader.
+        name: The name of the member to remove.
+    """
+    left = members_lib.without(members, name)
+    voters = set(members_lib.voters(left))
+    if not voters:
+        return f"{name} is the last voter of the group"
+    needed = members_lib.quorum(left)
+    silent = sorted(voters - live)
+    if len(voters) - len(silent) >= needed:
+        return ""
+    return (
+        f"without {name} the group needs {needed} of {len(voters)} votes, "
+        f"but these do not answer: {', '.join(silent)}"
+    )
+
+
+async def change(
+    node: node_lib.ControlNode,
+    clk: clock.Clock,
+    req: control_pb2.ChangeMembersRequest,
+) -> control_pb2.ChangeMembersReply:
+    """Has a change of the members committed; a resend changes nothing."""
+    replica = node.replica
+    not_leader = control_pb2.ChangeMembersReply(
+        leader_address=node.leader_address()
+    )
+    if not await node.confirm(clk.now()):
+        return not_leader
+    if req.remove:
+        live = {
+            member.id
+            for member in replica.members.members
+            if replica.is_live(member.id, clk.now())
+        }
+        reason = explain_lost_quorum(replica.members, live, req.name)
+        changed = members_lib.without(replica.members, req.name)
+    else:
+        reason = ""
+        changed = members_lib.with_expected(replica.members, req.name)
+    if reason:
+        return control_pb2.ChangeMembersReply(
+            leader=True, status=REFUSED, message=reason
+        )
+    if changed == replica.members:
+        return control_pb2.ChangeMembersReply(leader=True, status=OK)
+    index = replica.propose_members(changed)
+    if index is None:
+        return not_leader
+    node.after_step()
+    while replica.is_leader and replica.commit < index:
+        await node.confirmed.wait(clock.seconds(COMMIT_PAUSE_MS))
+    if replica.commit < index:
+        return not_leader
+    return control_pb2.ChangeMembersReply(leader=True, status=OK)
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -64,7 +64,7 @@
     ):
         self._clock = clk
         self._timings = timings
-        self._channels = channels_lib.Channels(reach)
+        self._channels = channels_lib.Channels(reach, clk)
         self._pending: list[_Pending] = []
         self._waiting: dict[int, tuple[int, _Pending]] = {}
         self._has_pending = signal.Signal()
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -3,6 +3,7 @@
 from grpclib import server as grpc_server
 
 from cardamomkeel import clock
+from cardamomkeel.control import membership
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.state import tables as tables_lib
@@ -154,6 +155,15 @@
             members=node.replica.members,
         )
 
+    async def ChangeMembers(  # noqa: N802
+        self, stream: grpc_server.Stream
+    ) -> None:
+        """Lets a control VM join, or removes it."""
+        req = await stream.recv_message()
+        await stream.send_message(
+            await membership.change(self._node, self._clock, req)
+        )
+
     def _progress(self, version: int) -> list[control_pb2.EntryProgress]:
         """Returns the entries that have not confirmed a version."""
         if not version:
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -23,6 +23,7 @@
 from cardamomkeel.daemons import start
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import changes
+from cardamomkeel.operators import members as members_calls
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members
@@ -74,7 +75,7 @@
     stored = start.unwrap(disk.load(folder))
     if not stored.hard_state.formed:
         forming = formation.Formation(
-            folder, cfg.name, cfg.control, cfg.reach, stored.hard_state
+            folder, cfg.name, cfg.control, cfg.reach, stored.hard_state, clk
         )
         await forming.run()
         stored = start.unwrap(disk.load(folder))
@@ -130,12 +131,13 @@
         secret,
         metrics_lib.Metrics(),
         lambda: dump(cfg, node),
-        changes.Changes(control, clk).handlers(),
+        changes.Changes(control, clk).handlers()
+        | members_calls.MemberChanges(control).handlers(),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(start.wait_for_stop, stop)
         tasks.start_soon(node.run)
-        tasks.start_soon(_join, cfg, node)
+        tasks.start_soon(_join, cfg, node, clk)
         tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
         logger.info("runs", member=node.replica.id)
         await stop.wait()
@@ -145,10 +147,10 @@
 
 
 async def _join(
-    cfg: process.ControlSettings, node: node_lib.ControlNode
+    cfg: process.ControlSettings, node: node_lib.ControlNode, clk: clock.Clock
 ) -> None:
     """Asks to be a member for as long as this replica is none."""
-    asked = channels.Channels(cfg.reach)
+    asked = channels.Channels(cfg.reach, clk)
     own = control_pb2.Member(
         id=node.replica.id, name=cfg.name, address=cfg.address
     )
--- a/src/cardamomkeel/operators/changes.py
+++ b/src/cardamomkeel/operators/changes.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import difflib
-import typing
 
 import anyio
 from google.protobuf import json_format
@@ -13,6 +12,7 @@
 from cardamomkeel import errors
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.operators import app as app_lib
+from cardamomkeel.operators import validation
 from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
@@ -21,6 +21,8 @@
 COMMIT_TIMEOUT_MS = 5000.0
 PROGRESS_PAUSE_MS = 50.0
 
+_validate = validation.validate
+
 
 class Apply(process.Strict):
     """A new settings text."""
@@ -195,21 +197,6 @@
     )
 
 
-def _validate(
-    model: type[pydantic.BaseModel], body: app_lib.Body
-) -> result.Result[typing.Any, errors.Error]:
-    try:
-        return result.Success(model.model_validate(body))
-    except pydantic.ValidationError as exc:
-        return result.Failure(
-            errors.SettingsError(
-                f"wrong call: {exc.errors()[0]['loc']}: "
-                f"{exc.errors()[0]['msg']}",
-                "use the `cardamomkeel` command of the same version",
-            )
-        )
-
-
 def _conflict(
     outcome: control_pb2.CommandResult, text: str
 ) -> errors.ConflictError:
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -1,18 +1,16 @@
 """The command line of operators."""
 
 import getpass
-import json
 import pathlib
 import secrets
-import sys
 import typing
 
 from returns import result
 import typer
 
 from cardamomkeel import errors
-from cardamomkeel.operators import client
-from cardamomkeel.operators import secret as secret_lib
+from cardamomkeel.operators import commandline_options as options
+from cardamomkeel.operators import member_commands
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
 
@@ -21,21 +19,14 @@
     add_completion=False,
     help="Changes, checks and explains a running cardamomkeel.",
 )
+app.add_typer(member_commands.app, name="member")
+
+At = options.At
+SecretFile = options.SecretFile
+_call = options.call
+_fail = options.fail
+_print = options.show
 
-At = typing.Annotated[
-    list[str],
-    typer.Option(
-        "--at",
-        envvar="CARDAMOMKEEL_AT",
-        help="Operators' address of a process; may be given several times.",
-    ),
-]
-SecretFile = typing.Annotated[
-    pathlib.Path,
-    typer.Option(
-        envvar="CARDAMOMKEEL_SECRET_FILE", help="File with the secret."
-    ),
-]
 ChangeId = typing.Annotated[
     str, typer.Option(help="Give the same one to resend a change.")
 ]
@@ -45,27 +36,6 @@
 ]
 
 
-def _fail(error: errors.Error) -> typing.NoReturn:
-    print(f"error: {error.message}\nremedy: {error.remedy}", file=sys.stderr)
-    raise typer.Exit(1)
-
-
-def _call(
-    at: list[str], secret_file: pathlib.Path, path: str, body: dict
-) -> dict:
-    secret = secret_lib.read_secret(secret_file)
-    if not isinstance(secret, result.Success):
-        _fail(secret.failure())
-    done = client.call(at, secret.unwrap(), path, body)
-    if not isinstance(done, result.Success):
-        _fail(done.failure())
-    return done.unwrap()
-
-
-def _print(answer: dict) -> None:
-    print(json.dumps(answer, indent=2, sort_keys=True))
-
-
 def _finish(
     at: list[str], secret_file: pathlib.Path, done: dict, wait: bool
 ) -> None:
--- /dev/null
+++ b/src/cardamomkeel/operators/member_commands.py
@@ -0,0 +1,29 @@
+"""The `member` commands of operators."""
+
+import typer
+
+from cardamomkeel.operators import commandline_options as options
+
+app = typer.Typer(
+    no_args_is_help=True, help="Shows and changes the control group."
+)
+
+
+@app.command(name="list")
+def list_members(at: options.At, secret_file: options.SecretFile) -> None:
+    """Shows the control VMs and which of them vote."""
+    options.show(options.call(at, secret_file, "/v1/member-list", {}))
+
+
+@app.command()
+def add(name: str, at: options.At, secret_file: options.SecretFile) -> None:
+    """Lets a new control VM join; start it with an empty data folder."""
+    body = {"name": name}
+    options.show(options.call(at, secret_file, "/v1/member-add", body))
+
+
+@app.command()
+def remove(name: str, at: options.At, secret_file: options.SecretFile) -> None:
+    """Removes a control VM; refused where that would lose the quorum."""
+    body = {"name": name}
+    options.show(options.call(at, secret_file, "/v1/member-remove", body))
--- a/src/cardamomkeel/replication/members.py
+++ b/src/cardamomkeel/replication/members.py
@@ -112,6 +112,7 @@
     """Returns the members with a name that may join."""
     changed = control_pb2.Members()
     changed.CopyFrom(members)
-    if name not in changed.expected:
+    known = get_member_by_name(members, name)
+    if known is None and name not in changed.expected:
         changed.expected.append(name)
     return changed
--- a/src/cardamomkeel/wire/control_grpc.py
+++ b/src/cardamomkeel/wire/control_grpc.py
@@ -118,6 +118,10 @@
     async def Read(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.ReadRequest, cardamomkeel.wire.control_pb2.ReadReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ChangeMembers(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.ChangeMembersRequest, cardamomkeel.wire.control_pb2.ChangeMembersReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamomkeel.wire.Control/Poll': grpclib.const.Handler(
@@ -138,6 +142,12 @@
                 cardamomkeel.wire.control_pb2.ReadRequest,
                 cardamomkeel.wire.control_pb2.ReadReply,
             ),
+            '/cardamomkeel.wire.Control/ChangeMembers': grpclib.const.Handler(
+                self.ChangeMembers,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomkeel.wire.control_pb2.ChangeMembersRequest,
+                cardamomkeel.wire.control_pb2.ChangeMembersReply,
+            ),
         }
 
 
@@ -162,3 +172,9 @@
             cardamomkeel.wire.control_pb2.ReadRequest,
             cardamomkeel.wire.control_pb2.ReadReply,
         )
+        self.ChangeMembers = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomkeel.wire.Control/ChangeMembers',
+            cardamomkeel.wire.control_pb2.ChangeMembersRequest,
+            cardamomkeel.wire.control_pb2.ChangeMembersReply,
+        )
