--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -92,13 +92,17 @@
         clk,
         random.Random(),
     )
-    failed: list[errors.Error] = []
     try:
         await _serve(cfg, node, clk, secret)
-    except* storage.StorageFailedError as group:
-        failed.append(_first_error(group))
-    if failed:
-        start.fail(failed[0])
+    except BaseExceptionGroup as group:
+        # Servers that are cancelled may add errors of their own.
+        failed = group.subgroup(storage.StorageFailedError)
+        if failed is None:
+            raise
+        error = _first_error(failed)
+    else:
+        return
+    start.fail(error)
 
 
 def _first_error(group: BaseExceptionGroup) -> errors.Error:
