--- a/features/control_repair.feature
+++ b/features/control_repair.feature
@@ -21,13 +21,18 @@
     And a change of the settings is accepted within 10 s
 
   @fixture.small
-  Scenario: A control VM that can't write its disk ends and says why
-    Given the leader can't write more than it has written
+  Scenario Outline: A control VM that can't write its disk ends and says why
+    Given the <role> can't write more than it has written
     When a large change of the settings is sent to another control VM
-    Then the leader ends with status 1 and names the disk
+    Then it ends with status 1 and names the disk
     And a change of the settings is accepted within 10 s
     And every entry has it in force within 6 s
 
+    Examples:
+      | role     |
+      | leader   |
+      | follower |
+
   @fixture.small
   Scenario: Operators change the control group
     When an operator removes control-4 and adds it
--- a/features/steps/control_repair.py
+++ b/features/steps/control_repair.py
@@ -97,14 +97,17 @@
     )
 
 
-@given("the leader can't write more than it has written")
-def limit_disk(context):
+@given("the {role} can't write more than it has written")
+def limit_disk(context, role):
     deployment = context.deployment
-    context.leader = deployment.leader()
-    log = deployment.folder / f"{context.leader}-data" / "log"
+    context.limited = deployment.leader()
+    if role == "follower":
+        others = set(deployment.controls) - {context.limited}
+        context.limited = min(others)
+    log = deployment.folder / f"{context.limited}-data" / "log"
     # Room for what the process writes to its own log.
     size = log.stat().st_size + SPARE_BYTES
-    pid = control_process(context, context.leader).pid
+    pid = control_process(context, context.limited).pid
     resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, size))
 
 
@@ -112,7 +115,7 @@
 def send_change(context):
     text = context.deployment.shape.text + " " * 2 * SPARE_BYTES
     deployment = context.deployment
-    follower = next(n for n in deployment.controls if n != context.leader)
+    follower = next(n for n in deployment.controls if n != context.limited)
     body = {
         "text": text,
         "base_revision": 1,
@@ -124,9 +127,9 @@
     assert got.get("revision") == 2, got
 
 
-@then("the leader ends with status {status:d} and names the disk")
+@then("it ends with status {status:d} and names the disk")
 def check_ended_by_disk(context, status):
-    process = control_process(context, context.leader)
+    process = control_process(context, context.limited)
     deployment_lib.wait_for(lambda: not process.is_running(), 10, "it ends")
     ended, log = process.stop(), process.log.read_text()
     assert ended == status, f"{ended}: {log}"
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -185,6 +185,7 @@
         "name": cfg.name,
         "member": own.id,
         "role": own.role.value,
+        "ready": own.is_ready,
         "term": own.term,
         "leader": own.leader,
         "commit": own.commit,
