--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,259 @@
+"""Measures what the control group costs, as a table and as JSON.
+
+python -m bench.control_cost size --entries 17 --targets 36
+python -m bench.control_cost size --entries 3 --targets 9 --changes 20
+python -m bench.control_cost restart --changes 1000
+"""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import statistics
+import tempfile
+import threading
+import time
+import typing
+
+import typer
+
+from bench import deployment as deployment_lib
+from bench import relay as relay_lib
+from cardamomkeel.replication import disk
+from cardamomkeel.replication import members
+from cardamomkeel.state import machine
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.wire import control_pb2
+
+SETTLE_S = 3.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TEXT_BYTES = 2000
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+
+@dataclasses.dataclass
+class Cost:
+    """What one process used over a span of time.
+
+    Attributes:
+        name: The name of the process.
+        cpu_percent: Share of one core.
+        resident_mb: Resident memory at the end.
+        control_bytes_s: Bytes a second of traffic with control VMs, both
+            directions together.
+    """
+
+    name: str
+    cpu_percent: float
+    resident_mb: float
+    control_bytes_s: float
+
+
+class CountingRelays(relay_lib.Relays):
+    """Relays that count the bytes of each pair of processes.
+
+    Attributes:
+        sizes: Bytes so far, by names of client and server.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.sizes: dict[tuple[str, str], int] = {}
+
+    def add(self, client: str, server: str, address: str) -> str:
+        """Makes a relay and returns the address that it listens on."""
+        self.sizes[(client, server)] = 0
+        listening = super().add(client, server, address)
+        relay = self._relays[(client, server)]
+        relay._pump = self._count(relay._pump, (client, server))
+        return listening
+
+    def _count(self, pump: typing.Callable, pair: tuple[str, str]):
+        async def counted(link, reader, writer, towards_server) -> None:
+            counting = _CountingReader(reader, self.sizes, pair)
+            await pump(link, counting, writer, towards_server)
+
+        return counted
+
+    def sum_by_process(self, name: str) -> int:
+        """Returns the bytes from and to one process."""
+        return sum(size for pair, size in self.sizes.items() if name in pair)
+
+
+class _CountingReader:
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        sizes: dict[tuple[str, str], int],
+        pair: tuple[str, str],
+    ):
+        self._reader = reader
+        self._sizes = sizes
+        self._pair = pair
+
+    async def read(self, count: int) -> bytes:
+        data = await self._reader.read(count)
+        self._sizes[self._pair] += len(data)
+        return data
+
+
+def _cpu_s(pid: int) -> float:
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def _resident_mb(pid: int) -> float:
+    statm = pathlib.Path(f"/proc/{pid}/statm").read_text(encoding="utf-8")
+    return int(statm.split()[1]) * PAGE_BYTES / 1e6
+
+
+def _measure(
+    deployment: deployment_lib.Deployment, span_s: float
+) -> list[Cost]:
+    processes = [*deployment.controls.values(), *deployment.entries.values()]
+    relays = deployment.relays
+    started = time.monotonic()
+    cpu = [_cpu_s(process.pid) for process in processes]
+    sizes = [relays.sum_by_process(process.name) for process in processes]
+    time.sleep(span_s)
+    elapsed = time.monotonic() - started
+    return [
+        Cost(
+            process.name,
+            round(100 * (_cpu_s(process.pid) - used) / elapsed, 2),
+            round(_resident_mb(process.pid), 1),
+            round((relays.sum_by_process(process.name) - size) / elapsed),
+        )
+        for process, used, size in zip(processes, cpu, sizes, strict=True)
+    ]
+
+
+def _change(
+    deployment: deployment_lib.Deployment,
+    rate: float,
+    stop: threading.Event,
+    done: list[float],
+) -> None:
+    """Applies changes at a rate until told to stop."""
+    revision = 1
+    leader = deployment.control_operators[deployment.leader()]
+    while not stop.is_set():
+        began = time.monotonic()
+        body = {
+            "text": deployment.shape.text + " " * (revision % 9),
+            "base_revision": revision,
+            "change_id": f"change-{revision}",
+            "operator": "bench",
+        }
+        answer = deployment.call(leader, "/v1/apply", body).json()
+        revision = answer["revision"]
+        done.append(time.monotonic() - began)
+        time.sleep(max(0.0, began + 1 / rate - time.monotonic()))
+
+
+def _report(row: dict[str, typing.Any], costs: list[Cost]) -> None:
+    print(f"{'process':12} {'CPU %':>7} {'MB':>7} {'B/s':>9}")
+    for cost in costs:
+        print(
+            f"{cost.name:12} {cost.cpu_percent:7.2f} {cost.resident_mb:7.1f} "
+            f"{cost.control_bytes_s:9.0f}"
+        )
+    print(json.dumps(row | {"costs": [dataclasses.asdict(c) for c in costs]}))
+
+
+@app.command()
+def size(
+    entries: int = 3, targets: int = 9, changes: float = 0, span_s: float = 10
+) -> None:
+    """Measures idle processes, or changes a second, at one size."""
+    names = deployment_lib.AR_GWENN_SKOUARN.services
+    shape = dataclasses.replace(
+        deployment_lib.AR_GWENN_SKOUARN,
+        services=dict.fromkeys(names, targets // len(names)),
+        entries=entries,
+    )
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-cost-"))
+    relays = CountingRelays()
+    deployment = deployment_lib.Deployment(folder, shape, relays=relays)
+    stop, done = threading.Event(), []
+    try:
+        deployment.start()
+        deployment.wait_ready()
+        time.sleep(SETTLE_S)
+        args = (deployment, changes, stop, done)
+        changing = threading.Thread(target=_change, args=args)
+        if changes:
+            changing.start()
+        costs = _measure(deployment, span_s)
+        leader = deployment.leader()
+        stop.set()
+        if changes:
+            changing.join()
+    finally:
+        deployment.kill_all()
+        relays.close()
+        deployment.remove()
+    row = {
+        "entries": entries,
+        "targets": targets,
+        "changes_s": round(len(done) / span_s, 2),
+        "change_p50_ms": round(1000 * statistics.median(done or [0]), 2),
+        "leader": leader,
+    }
+    _report(row, costs)
+
+
+def _time_load(folder: pathlib.Path) -> float:
+    began = time.monotonic()
+    stored = disk.load(folder).unwrap()
+    tables = tables_lib.Tables()
+    tables.load(stored.snapshot.state)
+    for entry in stored.entries:
+        machine.apply(tables, entry.command, entry.index)
+    disk.DiskStorage(folder, stored)
+    return 1000 * (time.monotonic() - began)
+
+
+@app.command()
+def restart(changes: int = 1000, runs: int = 5) -> None:
+    """Measures the reading of the data folder after many changes."""
+    with tempfile.TemporaryDirectory() as made:
+        folder = pathlib.Path(made) / "data"
+        first = members.first_members({"control-1": "-"})
+        disk.create(folder, "control-1.first", first, formed=True)
+        storage = disk.DiskStorage(folder, disk.load(folder).unwrap())
+        tables = tables_lib.Tables()
+        began = time.monotonic()
+        for index in range(1, changes + 1):
+            change = control_pb2.ChangeSettings(
+                base_revision=index - 1,
+                change_id=f"change-{index}",
+                text=str(index).ljust(TEXT_BYTES),
+            )
+            command = control_pb2.Command(change_settings=change)
+            entry = control_pb2.LogEntry(index=index, term=1, command=command)
+            storage.append([entry])
+            storage.sync()
+            machine.apply(tables, command, index)
+        write_ms = 1000 * (time.monotonic() - began) / changes
+        before = [_time_load(folder) for _ in range(runs)]
+        snapshot = control_pb2.Snapshot(
+            index=changes, term=1, members=first, state=tables.save()
+        )
+        storage.save_snapshot(snapshot, [])
+        after = [_time_load(folder) for _ in range(runs)]
+    row = {
+        "changes": changes,
+        "write_and_sync_ms": round(write_ms, 3),
+        "load_from_log_ms": round(statistics.median(before), 2),
+        "load_from_snapshot_ms": round(statistics.median(after), 2),
+    }
+    print(json.dumps(row))
+
+
+if __name__ == "__main__":
+    app()
