--- /dev/null
+++ b/bench/choosers.py
@@ -0,0 +1,227 @@
+"""Ways to reach backend servers: through the system, or as baselines.
+
+The baselines stand for entries that choose on their own: as many choosers as
+there are entries, each of which knows only what it sent itself.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import random
+import time
+import typing
+
+from bench import deployment as deployment_lib
+from bench import http_client
+
+DEADLINE = "cardamomkeel-deadline-ms"
+OUTCOME = "cardamomkeel-outcome"
+CALLERS = 24
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """One request to be made.
+
+    Attributes:
+        service: The service.
+        method: The HTTP method.
+        path: The path.
+        key: The idempotency key; empty for none.
+        deadline_ms: The deadline.
+    """
+
+    service: str
+    method: str
+    path: str
+    key: str
+    deadline_ms: int
+
+
+class Chooser(typing.Protocol):
+    """A way to reach backend servers."""
+
+    name: str
+
+    async def send(self, job: Job) -> str:
+        """Sends a request and returns its outcome."""
+        ...
+
+
+class _Caller:
+    """One caller, which keeps address answers for as long as it may."""
+
+    def __init__(self, data_centre: str, entries: list[str]):
+        self.data_centre = data_centre
+        self.entries = entries
+        self.kept: dict[str, tuple[float, list[str]]] = {}
+
+
+class System:
+    """Sends requests the way many callers of the system do."""
+
+    name = "cardamomkeel"
+
+    def __init__(
+        self,
+        deployment: deployment_lib.Deployment,
+        http: http_client.Client,
+        rng: random.Random,
+    ):
+        self._http = http
+        self._rng = rng
+        entries = list(deployment.callers_addresses.values())
+        data_centres = deployment.shape.data_centres
+        self._callers = [
+            _Caller(data_centres[number % len(data_centres)], entries)
+            for number in range(CALLERS)
+        ]
+
+    async def _addresses(self, caller: _Caller, service: str) -> list[str]:
+        until, kept = caller.kept.get(service, (0.0, []))
+        if time.monotonic() < until:
+            return kept
+        entry = self._rng.choice(caller.entries)
+        reply = await self._http.request(
+            entry,
+            "GET",
+            f"/v1/addresses?service={service}&data_centre={caller.data_centre}",
+            {},
+        )
+        if reply.status == 200:
+            answer = json.loads(reply.body)
+            kept = answer["addresses"]
+            until = time.monotonic() + answer["keep_ms"] / 1000
+            caller.kept[service] = (until, kept)
+        return kept
+
+    async def send(self, job: Job) -> str:
+        """Sends a request of any caller to its first address."""
+        caller = self._rng.choice(self._callers)
+        addresses = await self._addresses(caller, job.service)
+        headers = {DEADLINE: str(job.deadline_ms)}
+        if job.key:
+            headers["idempotency-key"] = job.key
+        reply = await self._http.request(
+            addresses[0],
+            job.method,
+            f"/v1/call/{job.service}{job.path}",
+            headers,
+        )
+        return reply.headers.get(OUTCOME, "none")
+
+
+class Baseline:
+    """Sends requests straight to backend servers, as many choosers would."""
+
+    name = "baseline"
+
+    def __init__(
+        self,
+        deployment: deployment_lib.Deployment,
+        http: http_client.Client,
+        rng: random.Random,
+    ):
+        self._http = http
+        self._rng = rng
+        self._servers = deployment.server_addresses
+        self._choosers = deployment.shape.entries
+
+    def choose(self, chooser: int, addresses: list[str]) -> str:
+        """Returns the backend server that one chooser picks."""
+        raise NotImplementedError
+
+    async def send(self, job: Job) -> str:
+        """Sends a request from one of the choosers."""
+        chooser = self._rng.randrange(self._choosers)
+        address = self.choose(chooser, self._servers[job.service])
+        headers = {DEADLINE: str(job.deadline_ms)}
+        if job.key:
+            headers["idempotency-key"] = job.key
+        with self.counted(chooser, address):
+            reply = await self._http.request(
+                address, job.method, job.path, headers
+            )
+        return "answered" if reply.status < 500 else f"{reply.status}"
+
+    def counted(self, chooser: int, address: str) -> typing.ContextManager:
+        """Returns a context that counts one request in flight."""
+        return _Nothing()
+
+
+class _Nothing:
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        return None
+
+
+class RandomChoice(Baseline):
+    """Picks any backend server."""
+
+    name = "random choice"
+
+    def choose(self, chooser: int, addresses: list[str]) -> str:
+        """Returns any address."""
+        return self._rng.choice(addresses)
+
+
+class RoundRobin(Baseline):
+    """Each chooser picks one backend server after the other."""
+
+    name = "round robin"
+
+    def __init__(self, deployment, http, rng):
+        super().__init__(deployment, http, rng)
+        self._next: collections.Counter = collections.Counter()
+
+    def choose(self, chooser: int, addresses: list[str]) -> str:
+        """Returns the next address of a chooser."""
+        self._next[(chooser, addresses[0])] += 1
+        turn = chooser + self._next[(chooser, addresses[0])]
+        return addresses[turn % len(addresses)]
+
+
+class LeastConnections(Baseline):
+    """Each chooser picks where it has the fewest requests in flight."""
+
+    name = "least connections"
+
+    def __init__(self, deployment, http, rng):
+        super().__init__(deployment, http, rng)
+        self._in_flight: collections.Counter = collections.Counter()
+
+    def choose(self, chooser: int, addresses: list[str]) -> str:
+        """Returns the address with the fewest requests of a chooser."""
+        return min(
+            addresses,
+            key=lambda a: (self._in_flight[(chooser, a)], self._rng.random()),
+        )
+
+    def counted(self, chooser: int, address: str) -> typing.ContextManager:
+        """Counts one request in flight."""
+        return _Counted(self._in_flight, (chooser, address))
+
+
+class _Counted:
+    def __init__(self, counter: collections.Counter, key: tuple[int, str]):
+        self._counter = counter
+        self._key = key
+
+    def __enter__(self):
+        self._counter[self._key] += 1
+
+    def __exit__(self, *_):
+        self._counter[self._key] -= 1
+
+
+CHOOSERS: tuple[type, ...] = (
+    System,
+    RandomChoice,
+    RoundRobin,
+    LeastConnections,
+)
+
+ERRORS = (OSError, TimeoutError, asyncio.IncompleteReadError)
--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -300,6 +300,8 @@
             for server in self.servers.values():
                 server.overruns = server.crashes = 0
             return {}
+        if path == "/announcements":
+            return {"count": self.announcements}
         if path == "/set":
             return self._set(json.loads(body))
         return {"error": f"no {method} {path}"}
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,322 @@
+"""Drives a whole deployment with open-loop load and prints three measures.
+
+Arrivals do not wait for answers, and latency counts from the planned arrival,
+so that a stall is seen by every request that it delays. The measures: tail
+latency under sudden shifts of load, beside the baselines in the same run; the
+cost of measuring and of control; service while a data centre leaves and
+returns.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import secrets
+import statistics
+import tempfile
+import time
+
+from bench import choosers
+from bench import deployment as deployment_lib
+from bench import http_client
+
+DEPLOYMENTS = {
+    "ar-gwenn-skouarn": deployment_lib.AR_GWENN_SKOUARN,
+    "cart-commons": deployment_lib.CART_COMMONS,
+}
+DEADLINE_MS = 2000
+# Every so often a backend server turns slow for a moment.
+SHIFT_EVERY_S = 0.25
+SHIFT_FOR_S = 0.5
+SHIFT_LATENCY_MS = 60.0
+LATENCY_MS = 5.0
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """One request: when it was due, how long it took, how it ended."""
+
+    due_s: float
+    latency_ms: float
+    outcome: str
+    service: str
+
+
+class Load:
+    """Sends requests at a rate, whatever the answers do."""
+
+    def __init__(self, services: list[str], rate: float, rng: random.Random):
+        self._services = services
+        self._rate = rate
+        self._rng = rng
+        self.samples: list[Sample] = []
+
+    def _make_job(self) -> choosers.Job:
+        draw = self._rng.random()
+        if draw < 0.7:
+            return choosers.Job(
+                self._services[0], "GET", "/lookup", "", DEADLINE_MS
+            )
+        service = self._services[1 if draw < 0.9 else 2]
+        key = f"{self._rng.getrandbits(64):x}"
+        return choosers.Job(service, "POST", "/book", key, DEADLINE_MS)
+
+    async def run(self, chooser: choosers.Chooser, seconds: float) -> None:
+        """Sends requests for some seconds and waits for their ends."""
+        started = time.monotonic()
+        due = 0.0
+        async with asyncio.TaskGroup() as tasks:
+            while due < seconds:
+                due += self._rng.expovariate(self._rate)
+                wait = started + due - time.monotonic()
+                if wait > 0:
+                    await asyncio.sleep(wait)
+                job = self._make_job()
+                tasks.create_task(self._send(chooser, job, started, due))
+
+    async def _send(
+        self,
+        chooser: choosers.Chooser,
+        job: choosers.Job,
+        started: float,
+        due: float,
+    ) -> None:
+        try:
+            outcome = await chooser.send(job)
+        except choosers.ERRORS as exc:
+            outcome = type(exc).__name__
+        latency_ms = (time.monotonic() - started - due) * 1000
+        self.samples.append(Sample(due, latency_ms, outcome, job.service))
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns the value that a share of all values does not exceed."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarize(samples: list[Sample], first_service: str) -> dict:
+    """Returns the figures of one run."""
+    lookups = [s.latency_ms for s in samples if s.service == first_service]
+    others = [s.latency_ms for s in samples if s.service != first_service]
+    answered = sum(s.outcome == "answered" for s in samples)
+    return {
+        "requests": len(samples),
+        "answered": answered,
+        "lookup_p50_ms": round(percentile(lookups, 0.5), 2),
+        "lookup_p99_ms": round(percentile(lookups, 0.99), 2),
+        "lookup_p999_ms": round(percentile(lookups, 0.999), 2),
+        "booking_p50_ms": round(percentile(others, 0.5), 2),
+        "booking_p99_ms": round(percentile(others, 0.99), 2),
+    }
+
+
+async def shift_load(
+    deployment: deployment_lib.Deployment, rng: random.Random
+) -> None:
+    """Turns one backend server after another slow for a moment."""
+    addresses = [a for s in deployment.server_addresses.values() for a in s]
+
+    async def slow_down(address: str) -> None:
+        where = {"where": {"address": address}}
+        slow = where | {"latency_ms": SHIFT_LATENCY_MS}
+        await asyncio.to_thread(deployment.ask_servers, "/set", slow)
+        await asyncio.sleep(SHIFT_FOR_S)
+        normal = {"where": {"address": address}, "latency_ms": LATENCY_MS}
+        await asyncio.to_thread(deployment.ask_servers, "/set", normal)
+
+    async with asyncio.TaskGroup() as tasks:
+        while True:
+            tasks.create_task(slow_down(rng.choice(addresses)))
+            await asyncio.sleep(SHIFT_EVERY_S)
+
+
+async def measure_tail(
+    deployment: deployment_lib.Deployment, args: argparse.Namespace
+) -> dict:
+    """Runs the system and the baselines, alternately, and compares them."""
+    rounds: dict[str, list[dict]] = {}
+    services = list(deployment.shape.services)
+    for turn in range(args.rounds):
+        for kind in choosers.CHOOSERS:
+            rng = random.Random(args.seed + turn)
+            http = http_client.Client()
+            load = Load(services, args.rate, rng)
+            deployment.ask_servers("/clear")
+            shifts = asyncio.create_task(
+                shift_load(deployment, random.Random(args.seed + turn))
+            )
+            await load.run(kind(deployment, http, rng), args.seconds)
+            shifts.cancel()
+            await asyncio.sleep(SHIFT_FOR_S)
+            deployment.ask_servers("/set", {"latency_ms": LATENCY_MS})
+            http.close()
+            figures = summarize(load.samples, services[0])
+            servers = deployment.ask_servers("/servers")
+            figures["overruns"] = sum(s["overruns"] for s in servers)
+            rounds.setdefault(kind.name, []).append(figures)
+    return {name: _medians(runs) for name, runs in rounds.items()}
+
+
+def _medians(runs: list[dict]) -> dict:
+    return {
+        name: round(statistics.median(run[name] for run in runs), 2)
+        for name in runs[0]
+    }
+
+
+def cpu_seconds(pid: int) -> float:
+    """Returns the processor time that a process has used."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2]
+    fields = stat.split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_mb(pid: int) -> float:
+    """Returns the memory of a process in megabytes."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def measure_idle(
+    deployment: deployment_lib.Deployment, args: argparse.Namespace
+) -> dict:
+    """Returns what the system costs while no caller asks for anything."""
+    groups = {
+        "control": deployment.controls.values(),
+        "entry": deployment.entries.values(),
+    }
+    before = {
+        p.pid: cpu_seconds(p.pid) for group in groups.values() for p in group
+    }
+    announced = deployment.ask_servers("/announcements")["count"]
+    started = time.monotonic()
+    await asyncio.sleep(args.seconds)
+    elapsed = time.monotonic() - started
+    announced = deployment.ask_servers("/announcements")["count"] - announced
+    figures = {"announcements_per_s": round(announced / elapsed, 2)}
+    for name, group in groups.items():
+        shares = [
+            100 * (cpu_seconds(p.pid) - before[p.pid]) / elapsed for p in group
+        ]
+        figures[f"{name}_cpu_percent_median"] = round(
+            statistics.median(shares), 2
+        )
+        figures[f"{name}_cpu_percent_most"] = round(max(shares), 2)
+        figures[f"{name}_memory_mb_most"] = round(
+            max(resident_mb(p.pid) for p in group), 1
+        )
+    return figures
+
+
+async def measure_leaving(
+    deployment: deployment_lib.Deployment, args: argparse.Namespace
+) -> dict:
+    """Returns the service while a data centre is out and back again."""
+    services = list(deployment.shape.services)
+    rng = random.Random(args.seed)
+    http = http_client.Client()
+    load = Load(services, args.rate, rng)
+    gone = deployment.shape.data_centres[0]
+    deployment.ask_servers("/clear")
+    system = choosers.System(deployment, http, rng)
+    running = asyncio.create_task(load.run(system, 3 * args.seconds))
+    await asyncio.sleep(args.seconds)
+    accepted = await _operate(deployment, "/v1/take-out", gone)
+    await asyncio.sleep(args.seconds)
+    returned = await _operate(deployment, "/v1/bring-back", gone)
+    await running
+    http.close()
+    servers = deployment.ask_servers("/servers")
+    inside = {s["address"] for s in servers if s["data_centre"] == gone}
+    late = [
+        run["started"] - accepted
+        for run in deployment.record()
+        if run["address"] in inside and accepted < run["started"] < returned
+    ]
+    phases = {"before": 0, "out": 1, "back": 2}
+    figures = {
+        name: summarize(
+            [s for s in load.samples if int(s.due_s // args.seconds) == phase],
+            services[0],
+        )
+        for name, phase in phases.items()
+    }
+    figures["last_new_work_after_acceptance_ms"] = round(
+        1000 * max(late, default=0.0), 1
+    )
+    return figures
+
+
+async def _operate(
+    deployment: deployment_lib.Deployment, path: str, data_centre: str
+) -> float:
+    """Makes an operator's change; returns when it was accepted."""
+    body = {
+        "data_centre": data_centre,
+        "change_id": secrets.token_hex(8),
+        "operator": "bench",
+    }
+    done = await asyncio.to_thread(deployment.operate, path, body)
+    if "revision" not in done:
+        raise RuntimeError(f"{path} was refused: {done}")
+    return time.time()
+
+
+MEASURES = {
+    "tail": measure_tail,
+    "idle": measure_idle,
+    "leaving": measure_leaving,
+}
+
+
+def print_table(figures: dict, indent: str = "") -> None:
+    """Prints nested figures, one a line."""
+    for name, value in figures.items():
+        if isinstance(value, dict):
+            print(f"{indent}{name}")
+            print_table(value, indent + "  ")
+        else:
+            print(f"{indent}{name:36} {value:>10}")
+
+
+def main() -> None:
+    """Runs the measures that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--deployment", choices=DEPLOYMENTS, default="ar-gwenn-skouarn"
+    )
+    parser.add_argument("--measure", choices=MEASURES, action="append")
+    parser.add_argument("--rate", type=float, default=200.0)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", type=pathlib.Path)
+    args = parser.parse_args()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-bench-"))
+    deployment = deployment_lib.Deployment(folder, DEPLOYMENTS[args.deployment])
+    figures = {}
+    try:
+        deployment.start()
+        deployment.wait_ready()
+        for name in args.measure or MEASURES:
+            figures[name] = asyncio.run(MEASURES[name](deployment, args))
+    finally:
+        deployment.kill_all()
+        deployment.remove()
+    print(f"{args.deployment}, {args.rate:g} requests/s, seed {args.seed}")
+    print_table(figures)
+    if args.json:
+        args.json.write_text(json.dumps(figures, indent=2))
+
+
+if __name__ == "__main__":
+    main()
