--- a/bench/caller.py
+++ b/bench/caller.py
@@ -22,11 +22,16 @@
 class Caller:
     """Keeps an address answer for as long as it may be kept."""
 
-    def __init__(self, entries: list[str], data_centre: str = ""):
+    def __init__(
+        self,
+        entries: list[str],
+        data_centre: str = "",
+        timeout_s: float = 15.0,
+    ):
         self._entries = entries
         self._data_centre = data_centre
         self._kept: dict[str, tuple[float, list[str]]] = {}
-        self._http = httpx.Client(timeout=15, trust_env=False)
+        self._http = httpx.Client(timeout=timeout_s, trust_env=False)
 
     def addresses(self, service: str) -> list[str]:
         """Returns the addresses to use for a service."""
--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -300,6 +300,9 @@
             for server in self.servers.values():
                 server.overruns = server.crashes = 0
             return {}
+        if path == "/crash":
+            self.crash(self.servers[json.loads(body)["address"]])
+            return {}
         if path == "/announcements":
             return {"count": self.announcements}
         if path == "/set":
