Send over a connection pool of our own in place of httpx

Cause: httpx takes most of the time that an entry adds, and can't say which connections have gone silent. The pool is an asyncio protocol over httptools: capped, opens one connection ahead of need, replaces connections as old as one whose answer is late, and never uses a connection again after a timeout, a cancel, a cut or surplus bytes. An answer that ends by closing is refused, since it can't be told from a cut. Headers that Connection names are dropped. HEAD, 204 and 304 are passed on without a body. Also brings the HTTP/1.1 protocol for the callers' port, not in use yet.

--- /dev/null
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -0,0 +1,189 @@
+"""Sends requests over a connection pool of this project's own."""
+
+import asyncio
+
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import http_headers
+from cardamomkeel.backend_servers import client
+from cardamomkeel.backend_servers import pool_address
+from cardamomkeel.backend_servers import pool_connection
+from cardamomkeel.routing import messages
+
+# A request that may run once goes over a connection heard of this lately.
+PROVEN_MS = 250.0
+# A connection without any answer for so long is taken for silent.
+SILENT_MS = 1000.0
+# How long the other side may take to close a cancelled request.
+CANCEL_MS = 100.0
+EXPIRE_EVERY_MS = 5000.0
+# Addresses that have not been used for this long are forgotten.
+FORGET_MS = 120_000.0
+
+
+class PoolClient:
+    """A client that keeps connections open, and opens them ahead of need."""
+
+    def __init__(self, reach: dict[str, str], clk: clock.Clock):
+        self._reach = reach
+        self._clock = clk
+        self._pools: dict[str, pool_address.AddressPool] = {}
+        self._expire_at = clk.now() + EXPIRE_EVERY_MS
+
+    async def send(
+        self,
+        address: str,
+        req: messages.Request,
+        headers: messages.Headers,
+        deadline: clock.Millis,
+    ) -> result.Result[messages.Answer, client.SendFailure]:
+        """Sends a request and returns its whole answer."""
+        if deadline <= self._clock.now():
+            return _not_sent("no time is left")
+        data = encode(address, req, headers)
+        if data is None:
+            return _not_sent("the path or a header can't be passed on")
+        pool = self._pool(self._reach.get(address, address))
+        heard_after = float("-inf")
+        if not req.idempotent:
+            heard_after = self._clock.now() - PROVEN_MS
+        try:
+            conn = await pool.borrow(deadline, heard_after)
+        except TimeoutError:
+            return _not_sent("no connection was opened in time")
+        except OSError as exc:
+            return _not_sent(repr(exc))
+        return await self._exchange(pool, conn, req, data, deadline)
+
+    async def _exchange(
+        self,
+        pool: pool_address.AddressPool,
+        conn: pool_connection.Connection,
+        req: messages.Request,
+        data: bytes,
+        deadline: clock.Millis,
+    ) -> result.Result[messages.Answer, client.SendFailure]:
+        started = self._clock.now()
+        answer = conn.request(data, req.method == "HEAD")
+        timers = self._set_timers(pool, conn, req.idempotent, deadline)
+        try:
+            got = await answer
+        except pool_connection.ProtocolError as exc:
+            return _failed(client.FailureKind.BROKEN, str(exc))
+        except TimeoutError as exc:
+            await self._give_up(conn)
+            return _failed(client.FailureKind.TIMED_OUT, str(exc))
+        except asyncio.CancelledError:
+            await self._give_up(conn)
+            raise
+        finally:
+            for timer in timers:
+                timer.cancel()
+        pool.note_latency(self._clock.now() - started)
+        pool.give_back(conn)
+        return result.Success(got)
+
+    def _set_timers(
+        self,
+        pool: pool_address.AddressPool,
+        conn: pool_connection.Connection,
+        idempotent: bool,
+        deadline: clock.Millis,
+    ) -> list[asyncio.TimerHandle]:
+        now = self._clock.now()
+        loop = asyncio.get_running_loop()
+        delay_s = clock.seconds(max(0.0, deadline - now))
+        timers = [loop.call_later(delay_s, conn.time_out, "no answer in time")]
+        late_ms = pool.late_ms()
+        if now + late_ms < deadline:
+            delay_s = clock.seconds(late_ms)
+            timers.append(loop.call_later(delay_s, _replace, pool, conn, now))
+        silent_ms = max(late_ms, SILENT_MS)
+        # On a new connection a missing answer is the other side's own.
+        if idempotent and conn.used > 1 and now + silent_ms < deadline:
+            delay_s = clock.seconds(silent_ms)
+            timers.append(loop.call_later(delay_s, _give_up_silent, conn))
+        return timers
+
+    async def _give_up(self, conn: pool_connection.Connection) -> None:
+        """Cancels a request; the other side may have seen it by the end."""
+        closing = asyncio.ensure_future(conn.close_and_wait(CANCEL_MS))
+        try:
+            await asyncio.shield(closing)
+        except asyncio.CancelledError:
+            conn.close()
+            raise
+
+    def _pool(self, address: str) -> pool_address.AddressPool:
+        now = self._clock.now()
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_EVERY_MS
+            self._expire(now)
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = pool_address.AddressPool(address, self._clock)
+            self._pools[address] = pool
+        return pool
+
+    def _expire(self, now: clock.Millis) -> None:
+        for address, pool in list(self._pools.items()):
+            pool.expire()
+            if now - pool.used_at > FORGET_MS and not pool.count():
+                del self._pools[address]
+
+    def count_connections(self) -> dict[str, int]:
+        """Returns how many connections are open, by address."""
+        return {address: p.count() for address, p in self._pools.items()}
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+
+def _replace(
+    pool: pool_address.AddressPool,
+    conn: pool_connection.Connection,
+    sent_at: clock.Millis,
+) -> None:
+    """Replaces connections that may be silent like this one."""
+    if not conn.has_heard():
+        pool.replace_older(sent_at)
+
+
+def _give_up_silent(conn: pool_connection.Connection) -> None:
+    if not conn.has_heard():
+        conn.time_out("the connection is silent")
+
+
+def encode(
+    address: str, req: messages.Request, headers: messages.Headers
+) -> bytes | None:
+    """Returns a request as bytes, or None where that can't be done safely."""
+    if not http_headers.is_safe_path(req.path):
+        return None
+    lines = [
+        f"{req.method} {req.path} HTTP/1.1\r\nhost: {address}\r\n".encode()
+    ]
+    for name, value in headers:
+        if not http_headers.is_safe_header(name, value):
+            return None
+        lines.append(b"%s: %s\r\n" % (name, value))
+    if req.body or req.method not in ("GET", "HEAD"):
+        lines.append(b"content-length: %d\r\n" % len(req.body))
+    lines.append(b"\r\n")
+    lines.append(req.body)
+    return b"".join(lines)
+
+
+def _not_sent(
+    message: str,
+) -> result.Result[messages.Answer, client.SendFailure]:
+    return _failed(client.FailureKind.NOT_SENT, message)
+
+
+def _failed(
+    kind: client.FailureKind, message: str
+) -> result.Result[messages.Answer, client.SendFailure]:
+    return result.Failure(client.SendFailure(kind, message))
--- /dev/null
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -0,0 +1,233 @@
+"""One HTTP/1.1 connection to another process."""
+
+import asyncio
+import collections.abc
+
+import httptools
+
+from cardamomkeel import clock
+from cardamomkeel.routing import messages
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+
+_NO_BODY = frozenset([204, 304])
+_SWITCHED = 101
+
+
+class ProtocolError(Exception):
+    """The other side sent what can't be taken for a whole answer."""
+
+
+class Connection(asyncio.Protocol):
+    """Sends one request at a time and takes its answer.
+
+    A connection serves another request only where the last answer was whole
+    and nothing came after it.
+
+    Attributes:
+        opened_at: When it was opened.
+        heard_at: When the last byte came, or when it was opened.
+        used: How many requests were written on it.
+        closed: Whether it is closed or being closed.
+    """
+
+    def __init__(
+        self,
+        clk: clock.Clock,
+        on_closed: collections.abc.Callable[["Connection"], None],
+    ):
+        self._clock = clk
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._answer: asyncio.Future[messages.Answer] | None = None
+        self._lost: asyncio.Future[None] | None = None
+        self._can_write: asyncio.Event | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self.opened_at = self.heard_at = clk.now()
+        self.used = 0
+        self.closed = False
+        self._begin(is_head=False)
+
+    # Called by the users of the connection.
+
+    def request(
+        self, data: bytes, is_head: bool
+    ) -> asyncio.Future[messages.Answer]:
+        """Writes a request; the future gets its whole answer."""
+        loop = asyncio.get_running_loop()
+        self._answer = loop.create_future()
+        self._begin(is_head)
+        self.used += 1
+        self._transport.write(data)
+        return self._answer
+
+    def is_usable(self) -> bool:
+        """Tells whether a request may be written."""
+        return (
+            not self.closed
+            and self._answer is None
+            and not self._transport.is_closing()
+        )
+
+    def has_heard(self) -> bool:
+        """Tells whether a byte of the answer to this request has come."""
+        return self._heard
+
+    def time_out(self, reason: str) -> None:
+        """Fails the request with a TimeoutError."""
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(TimeoutError(reason))
+
+    def close(self) -> None:
+        """Closes at once; what has not been answered fails."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def close_and_wait(self, most_ms: clock.Millis) -> bool:
+        """Closes, and waits until the other side has closed too.
+
+        Args:
+            most_ms: How long to wait for the other side.
+
+        Returns:
+            Whether the other side has closed, and so has seen the end.
+        """
+        self.closed = True
+        self._answer = None
+        lost = self._lost
+        if not lost.done() and self._transport.can_write_eof():
+            try:
+                self._transport.write_eof()
+            except OSError:
+                self._transport.abort()
+        done, _ = await asyncio.wait([lost], timeout=clock.seconds(most_ms))
+        self._transport.abort()
+        return bool(done)
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Notes that the connection is open."""
+        self._transport = transport
+        self._lost = asyncio.get_running_loop().create_future()
+        self.opened_at = self.heard_at = self._clock.now()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails what has not been answered."""
+        self.closed = True
+        self._fail(f"the connection ended: {exc!r}" if exc else "it was closed")
+        if not self._lost.done():
+            self._lost.set_result(None)
+        self._on_closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of an answer."""
+        if self._answer is None:
+            # Nothing was asked: these bytes must not meet a later request.
+            if not self.closed:
+                self.close()
+            return
+        self._heard = True
+        self.heard_at = self._clock.now()
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            if not self._complete:
+                cause = exc.__context__ or exc
+                self._fail(f"the answer is malformed: {cause!r}")
+                self.close()
+                return
+            self._surplus = True
+        if self._complete:
+            self._finish()
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Begins an answer."""
+        if self._complete:
+            self._surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        if self._complete:
+            return
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEADER_BYTES:
+            raise ProtocolError("the header is too large")
+        self._headers.append((name, value.rstrip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        """Finds out how the answer ends."""
+        if self._complete:
+            return
+        status = self._parser.get_status_code()
+        if status == _SWITCHED:
+            raise ProtocolError("the protocol was switched unasked")
+        if status < 200:
+            return
+        self._status = status
+        if self._is_head:
+            self._complete = True
+        elif status not in _NO_BODY and not self._has_length():
+            raise ProtocolError("an end by closing can't be told from a cut")
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        if self._complete:
+            self._surplus = True
+            return
+        self._size += len(body)
+        if self._size > MAX_ANSWER_BYTES:
+            raise ProtocolError(f"it has more than {MAX_ANSWER_BYTES} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Ends an answer, or passes over an interim one."""
+        if self._complete:
+            return
+        if self._status:
+            self._complete = True
+            return
+        self._headers = []
+        self._header_bytes = 0
+
+    # Parts.
+
+    def _begin(self, is_head: bool) -> None:
+        self._is_head = is_head
+        self._status = 0
+        self._headers: messages.Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._size = 0
+        self._complete = False
+        self._surplus = False
+        self._heard = False
+
+    def _has_length(self) -> bool:
+        return any(
+            name.lower() in (b"content-length", b"transfer-encoding")
+            for name, _ in self._headers
+        )
+
+    def _finish(self) -> None:
+        answer = messages.Answer(
+            self._status, self._headers, b"".join(self._body)
+        )
+        waiter, self._answer = self._answer, None
+        if self._surplus or not self._parser.should_keep_alive():
+            self.close()
+        elif self._is_head:
+            # This parser still expects the body that HEAD leaves out.
+            self._parser = httptools.HttpResponseParser(self)
+        self._headers, self._body = [], []
+        if not waiter.done():
+            waiter.set_result(answer)
+
+    def _fail(self, reason: str) -> None:
+        waiter, self._answer = self._answer, None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(ProtocolError(reason))
--- a/src/cardamomkeel/callers/answers.py
+++ b/src/cardamomkeel/callers/answers.py
@@ -5,6 +5,7 @@
 import orjson
 
 from cardamomkeel import errors
+from cardamomkeel import http_headers
 from cardamomkeel.routing import messages
 
 Send = typing.Callable[[dict[str, typing.Any]], typing.Awaitable[None]]
@@ -13,26 +14,30 @@
     messages.Outcome.NOT_RUN: 503,
     messages.Outcome.UNKNOWN: 502,
 }
-_OWN_LENGTH = frozenset(
-    [b"content-length", b"transfer-encoding", b"connection", b"keep-alive"]
-)
+_LENGTH = frozenset([b"content-length"])
+_NO_BODY = frozenset([204, 304])
 
 
 async def send(
     send_event: Send, status: int, headers: messages.Headers, body: bytes
 ) -> None:
-    """Sends a whole answer."""
-    length = (b"content-length", b"%d" % len(body))
+    """Sends a whole answer; a length that is given already is kept."""
+    if status not in _NO_BODY and not _has_length(headers):
+        headers = [*headers, (b"content-length", b"%d" % len(body))]
     await send_event(
         {
             "type": "http.response.start",
             "status": status,
-            "headers": [*headers, length],
+            "headers": headers,
         }
     )
     await send_event({"type": "http.response.body", "body": body})
 
 
+def _has_length(headers: messages.Headers) -> bool:
+    return any(name.lower() == b"content-length" for name, _ in headers)
+
+
 async def send_json(
     send_event: Send,
     status: int,
@@ -67,13 +72,17 @@
 
 
 async def send_ended(
-    send_event: Send, ended: messages.Ended, forwarded: bool = False
+    send_event: Send,
+    ended: messages.Ended,
+    method: str,
+    forwarded: bool = False,
 ) -> None:
     """Sends how a request ended.
 
     Args:
         send_event: The ASGI function.
         ended: How the request ended.
+        method: The method of the request.
         forwarded: Whether the other side is an entry.
     """
     headers = _describe(ended)
@@ -81,11 +90,9 @@
         headers.append((messages.SIGN, ended.sign.value.encode()))
         headers.append((messages.INSTANCE, ended.instance.encode()))
     if ended.answer is not None:
-        kept = [
-            (name, value)
-            for name, value in ended.answer.headers
-            if name.lower() not in _OWN_LENGTH
-        ]
+        # The length in an answer to HEAD is that of a body which is not sent.
+        dropped = frozenset() if method == "HEAD" else _LENGTH
+        kept = http_headers.keep_end_to_end(ended.answer.headers, dropped)
         await send(
             send_event, ended.answer.status, kept + headers, ended.answer.body
         )
--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -10,6 +10,7 @@
 from cardamomkeel.backend_servers import announcements as announcements_lib
 from cardamomkeel.callers import addresses
 from cardamomkeel.callers import answers
+from cardamomkeel.callers import http1
 from cardamomkeel.callers import requests
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import router as router_lib
@@ -59,26 +60,30 @@
             await answers.send_error(send, error.status, error, NOT_RUN)
 
     async def _call(self, scope, receive, send) -> None:
-        body = await requests.read_body(receive)
-        view = self.session.view
         if not self.session.is_fresh():
             ended = messages.not_run(
                 "this entry can't confirm its settings",
                 "send it to another entry",
             )
-            await answers.send_ended(send, ended)
+            await answers.send_ended(send, ended, scope["method"])
             return
-        req = body.bind(
+        body = await requests.read_body(receive)
+        made = body.bind(
             lambda whole: requests.make_request(
-                scope, whole, view, self.clk.now()
+                scope, whole, self.session.view, self.clk.now()
             )
         )
-        if not isinstance(req, result.Success):
-            error = req.failure()
+        if not isinstance(made, result.Success):
+            error = made.failure()
             logger.info("refused request", reason=str(error))
             await answers.send_error(send, error.status, error, NOT_RUN)
             return
-        await answers.send_ended(send, await self.router.handle(req.unwrap()))
+        req = made.unwrap()
+        # What may run only once goes on to its end, for the repeat.
+        scope[http1.CANCELLABLE] = req.idempotent
+        ended = await self.router.handle(req)
+        scope[http1.CANCELLABLE] = False
+        await answers.send_ended(send, ended, req.method)
 
     async def _addresses(self, scope, send) -> None:
         query = scope.get("query_string", b"").decode("latin-1")
--- /dev/null
+++ b/src/cardamomkeel/callers/http1.py
@@ -0,0 +1,314 @@
+"""Serves ASGI applications over HTTP/1.1 where speed counts.
+
+Uses the HTTP protocol class of uvicorn alone: its server would take over the
+signals of the process and wake up ten times a second.
+"""
+
+import asyncio
+import collections
+import contextlib
+import logging
+import typing
+
+import anyio
+import httptools
+import loguru
+import orjson
+import uvicorn
+from uvicorn import server as uvicorn_server
+from uvicorn.protocols.http import httptools_impl
+
+from cardamomkeel import clock
+from cardamomkeel import errors
+from cardamomkeel.routing import messages
+
+BACKLOG = 1024
+KEEP_ALIVE_MS = 60_000
+# How long a request may take to arrive, from its first byte to its last.
+RECEIVE_MS = 10_000.0
+# How long a caller may leave an answer unread.
+UNREAD_MS = 10_000.0
+MAX_HEADER_BYTES = 32 * 1024
+MAX_HEADERS = 100
+MAX_CONNECTIONS = 4000
+MAX_CONNECTIONS_PER_PEER = 1000
+GRACE_MS = 5000.0
+GRACE_STEP_MS = 20.0
+
+# An application sets this in the scope of a request that may be cancelled
+# when its caller leaves.
+CANCELLABLE = "cardamomkeel.cancellable"
+
+logger = loguru.logger
+
+
+class _LogHandler(logging.Handler):
+    """Passes what uvicorn logs on to the log of this process."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        logger.opt(exception=record.exc_info).warning(
+            "http: " + record.getMessage().replace("{", "{{")
+        )
+
+
+class HttpProtocol(httptools_impl.HttpToolsProtocol):
+    """One connection of a caller, with limits on what it may take."""
+
+    peers: collections.Counter[str]
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes a connection, unless there are too many."""
+        super().connection_made(transport)
+        self._peer = self.client[0] if self.client else ""
+        self._timer: asyncio.TimerHandle | None = None
+        self._unread_timer: asyncio.TimerHandle | None = None
+        self._header_bytes = 0
+        self._receiving = False
+        self._job: asyncio.Task | None = None
+        self.peers[self._peer] += 1
+        if (
+            self.peers[self._peer] > MAX_CONNECTIONS_PER_PEER
+            or len(self.connections) > MAX_CONNECTIONS
+        ):
+            self._refuse(
+                errors.RequestError(
+                    f"too many connections from {self._peer}",
+                    "use fewer connections, or another entry",
+                    503,
+                )
+            )
+            return
+        self._start_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels what the caller no longer waits for."""
+        self.peers[self._peer] -= 1
+        if not self.peers[self._peer]:
+            del self.peers[self._peer]
+        self._stop_timer()
+        self.resume_writing()
+        cycle, job = self.cycle, self._job
+        super().connection_lost(exc)
+        if cycle is None or cycle.response_complete or job is None:
+            return
+        if cycle.scope.get(CANCELLABLE):
+            job.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of requests."""
+        if not self.transport.is_closing():
+            super().data_received(data)
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        super().on_message_begin()
+        self._header_bytes = 0
+        self._receiving = True
+        self._stop_timer()
+        self._start_timer()
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the path."""
+        self._count(len(url))
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._count(len(name) + len(value))
+        super().on_header(name, value)
+
+    def on_message_complete(self) -> None:
+        """Ends a request."""
+        self._receiving = False
+        self._stop_timer()
+        super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Ends an answer; a request that is not whole by then is cut off."""
+        if self._receiving and not self.transport.is_closing():
+            self.transport.close()
+        super().on_response_complete()
+
+    def pause_writing(self) -> None:
+        """Begins to wait for a caller that does not read."""
+        super().pause_writing()
+        self._unread_timer = self.loop.call_later(
+            clock.seconds(UNREAD_MS), self._end_unread
+        )
+
+    def resume_writing(self) -> None:
+        """Goes on with a caller that reads."""
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+        super().resume_writing()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses what is no HTTP request."""
+        self._refuse(
+            errors.RequestError(
+                "this is no HTTP/1.1 request", "see docs/callers.md"
+            )
+        )
+
+    def _start_asgi_task(self, cycle, app) -> None:
+        self._job = self.loop.create_task(cycle.run_asgi(app))
+        self._job.add_done_callback(self.tasks.discard)
+        self.tasks.add(self._job)
+
+    def _count(self, size: int) -> None:
+        self._header_bytes += size
+        if (
+            self._header_bytes > MAX_HEADER_BYTES
+            or len(self.headers) >= MAX_HEADERS
+        ):
+            self._refuse(
+                errors.RequestError(
+                    f"the header has more than {MAX_HEADER_BYTES} bytes or "
+                    f"{MAX_HEADERS} lines",
+                    "send less in the header",
+                    431,
+                )
+            )
+            raise httptools.HttpParserError
+
+    def _refuse(self, error: errors.RequestError) -> None:
+        """Answers and closes, where no other answer is still to be sent."""
+        if self.transport.is_closing():
+            return
+        logger.info("refused request", reason=str(error), peer=self._peer)
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(_encode_refusal(error))
+        self.transport.close()
+
+    def _start_timer(self) -> None:
+        self._timer = self.loop.call_later(
+            clock.seconds(RECEIVE_MS), self._end_slow
+        )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end_slow(self) -> None:
+        if self.cycle is not None and not self.cycle.response_started:
+            # The body is late; the application has not begun with it.
+            self.cycle.response_complete = True
+        self._refuse(
+            errors.RequestError(
+                f"the request did not arrive within {RECEIVE_MS:.0f} ms",
+                "send it whole, or close the connection",
+                408,
+            )
+        )
+
+    def _end_unread(self) -> None:
+        logger.info("closed a connection whose answer is not read")
+        self.transport.abort()
+
+
+def _encode_refusal(error: errors.RequestError) -> bytes:
+    body = orjson.dumps(
+        {
+            "kind": error.kind,
+            "message": error.message,
+            "remedy": error.remedy,
+        }
+    )
+    outcome = messages.Outcome.NOT_RUN.value.encode()
+    return b"".join(
+        [
+            httptools_impl.STATUS_LINE[error.status],
+            b"content-type: application/json\r\n",
+            b"content-length: %d\r\n" % len(body),
+            b"%s: %s\r\n" % (messages.OUTCOME, outcome),
+            b"connection: close\r\n\r\n",
+            body,
+        ]
+    )
+
+
+def _make_config(app: typing.Callable) -> uvicorn.Config:
+    cfg = uvicorn.Config(
+        _end_cancelled(app),
+        http=HttpProtocol,
+        ws="none",
+        lifespan="off",
+        interface="asgi3",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_MS // 1000,
+    )
+    cfg.load()
+    return cfg
+
+
+def _end_cancelled(app: typing.Callable) -> typing.Callable:
+    """Returns an application that ends quietly once its caller has left."""
+
+    async def run(scope, receive, send) -> None:
+        try:
+            await app(scope, receive, send)
+        except asyncio.CancelledError:
+            logger.info("cancelled a request", path=scope.get("path"))
+        except Exception:
+            logger.exception("a request failed", path=scope.get("path"))
+            raise
+
+    return run
+
+
+def _redirect_log() -> None:
+    log = logging.getLogger("uvicorn.error")
+    log.propagate = False
+    log.setLevel(logging.WARNING)
+    log.handlers = [_LogHandler()]
+
+
+async def serve(app: typing.Callable, address: str, stop: anyio.Event) -> None:
+    """Serves an application at one address until told to stop.
+
+    Args:
+        app: The ASGI application.
+        address: Host and port to listen on.
+        stop: Set once no new connection is to be taken.
+    """
+    cfg = _make_config(app)
+    _redirect_log()
+    state = uvicorn_server.ServerState()
+    peers: collections.Counter[str] = collections.Counter()
+
+    def make_protocol() -> HttpProtocol:
+        protocol = HttpProtocol(cfg, state, {})
+        protocol.peers = peers
+        return protocol
+
+    host, port = address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        make_protocol, host, int(port), backlog=BACKLOG
+    )
+    try:
+        await stop.wait()
+        server.close()
+        await _finish(state)
+    finally:
+        server.close()
+        for conn in list(state.connections):
+            conn.transport.abort()
+
+
+async def _finish(state: uvicorn_server.ServerState) -> None:
+    """Waits until what is in flight has been answered."""
+    for conn in list(state.connections):
+        conn.shutdown()
+    with contextlib.suppress(TimeoutError):
+        with anyio.fail_after(clock.seconds(GRACE_MS)):
+            while state.connections:
+                await anyio.sleep(clock.seconds(GRACE_STEP_MS))
+            return
+    logger.warning("closed connections in use", count=len(state.connections))
--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -8,6 +8,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel import http_headers
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.settings import services
@@ -19,18 +20,12 @@
 KEY = re.compile(rb"^[\x21-\x7e]{1,200}$")
 WHOLE_NUMBER = re.compile(rb"^[0-9]{1,9}$")
 
-# Headers that belong to one connection, or that the entry writes itself.
-DROPPED_HEADERS = frozenset(
+# Headers that the entry writes itself.
+OWN_HEADERS = frozenset(
     [
-        b"connection",
         b"content-length",
+        b"expect",
         b"host",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
         messages.DEADLINE,
         messages.DEPTH,
         messages.EXCLUDE,
@@ -156,11 +151,7 @@
             service=name,
             method=scope["method"],
             path=path,
-            headers=[
-                (header, value)
-                for header, value in scope["headers"]
-                if header.lower() not in DROPPED_HEADERS
-            ],
+            headers=http_headers.keep_end_to_end(scope["headers"], OWN_HEADERS),
             body=body,
             deadline=now + allowed_ms,
             depth=depth.unwrap(),
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -11,7 +11,7 @@
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import announcements as announcements_lib
-from cardamomkeel.backend_servers import httpx_client
+from cardamomkeel.backend_servers import pool
 from cardamomkeel.callers import app as callers_app
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.daemons import serve
@@ -59,7 +59,7 @@
         self.control = client_lib.ControlClient(
             list(cfg.control.values()), cfg.reach, self.clk
         )
-        self.http = httpx_client.HttpxClient(cfg.reach, self.clk)
+        self.http = pool.PoolClient(cfg.reach, self.clk)
         self.session = session_lib.Session(
             cfg, self.control, self.clk, self._follow
         )
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -5,7 +5,9 @@
 from returns import result
 
 from cardamomkeel import clock
+from cardamomkeel import http_headers
 from cardamomkeel.callers import answers
+from cardamomkeel.callers import http1
 from cardamomkeel.callers import requests
 from cardamomkeel.entries import forward
 from cardamomkeel.routing import messages
@@ -38,10 +40,12 @@
         else:
             req = self._make_request(scope, body.unwrap())
             excluded = requests.get_header(scope, messages.EXCLUDE).decode()
+            scope[http1.CANCELLABLE] = req.idempotent
             ended = await self.owner.dispatch(
                 req, frozenset(excluded.split(","))
             )
-        await answers.send_ended(send, ended, forwarded=True)
+        scope[http1.CANCELLABLE] = False
+        await answers.send_ended(send, ended, scope["method"], forwarded=True)
 
     def _make_request(
         self, scope: requests.Scope, body: bytes
@@ -53,12 +57,15 @@
             service=service,
             method=scope["method"],
             path=path,
-            headers=[
-                (name, value)
-                for name, value in scope["headers"]
-                if name.lower() not in requests.DROPPED_HEADERS
-            ],
+            headers=http_headers.keep_end_to_end(
+                scope["headers"], requests.OWN_HEADERS
+            ),
             body=body,
             deadline=self.clk.now() + left,
             depth=depth,
+            idempotent=self._is_idempotent(service, scope["method"]),
         )
+
+    def _is_idempotent(self, name: str, method: str) -> bool:
+        service = self.owner.get_service(name)
+        return service is not None and requests.is_idempotent(service, method)
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -15,6 +15,7 @@
 from cardamomkeel.policy import slots as slots_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
+from cardamomkeel.settings import services
 from cardamomkeel.wire import control_pb2
 
 # How long a target that is handed over may finish its work first.
@@ -168,6 +169,10 @@
 
     # Dispatch.
 
+    def get_service(self, name: str) -> services.Service | None:
+        """Returns what operators say of a service, or None."""
+        return self._session.view.get_service(name)
+
     def owns(self, service: str) -> bool:
         """Tells whether this entry owns a usable target of a service."""
         return any(True for _ in self._usable(service))
