--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -13,6 +13,7 @@
 from cardamomkeel.backend_servers import announcements as announcements_lib
 from cardamomkeel.backend_servers import pool
 from cardamomkeel.callers import app as callers_app
+from cardamomkeel.callers import http1
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.daemons import serve
 from cardamomkeel.daemons import start
@@ -141,15 +142,11 @@
         tasks.start_soon(entry.session.run)
         tasks.start_soon(entry.owner.run)
         tasks.start_soon(entry.announcements.run)
-        for served, address in (
-            (entry.callers_app(), cfg.callers_address),
-            (
-                entries_app.EntriesApp(entry.owner, entry.clk),
-                cfg.entries_address,
-            ),
-            (operators, cfg.operators_address),
-        ):
-            tasks.start_soon(serve.serve, served, address, stop)
+        callers = entry.callers_app()
+        entries = entries_app.EntriesApp(entry.owner, entry.clk)
+        tasks.start_soon(http1.serve, callers, cfg.callers_address, stop)
+        tasks.start_soon(http1.serve, entries, cfg.entries_address, stop)
+        tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
         logger.info("runs", callers=cfg.callers_address)
         await stop.wait()
         await entry.http.close()
