--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -46,7 +46,7 @@
 ) -> None:
     """Runs until it gets SIGTERM."""
     cfg = start.read_settings(settings, process.EntrySettings)
-    anyio.run(_run, cfg)
+    anyio.run(_run, cfg, backend_options={"use_uvloop": True})
 
 
 class Entry:
