Count work as taken until it has ended for certain; queue by deadline

Slots came free as soon as a request timed out or was cancelled, although the backend server may not know that yet. A target that was forgotten and came back with the same instance had no work. A lost owner's slots counted as taken for a fixed 10 s.

Work is now counted until its deadline, drift and transit have passed. The leader tells how long the work of an ended session may go on, and a deleted target keeps what is needed to wait for its work. An announced cold target stays at its cold limit, and an unannounced one grows only after warm_up_requests answers. Queues are ordered by deadline and wake only the request that got the slot.

--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -12,6 +12,7 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.control import deadlines as deadlines_lib
 from cardamomkeel.control import leases as leases_lib
 from cardamomkeel.control import signal
 from cardamomkeel.policy import owners
@@ -78,6 +79,7 @@
         self.changed = signal.Signal()
         self.confirmed = signal.Signal()
         self.leases = leases_lib.Leases(lease_ms)
+        self._deadlines = deadlines_lib.Deadlines(lease_ms)
         self.tables = tables_lib.Tables()
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
@@ -142,6 +144,7 @@
             self._log_ms_base = self.tables.log_ms
             self._ready_since = now
             self.leases.start(self._sessions(), now)
+            self._deadlines.start(now)
         else:
             self._fail_waiting()
         logger.info("leads" if ready else "follows", term=self.replica.term)
@@ -325,13 +328,18 @@
         now = self._clock.now()
         sessions = self._sessions()
         self.leases.forget_all_but(sessions)
+        settings = self.tables.get(tables_lib.SETTINGS_KEY)
+        if settings is not None:
+            self._deadlines.follow(settings.settings.text, now)
         commands = []
         expired = self.leases.close_expired(sessions, now)
         if expired:
             logger.warning("ends sessions of entries", sessions=expired)
             commands.append(
                 control_pb2.Command(
-                    entry_expire=control_pb2.EntryExpire(sessions=expired)
+                    entry_expire=control_pb2.EntryExpire(
+                        sessions=expired, bounds=self._deadlines.bounds(now)
+                    )
                 )
             )
         assignments = owners.plan(self.tables.targets(), self.tables.entries())
--- a/src/cardamomkeel/policy/choose.py
+++ b/src/cardamomkeel/policy/choose.py
@@ -11,6 +11,9 @@
 # A target that fails every request counts as this many times as slow.
 FAILURE_COST = 50.0
 LEAST_LATENCY_MS = 0.1
+# A request is stalled once it is this many times as old as usual answers.
+STALL_FACTOR = 10.0
+LEAST_STALL_MS = 100.0
 
 
 @dataclasses.dataclass
@@ -35,9 +38,28 @@
             self.latency_ms = latency_ms
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
 
-    def cost(self, in_flight: int, typical_ms: clock.Millis) -> float:
-        """Returns how long one more request may take, in milliseconds."""
-        latency_ms = max(self.latency_ms or typical_ms, LEAST_LATENCY_MS)
+    def is_stalled(self, oldest_ms: clock.Millis) -> bool:
+        """Tells whether the oldest request waits much too long."""
+        if self.latency_ms == 0.0:
+            return False
+        usual_ms = STALL_FACTOR * self.latency_ms
+        return oldest_ms > max(usual_ms, LEAST_STALL_MS)
+
+    def cost(
+        self,
+        in_flight: int,
+        typical_ms: clock.Millis,
+        oldest_ms: clock.Millis = 0.0,
+    ) -> float:
+        """Returns how long one more request may take, in milliseconds.
+
+        Args:
+            in_flight: How many requests the target has.
+            typical_ms: The latency to assume where none is known.
+            oldest_ms: For how long its oldest request has no answer.
+        """
+        usual_ms = self.latency_ms or typical_ms
+        latency_ms = max(usual_ms, oldest_ms, LEAST_LATENCY_MS)
         return latency_ms * (in_flight + 1) * (1 + FAILURE_COST * self.failures)
 
 
@@ -49,6 +71,17 @@
     slots: slots.Slots
     health: Health
 
+    def free(self, now: clock.Millis) -> int:
+        """Returns how many more requests it may be given now."""
+        oldest_ms = self.slots.oldest_age(now)
+        return self.slots.free(now, self.health.is_stalled(oldest_ms))
+
+    def cost(self, now: clock.Millis, typical_ms: clock.Millis) -> float:
+        """Returns how long one more request may take, in milliseconds."""
+        return self.health.cost(
+            self.slots.in_flight, typical_ms, self.slots.oldest_age(now)
+        )
+
 
 def choose(
     candidates: list[Candidate],
@@ -67,7 +100,7 @@
     free = [
         candidate
         for candidate in candidates
-        if candidate.address not in excluded and candidate.slots.free(now) > 0
+        if candidate.address not in excluded and candidate.free(now) > 0
     ]
     if not free:
         return None
@@ -75,8 +108,5 @@
     typical_ms = min(known, default=LEAST_LATENCY_MS)
     return min(
         free,
-        key=lambda c: (
-            c.health.cost(c.slots.in_flight, typical_ms),
-            rng.random(),
-        ),
+        key=lambda c: (c.cost(now, typical_ms), rng.random()),
     )
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -4,6 +4,34 @@
 
 from cardamomkeel import clock
 
+DEFAULT_WARM_UP_REQUESTS = 20
+# Clocks of two VMs may differ by this share, and a request or the end of its
+# connection may be on its way for this long.
+DRIFT = 1.05
+TRANSIT_MS = 100.0
+
+
+def bound_work(allowed_ms: clock.Millis) -> clock.Millis:
+    """Returns when work that was allowed some time has ended for certain."""
+    return allowed_ms * DRIFT + TRANSIT_MS
+
+
+@dataclasses.dataclass(eq=False)
+class Work:
+    """One request that was given to a target.
+
+    Attributes:
+        started: When it was given.
+        until: When the target has ended it for certain.
+        falls: How often the target had fallen to cold start by then.
+        is_held: Whether only the end of the request is awaited.
+    """
+
+    started: clock.Millis
+    until: clock.Millis
+    falls: int
+    is_held: bool = False
+
 
 @dataclasses.dataclass
 class Slots:
@@ -12,18 +40,30 @@
     Attributes:
         slots: How many requests the target runs when warm.
         cold_slots: How many it runs in cold start.
+        warm_up_requests: How many requests it answers in a row, all given to
+            it since its last fall, before it counts as warm.
+        announced_cold: Whether it says itself that it is cold.
         limit: How many it may be given now.
-        in_flight: How many it has been given and not answered.
+        work: What it has been given and may still run.
     """
 
     slots: int
     cold_slots: int = 1
+    warm_up_requests: int = DEFAULT_WARM_UP_REQUESTS
+    announced_cold: bool = False
     limit: int = 1
-    in_flight: int = 0
+    work: list[Work] = dataclasses.field(default_factory=list)
+    _falls: int = 0
     _successes: int = 0
+    _wanted: int = 0
     _residual: int = 0
     _residual_until: clock.Millis = float("-inf")
 
+    @property
+    def in_flight(self) -> int:
+        """How many requests it may still run."""
+        return len(self.work)
+
     def inherit(self, residual: int, until: clock.Millis) -> None:
         """Counts work of an earlier owner as in flight until a time."""
         self._residual = residual
@@ -33,30 +73,87 @@
         """Returns how many slots an earlier owner's work may take."""
         return self._residual if now < self._residual_until else 0
 
-    def residual_until(self) -> clock.Millis:
-        """Returns when the work of an earlier owner has ended."""
-        return self._residual_until
+    def free(self, now: clock.Millis, is_stalled: bool = False) -> int:
+        """Returns how many more requests may be given now.
+
+        Args:
+            now: The time.
+            is_stalled: Whether the target seems to be in cold start.
+        """
+        self._drop_ended(now)
+        limit = self.limit
+        if is_stalled:
+            limit = min(limit, self.cold_slots)
+        return max(0, limit - self.in_flight - self.residual(now))
 
-    def free(self, now: clock.Millis) -> int:
-        """Returns how many more requests may be given now."""
-        return max(0, self.limit - self.in_flight - self.residual(now))
+    def _drop_ended(self, now: clock.Millis) -> None:
+        if any(work.is_held and work.until <= now for work in self.work):
+            self.work = [
+                work
+                for work in self.work
+                if not work.is_held or work.until > now
+            ]
 
-    def take(self) -> None:
-        """Counts a request as given."""
-        self.in_flight += 1
+    def take(self, now: clock.Millis, allowed_ms: clock.Millis) -> Work:
+        """Counts a request as given that may run for some time."""
+        work = Work(now, now + bound_work(allowed_ms), self._falls)
+        self.work.append(work)
+        return work
 
-    def give_back(self) -> None:
+    def give_back(self, work: Work) -> None:
         """Counts a request as ended."""
-        self.in_flight -= 1
+        if work in self.work:
+            self.work.remove(work)
+
+    def hold(self, work: Work, until: clock.Millis) -> None:
+        """Counts a request as ended only from a time on."""
+        work.is_held = True
+        work.until = min(work.until, until)
+
+    def oldest_age(self, now: clock.Millis) -> clock.Millis:
+        """Returns for how long the oldest request has not been answered."""
+        started = [work.started for work in self.work if not work.is_held]
+        return now - min(started, default=now)
+
+    def remaining(self, now: clock.Millis) -> tuple[int, clock.Millis]:
+        """Returns how many slots may be taken, and for how long at most."""
+        self._drop_ended(now)
+        residual = self.residual(now)
+        ends = [work.until for work in self.work]
+        if residual:
+            ends.append(self._residual_until)
+        return self.in_flight + residual, max([now, *ends]) - now
+
+    def next_end(self, now: clock.Millis) -> clock.Millis:
+        """Returns when a slot comes free without an answer, or infinity."""
+        ends = [work.until for work in self.work if work.is_held]
+        ends.append(self._residual_until)
+        return min((end for end in ends if end > now), default=float("inf"))
+
+    def resize(self, slots: int, cold_slots: int) -> None:
+        """Takes over what the settings and the target say; never grows."""
+        self.slots = slots
+        self.cold_slots = cold_slots
+        self.limit = min(self.limit, self.slots)
 
     def make_cold(self) -> None:
         """Falls back to what a target in cold start can bear."""
         self.limit = min(self.cold_slots, self.slots)
+        self._falls += 1
         self._successes = 0
+        self._wanted = self.warm_up_requests
 
-    def note_success(self) -> None:
-        """Raises the limit by one after as many successes as it counts."""
+    def note_success(self, work: Work) -> None:
+        """Raises the limit by one after as many successes as it wants.
+
+        A request that was given before the last fall shows nothing of the
+        target as it is now.
+        """
+        if work.falls != self._falls or self.announced_cold:
+            return
         self._successes += 1
-        if self.limit < self.slots and self._successes >= self.limit:
-            self.limit += 1
-            self._successes = 0
+        if self.limit >= self.slots or self._successes < self._wanted:
+            return
+        self.limit += 1
+        self._successes = 0
+        self._wanted = self.limit
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import anyio
 import loguru
 from returns import result
 
@@ -13,6 +14,7 @@
 from cardamomkeel.control import signal
 from cardamomkeel.policy import choose
 from cardamomkeel.policy import slots as slots_lib
+from cardamomkeel.policy import waiting
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.wire import control_pb2
@@ -32,17 +34,33 @@
         record: What the control group says of it.
         candidate: Its slots and health.
         seen_at: When it last announced itself, or became owned.
-        deadlines: The deadlines of the requests in flight.
         leaving: Whether it is being handed over.
     """
 
     record: control_pb2.TargetRecord
     candidate: choose.Candidate
     seen_at: clock.Millis
-    deadlines: list[clock.Millis] = dataclasses.field(default_factory=list)
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class _Grant:
+    """A slot that was taken for a request."""
+
+    owned: Owned
+    work: slots_lib.Work
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiter:
+    """A request that has no slot yet."""
+
+    req: messages.Request
+    excluded: frozenset[str]
+    grant: _Grant | None = None
+    granted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
 class Owner:
     """Gives work to the targets that this entry owns, and to no others.
 
@@ -66,7 +84,8 @@
         self._rng = rng
         self._metrics = metrics
         self._freed = signal.Signal()
-        self._waiting: dict[str, int] = {}
+        self._ends_changed = signal.Signal()
+        self._queues: dict[str, waiting.Queue[_Waiter]] = {}
         self._to_release: list[Owned] = []
         self._has_release = signal.Signal()
         self.owned: dict[str, Owned] = {}
@@ -86,6 +105,8 @@
         for address, target in mine.items():
             self._follow_target(address, target)
         self._freed.notify()
+        self._ends_changed.notify()
+        self._serve_all()
 
     def _follow_target(
         self, address: str, target: control_pb2.TargetRecord
@@ -94,8 +115,10 @@
         if owned is None or owned.record.epoch != target.epoch:
             owned = self._make_owned(target)
             self.owned[address] = owned
-        if owned.record.instance != target.instance or target.state == "cold":
-            owned.candidate.slots.make_cold()
+        slots = owned.candidate.slots
+        slots.announced_cold = target.state == "cold"
+        if owned.record.instance != target.instance or slots.announced_cold:
+            slots.make_cold()
         owned.record = target
         self._apply_limits(owned)
         if target.next_owner and not owned.leaving:
@@ -118,12 +141,32 @@
         if service is None:
             return
         slots = owned.candidate.slots
-        slots.slots = min(owned.record.slots or service.slots, service.slots)
-        slots.cold_slots = service.cold_slots
-        slots.limit = min(slots.limit, slots.slots)
+        slots.warm_up_requests = service.warm_up_requests
+        slots.resize(
+            min(owned.record.slots or service.slots, service.slots),
+            service.cold_slots,
+        )
 
     async def run(self) -> None:
-        """Hands targets over as the control group asks for them."""
+        """Hands targets over, and serves the queues as work ends."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_releases)
+            tasks.start_soon(self._run_ends)
+
+    async def _run_ends(self) -> None:
+        """Serves the queues where slots come free without an answer."""
+        while True:
+            now = self._clock.now()
+            ends = [
+                owned.candidate.slots.next_end(now)
+                for owned in self.owned.values()
+            ]
+            left = min(ends, default=float("inf")) - now
+            timeout_s = None if left == float("inf") else clock.seconds(left)
+            await self._ends_changed.wait(timeout_s)
+            self._serve_all()
+
+    async def _run_releases(self) -> None:
         while True:
             if not self._to_release:
                 await self._has_release.wait()
@@ -134,7 +177,7 @@
     async def _finish(self, batch: list[Owned]) -> None:
         """Waits for a moment until the work on some targets has ended."""
         until = self._clock.now() + HAND_OVER_MS
-        while any(owned.deadlines for owned in batch):
+        while any(owned.candidate.slots.work for owned in batch):
             left = until - self._clock.now()
             if left <= 0:
                 return
@@ -144,16 +187,14 @@
         now = self._clock.now()
         released = []
         for owned in batch:
-            residual = owned.candidate.slots.residual(now)
-            latest = max([now, *owned.deadlines])
-            if residual:
-                latest = max(latest, owned.candidate.slots.residual_until())
+            count, longest_ms = owned.candidate.slots.remaining(now)
+            residual_ms = int(longest_ms * slots_lib.DRIFT) + 1
             released.append(
                 control_pb2.Released(
                     address=owned.record.address,
                     epoch=owned.record.epoch,
-                    residual_slots=len(owned.deadlines) + residual,
-                    residual_ms=int(latest - now) + 1,
+                    residual_slots=count,
+                    residual_ms=residual_ms,
                 )
             )
         command = control_pb2.Command(
@@ -187,6 +228,20 @@
         )
         return None if chosen is None else self.owned[chosen.address]
 
+    def _queue(self, name: str) -> waiting.Queue[_Waiter]:
+        service = self._session.view.get_service(name)
+        queue = self._queues.setdefault(name, waiting.Queue(0))
+        queue.limit = 0 if service is None else service.queue
+        return queue
+
+    def _allowed_ms(self, req: messages.Request) -> clock.Millis:
+        """Returns how long a request may run from now on."""
+        left = req.deadline - self._clock.now()
+        service = self._session.view.get_service(req.service)
+        if service is None:
+            return left
+        return min(left, service.longest_deadline_ms)
+
     async def dispatch(
         self, req: messages.Request, excluded: frozenset[str]
     ) -> messages.Ended:
@@ -196,78 +251,172 @@
             req: The request.
             excluded: Addresses that already failed this request.
         """
-        service = self._session.view.get_service(req.service)
-        limit = 0 if service is None else service.queue
-        if self._waiting.get(req.service, 0) >= limit:
+        queue = self._queue(req.service)
+        waiter = _Waiter(req, excluded)
+        if self._session.view.get_service(req.service) is not None:
+            self._grant(waiter, queue)
+        if waiter.grant is None:
+            refused = self._refuse(req, queue)
+            if refused is not None:
+                return refused
+            await self._wait(waiter, queue)
+        grant = waiter.grant
+        # Nothing is awaited between this check and the send: a process that
+        # was frozen finds its lease over.
+        if grant is not None and self._session.is_fresh():
+            return await self._send(grant, req)
+        if grant is not None:
+            grant.owned.candidate.slots.give_back(grant.work)
+        return messages.not_run(
+            f"no slot for {req.service} before the deadline",
+            "send it again, or allow a later deadline",
+        )
+
+    def _refuse(
+        self, req: messages.Request, queue: waiting.Queue[_Waiter]
+    ) -> messages.Ended | None:
+        """Refuses what could only wait in vain."""
+        if queue.is_full():
             return messages.not_run(
                 f"the queue of {req.service} is full", "send it again later"
             )
-        self._waiting[req.service] = self._waiting.get(req.service, 0) + 1
+        candidates = [owned.candidate for owned in self._usable(req.service)]
+        slots = sum(candidate.slots.limit for candidate in candidates)
+        known = [c.health.latency_ms for c in candidates if c.health.latency_ms]
+        latency_ms = min(known, default=0.0)
+        before = queue.count_before(req.deadline)
+        wait_ms = waiting.estimate_wait(before, slots, latency_ms)
+        left = req.deadline - self._clock.now()
+        if wait_ms + latency_ms <= left:
+            return None
+        return messages.not_run(
+            f"{req.service} has a wait of {wait_ms:.0f} ms and answers in "
+            f"{latency_ms:.0f} ms; {max(left, 0):.0f} ms are left",
+            "send it again, or allow a later deadline",
+        )
+
+    def _grant(self, waiter: _Waiter, queue: waiting.Queue[_Waiter]) -> None:
+        """Takes a slot for a request where one is free."""
+        if not self._session.is_fresh():
+            return
+        req = waiter.req
+        chosen = self._choose(req.service, waiter.excluded)
+        if chosen is None:
+            return
+        work = chosen.candidate.slots.take(
+            self._clock.now(), self._allowed_ms(req)
+        )
+        waiter.grant = _Grant(chosen, work)
+        queue.remove(waiter)
+        waiter.granted.set()
+
+    def _serve(self, service: str) -> None:
+        """Gives free slots to those that wait, and wakes only these."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return
+        for waiter in queue.items():
+            if not any(self._free(service)):
+                return
+            self._grant(waiter, queue)
+
+    def _serve_all(self) -> None:
+        for service in self._queues:
+            self._serve(service)
+
+    def _free(self, service: str):
+        now = self._clock.now()
+        return (o for o in self._usable(service) if o.candidate.free(now))
+
+    async def _wait(
+        self, waiter: _Waiter, queue: waiting.Queue[_Waiter]
+    ) -> None:
+        """Waits for a slot until the deadline."""
+        req = waiter.req
+        queue.add(waiter, req.deadline)
         try:
-            owned = await self._wait_for_slot(req, excluded)
+            while waiter.grant is None and self._may_wait(req):
+                until = min(req.deadline, self._session.lease_until)
+                pause_ms = until - self._clock.now()
+                with anyio.move_on_after(clock.seconds(max(0.0, pause_ms))):
+                    await waiter.granted.wait()
+                    return
+        except BaseException:
+            if waiter.grant is not None:
+                slots = waiter.grant.owned.candidate.slots
+                slots.give_back(waiter.grant.work)
+                self._serve(req.service)
+            raise
         finally:
-            self._waiting[req.service] -= 1
-        # Nothing is awaited between this check and the send: a process that
-        # was frozen finds its lease over.
-        if owned is None or not self._session.is_fresh():
-            return messages.not_run(
-                f"no slot for {req.service} before the deadline",
-                "send it again, or allow a later deadline",
-            )
-        return await self._send(owned, req)
+            queue.remove(waiter)
 
-    async def _wait_for_slot(
-        self, req: messages.Request, excluded: frozenset[str]
-    ) -> Owned | None:
-        while self._session.is_fresh() and self.owns(req.service):
-            owned = self._choose(req.service, excluded)
-            if owned is not None:
-                return owned
-            left = req.deadline - self._clock.now()
-            if left <= 0:
-                return None
-            await self._freed.wait(clock.seconds(left))
-        return None
+    def _may_wait(self, req: messages.Request) -> bool:
+        return (
+            self._session.is_fresh()
+            and self.owns(req.service)
+            and self._clock.now() < req.deadline
+        )
 
     async def _send(
-        self, owned: Owned, req: messages.Request
+        self, grant: _Grant, req: messages.Request
     ) -> messages.Ended:
+        owned, work = grant.owned, grant.work
         slots = owned.candidate.slots
         started = self._clock.now()
-        slots.take()
-        owned.deadlines.append(req.deadline)
+        allowed_ms = self._allowed_ms(req)
+        sent = None
         try:
             sent = await self._http.send(
                 owned.record.address,
                 req,
-                self._headers(req, started),
-                req.deadline,
+                self._headers(req, allowed_ms),
+                started + allowed_ms,
             )
         finally:
-            slots.give_back()
-            owned.deadlines.remove(req.deadline)
-            self._freed.notify()
+            self._end(slots, work, sent)
         ended = classify(sent, owned.record)
-        self._learn(owned, ended, self._clock.now() - started)
+        self._learn(owned, ended, work)
+        self._freed.notify()
+        self._serve(owned.record.service)
         return ended
 
+    def _end(
+        self,
+        slots: slots_lib.Slots,
+        work: slots_lib.Work,
+        sent: result.Result[messages.Answer, client_lib.SendFailure] | None,
+    ) -> None:
+        """Frees the slot of a request once it has ended for certain."""
+        if isinstance(sent, result.Success):
+            slots.give_back(work)
+            return
+        self._ends_changed.notify()
+        kind = None if sent is None else sent.failure().kind
+        if kind is client_lib.FailureKind.NOT_SENT:
+            slots.give_back(work)
+        elif kind is client_lib.FailureKind.BROKEN:
+            slots.hold(work, self._clock.now() + slots_lib.TRANSIT_MS)
+        else:
+            # The other side may not notice that the connection was closed.
+            slots.hold(work, work.until)
+
     def _headers(
-        self, req: messages.Request, now: clock.Millis
+        self, req: messages.Request, allowed_ms: clock.Millis
     ) -> messages.Headers:
-        left = max(1, int(req.deadline - now))
         return [
             *req.headers,
-            (messages.DEADLINE, b"%d" % left),
+            (messages.DEADLINE, b"%d" % max(1, int(allowed_ms))),
             (messages.DEPTH, b"%d" % (req.depth + 1)),
         ]
 
     def _learn(
-        self, owned: Owned, ended: messages.Ended, latency_ms: clock.Millis
+        self, owned: Owned, ended: messages.Ended, work: slots_lib.Work
     ) -> None:
+        latency_ms = self._clock.now() - work.started
         succeeded = ended.sign is messages.Sign.SUCCESS
         owned.candidate.health.note(latency_ms, failed=not succeeded)
         if succeeded:
-            owned.candidate.slots.note_success()
+            owned.candidate.slots.note_success(work)
         elif ended.sign is not messages.Sign.SERVER_ERROR:
             owned.candidate.slots.make_cold()
         self._metrics.count(
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -40,6 +40,7 @@
         self._client = client
         self._clock = clk
         self._on_change = on_change
+        self._nonce = secrets.token_hex(8)
         self.id = 0
         self.view = view_lib.View()
         self.lease_until = float("-inf")
@@ -61,7 +62,7 @@
         command = control_pb2.Command(
             entry_join=control_pb2.EntryJoin(
                 name=cfg.name,
-                nonce=secrets.token_hex(8),
+                nonce=self._nonce,
                 data_centre=cfg.data_centre,
                 callers_address=cfg.callers_address,
                 entries_address=cfg.entries_address,
@@ -76,6 +77,8 @@
             await anyio.sleep(clock.seconds(REJOIN_PAUSE_MS))
             return
         self.id = done.unwrap()[0].session
+        # Kept for resends only: the next session needs a name of its own.
+        self._nonce = secrets.token_hex(8)
         self.view = view_lib.View()
         logger.info("joined", session=self.id)
 
--- a/src/cardamomkeel/settings/services.py
+++ b/src/cardamomkeel/settings/services.py
@@ -16,6 +16,8 @@
             requests other than GET and HEAD need an idempotency key.
         slots: How many requests one backend server runs at a time.
         cold_slots: The same for one in cold start.
+        warm_up_requests: How many requests one answers in a row before it
+            counts as warm.
         default_deadline_ms: The deadline of requests that name none.
         longest_deadline_ms: The longest deadline that a request may name.
         queue: How many requests may wait at one owner.
@@ -27,6 +29,7 @@
     idempotent: bool = False
     slots: int = pydantic.Field(3, ge=1, le=1000)
     cold_slots: int = pydantic.Field(1, ge=1)
+    warm_up_requests: int = pydantic.Field(20, ge=1)
     default_deadline_ms: int = pydantic.Field(2000, ge=1)
     longest_deadline_ms: int = pydantic.Field(10_000, ge=1, le=10_000)
     queue: int = pydantic.Field(64, ge=0)
--- a/src/cardamomkeel/state/commands/entries.py
+++ b/src/cardamomkeel/state/commands/entries.py
@@ -36,8 +36,9 @@
     tables: tables_lib.Tables, cmd: control_pb2.EntryExpire, index: int
 ) -> control_pb2.CommandResult:
     """Ends sessions whose leases have run out."""
+    bounds = {bound.service: bound.longest_ms for bound in cmd.bounds}
     for session in cmd.sessions:
-        _end(tables, session, index)
+        _end(tables, session, index, bounds)
     return control_pb2.CommandResult(status=OK, version=index)
 
 
@@ -58,9 +59,14 @@
     return control_pb2.CommandResult(status=OK, version=index)
 
 
-def _end(tables: tables_lib.Tables, session: int, index: int) -> None:
+def _end(
+    tables: tables_lib.Tables,
+    session: int,
+    index: int,
+    bounds: dict[str, int] | None = None,
+) -> None:
     if tables.get(tables_lib.entry_key(session)) is None:
         return
     tables.delete(tables_lib.entry_key(session), index)
-    targets.drop_owner(tables, session, index)
+    targets.drop_owner(tables, session, index, bounds)
     claims.drop_session(tables, session)
--- a/src/cardamomkeel/state/commands/targets.py
+++ b/src/cardamomkeel/state/commands/targets.py
@@ -1,5 +1,6 @@
 """Commands about targets and their owners."""
 
+from cardamomkeel.policy import slots
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
@@ -7,7 +8,7 @@
 REFUSED = control_pb2.STATUS_REFUSED
 EXPIRED = control_pb2.STATUS_SESSION_EXPIRED
 
-# The work of an owner that is gone may go on for its longest deadline.
+# No settings text allows a deadline that is longer than this.
 LONGEST_DEADLINE_MS = 10_000
 
 
@@ -36,6 +37,8 @@
                 status=REFUSED,
                 message=f"{cmd.address} announced {target.service} before",
             )
+    else:
+        target = _make_returned(tables, cmd)
     target.service = cmd.service
     target.address = cmd.address
     target.data_centre = cmd.data_centre
@@ -46,13 +49,40 @@
     return control_pb2.CommandResult(status=OK, version=index)
 
 
+def _make_returned(
+    tables: tables_lib.Tables, cmd: control_pb2.TargetSeen
+) -> control_pb2.TargetRecord:
+    """Returns the start of a row, with the work that an old one left."""
+    old = tables.get_deleted(tables_lib.target_key(cmd.address))
+    if old is None:
+        return control_pb2.TargetRecord()
+    target = control_pb2.TargetRecord(epoch=old.target.epoch + 1)
+    left_ms = old.work_until_log_ms - tables.log_ms
+    # A new instance has none of the work of the one before.
+    if left_ms > 0 and old.target.instance == cmd.instance:
+        target.residual_slots = max(old.target.slots, cmd.slots)
+        target.residual_ms = left_ms
+    return target
+
+
 def gone(
     tables: tables_lib.Tables, cmd: control_pb2.TargetGone, index: int
 ) -> control_pb2.CommandResult:
-    """Forgets a backend server that no longer announces itself."""
-    record = tables.get(tables_lib.target_key(cmd.address))
+    """Forgets a backend server that no longer announces itself.
+
+    Its owner may have work on it, so what is needed to wait for the end of
+    that work is kept.
+    """
+    key = tables_lib.target_key(cmd.address)
+    record = tables.get(key)
     if record is not None and record.target.instance == cmd.instance:
-        tables.delete(tables_lib.target_key(cmd.address), index)
+        bound_ms = int(slots.bound_work(LONGEST_DEADLINE_MS))
+        tables.delete(
+            key,
+            index,
+            target=record.target,
+            work_until_log_ms=tables.log_ms + bound_ms,
+        )
     return control_pb2.CommandResult(status=OK, version=index)
 
 
@@ -108,12 +138,25 @@
     target.epoch += 1
 
 
-def drop_owner(tables: tables_lib.Tables, session: int, index: int) -> None:
+def drop_owner(
+    tables: tables_lib.Tables,
+    session: int,
+    index: int,
+    bounds: dict[str, int] | None = None,
+) -> None:
     """Takes all targets from a session that has ended.
 
     What the old owner had in flight is not known, so all slots count as
     taken until the longest deadline has passed.
+
+    Args:
+        tables: The replicated state.
+        session: The session that has ended.
+        index: The index of the command.
+        bounds: The longest deadlines that the session may have granted, by
+            service, in milliseconds.
     """
+    bounds = bounds or {}
     for old in tables.targets():
         if old.owner != session and old.next_owner != session:
             continue
@@ -123,5 +166,6 @@
         if target.owner == session:
             _hand_over(tables, target)
             target.residual_slots = target.slots
-            target.residual_ms = LONGEST_DEADLINE_MS
+            longest_ms = bounds.get(target.service, LONGEST_DEADLINE_MS)
+            target.residual_ms = int(slots.bound_work(longest_ms))
         _put(tables, target, index)
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -86,12 +86,17 @@
         self._rows.move_to_end(key)
         self.version = index
 
-    def delete(self, key: str, index: int) -> None:
-        """Deletes a row at a log index."""
+    def get_deleted(self, key: str) -> control_pb2.Record | None:
+        """Returns what is kept of a deleted row, or None."""
+        record = self._rows.get(key)
+        return record if record is not None and record.deleted else None
+
+    def delete(self, key: str, index: int, **kept) -> None:
+        """Deletes a row at a log index; keywords name what is kept of it."""
         if self.get(key) is None:
             return
         self._rows[key] = control_pb2.Record(
-            key=key, version=index, deleted=True
+            key=key, version=index, deleted=True, **kept
         )
         self._rows.move_to_end(key)
         self.version = index
