--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -28,7 +28,7 @@
     """Returns the owned targets of a service by the name of their owner."""
     found = {}
     for name, process in deployment.entries.items():
-        if not process.is_running() or name in deployment_frozen(deployment):
+        if not process.is_running() or name in _frozen(deployment):
             continue
         owned = deployment.dump_entry(name).get("owned", {})
         found[name] = {
@@ -37,14 +37,14 @@
     return found
 
 
-def deployment_frozen(deployment):
+def _frozen(deployment):
     """Returns the names of entries that can't answer now."""
     if not hasattr(deployment, "frozen"):
         deployment.frozen = set()
     return deployment.frozen
 
 
-def _call(deployment, address, service, deadline_ms):
+def _call(address, service, deadline_ms):
     caller = caller_lib.Caller([])
     return caller.call(service, deadline_ms=deadline_ms, address=address)
 
@@ -113,7 +113,6 @@
     context.long = [
         context.pool.submit(
             _call,
-            deployment,
             addresses[number % len(addresses)],
             service,
             LONG_DEADLINE_MS,
@@ -137,7 +136,7 @@
 def _cut_off(deployment, name):
     for control in deployment.controls:
         deployment.relays.inject("silence", name, control)
-    deployment_frozen(deployment).add(name)
+    _frozen(deployment).add(name)
 
 
 def _kill(deployment, name):
@@ -146,7 +145,7 @@
 
 def _freeze(deployment, name):
     deployment.entries[name].freeze()
-    deployment_frozen(deployment).add(name)
+    _frozen(deployment).add(name)
 
 
 FAULTS = {
@@ -193,7 +192,7 @@
             process.thaw()
         else:
             process.start()
-    deployment_frozen(deployment).clear()
+    _frozen(deployment).clear()
     # The callers of what is kept are answered or time out.
     context.pool.shutdown()
     _set_latency(deployment, LATENCY_MS)
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -27,6 +27,7 @@
 DUTY_PERIOD_MS = 500.0
 DUTY_PAUSE_MS = 50.0
 SWEEP_PERIOD_MS = 30_000.0
+BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
 PEER_PAUSE_MS = 100.0
 
@@ -75,6 +76,7 @@
         self._log_ms_base = 0
         self._ready_since = 0.0
         self._swept_at = 0.0
+        self._balanced_at = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
         self.changed = signal.Signal()
         self.confirmed = signal.Signal()
@@ -342,7 +344,7 @@
                     )
                 )
             )
-        assignments = owners.plan(self.tables.targets(), self.tables.entries())
+        assignments = self._plan_owners(now)
         if assignments:
             commands.append(
                 control_pb2.Command(
@@ -358,6 +360,14 @@
             await self.propose(commands)
         await self._promote_learners()
 
+    def _plan_owners(self, now: clock.Millis) -> list[control_pb2.Assignment]:
+        may_balance = now - self._balanced_at >= BALANCE_PERIOD_MS
+        if may_balance:
+            self._balanced_at = now
+        return owners.plan(
+            self.tables.targets(), self.tables.entries(), may_balance
+        )
+
     async def _promote_learners(self) -> None:
         for member in self.replica.members.members:
             if member.voter or not self.replica.is_caught_up(member.id):
--- a/src/cardamomkeel/policy/owners.py
+++ b/src/cardamomkeel/policy/owners.py
@@ -8,8 +8,11 @@
 
 # One owner chooses well among this many targets.
 TARGETS_PER_OWNER = 16
-# How many targets may change their owner by choice in one round.
-MOVES_PER_ROUND = 8
+# How many targets may be on their way to another owner at a time.
+MAX_MOVES = 8
+# An owner gives a group up where it has this many targets more than another
+# would have with the group.
+LEAST_GAIN = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -20,6 +23,11 @@
     data_centre: str
 
 
+def _future(target: control_pb2.TargetRecord) -> int:
+    """Returns the session that owns a target once it has moved."""
+    return target.next_owner or target.owner
+
+
 class _Plan:
     """The owners as they will be, while a plan is made."""
 
@@ -32,7 +40,7 @@
         self.groups: dict[Group, list[control_pb2.TargetRecord]] = (
             collections.defaultdict(list)
         )
-        for target in targets:
+        for target in sorted(targets, key=lambda t: t.address):
             group = Group(target.service, target.data_centre)
             self.groups[group].append(target)
         self.load: collections.Counter[int] = collections.Counter()
@@ -41,10 +49,19 @@
         )
         for group, members in self.groups.items():
             for target in members:
-                owner = target.next_owner or target.owner
-                if owner in self.entries:
-                    self.load[owner] += 1
-                    self.owners[group][owner] += 1
+                if _future(target) in self.entries:
+                    self.count(group, _future(target), 1)
+        self.moves = sum(1 for t in targets if t.owner and t.next_owner)
+        self.assignments: list[control_pb2.Assignment] = []
+
+    def sorted_groups(self) -> list[Group]:
+        """Returns the groups in a fixed order."""
+        return sorted(self.groups, key=lambda g: (g.service, g.data_centre))
+
+    def count(self, group: Group, session: int, number: int) -> None:
+        """Counts targets of a group for a session."""
+        self.load[session] += number
+        self.owners[group][session] += number
 
     def eligible(self, group: Group) -> list[int]:
         """Returns the sessions that may own a group, near ones if any."""
@@ -67,41 +84,65 @@
             return min(holders, key=lambda s: (current[s], s))
         return min(eligible, key=lambda s: (current[s], self.load[s], s))
 
-    def give(self, group: Group, session: int) -> None:
-        """Counts one more target of a group for a session."""
-        self.load[session] += 1
-        self.owners[group][session] += 1
+    def assign(
+        self, group: Group, target: control_pb2.TargetRecord, session: int
+    ) -> None:
+        """Gives a target to a session, if the moves allow it."""
+        if target.owner:
+            if self.moves >= MAX_MOVES:
+                return
+            self.moves += 1
+        if _future(target) in self.entries:
+            self.count(group, _future(target), -1)
+        self.count(group, session, 1)
+        self.assignments.append(
+            control_pb2.Assignment(address=target.address, session=session)
+        )
 
 
 def plan(
     targets: list[control_pb2.TargetRecord],
     entries: list[control_pb2.EntryRecord],
+    may_balance: bool = False,
 ) -> list[control_pb2.Assignment]:
     """Returns the changes of owners to make now.
 
     Targets without an owner get one at once. Those whose owner leaves, or
     sits in another data centre although a near entry is there, move at a
-    bounded rate. All others stay.
+    bounded rate. All others stay, but for one group at a time that an entry
+    with less to do takes over.
+
+    Args:
+        targets: All targets.
+        entries: All sessions of entries.
+        may_balance: Whether a group may move for the sake of balance alone.
     """
     draft = _Plan(targets, entries)
-    assignments = []
-    moves = 0
-    for group, members in sorted(
-        draft.groups.items(), key=lambda g: (g[0].service, g[0].data_centre)
-    ):
+    for group in draft.sorted_groups():
         eligible = set(draft.eligible(group))
-        for target in sorted(members, key=lambda t: t.address):
-            future = target.next_owner or target.owner
-            if future in eligible:
-                continue
-            if target.owner and moves >= MOVES_PER_ROUND:
+        for target in draft.groups[group]:
+            if _future(target) in eligible:
                 continue
             session = draft.pick(group)
-            if session is None:
+            if session is not None:
+                draft.assign(group, target, session)
+    if may_balance and not draft.assignments and draft.moves == 0:
+        _balance(draft)
+    return draft.assignments
+
+
+def _balance(draft: _Plan) -> None:
+    """Moves one share of a group to an entry with much less to do."""
+    for group in draft.sorted_groups():
+        eligible = draft.eligible(group)
+        if len(eligible) < 2:
+            continue
+        least = min(eligible, key=lambda s: (draft.load[s], s))
+        for session, share in sorted(draft.owners[group].items()):
+            gain = draft.load[session] - draft.load[least] - share
+            if share == 0 or gain < LEAST_GAIN:
                 continue
-            moves += 1 if target.owner else 0
-            draft.give(group, session)
-            assignments.append(
-                control_pb2.Assignment(address=target.address, session=session)
-            )
-    return assignments
+            for target in draft.groups[group]:
+                if _future(target) == session:
+                    draft.assign(group, target, least)
+            return
