--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -62,10 +62,7 @@
         body = await requests.read_body(receive)
         view = self.session.view
         if not self.session.is_fresh():
-            ended = messages.not_run(
-                "this entry can't confirm its settings",
-                "send it to another entry",
-            )
+            ended = messages.not_fresh(requests.may_be_repeat(scope))
             await answers.send_ended(send, ended)
             return
         req = body.bind(
--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -34,6 +34,8 @@
         messages.DEADLINE,
         messages.DEPTH,
         messages.EXCLUDE,
+        messages.SESSION,
+        messages.ATTEMPT,
     ]
 )
 
@@ -110,6 +112,13 @@
     return service.idempotent or method in ("GET", "HEAD")
 
 
+def may_be_repeat(scope: Scope) -> bool:
+    """Tells whether a request with this key may have been sent before."""
+    if not get_header(scope, messages.IDEMPOTENCY_KEY):
+        return False
+    return get_header(scope, messages.ATTEMPT) != b"1"
+
+
 def make_fingerprint(
     service: str, method: str, path: str, body: bytes
 ) -> bytes:
@@ -167,6 +176,7 @@
             idempotent=is_idempotent(service, scope["method"]),
             key=key.unwrap(),
             fingerprint=make_fingerprint(name, scope["method"], path, body),
+            is_first=get_header(scope, messages.ATTEMPT) == b"1",
         )
     )
 
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -140,6 +140,11 @@
             revision=tables.revision,
             version=tables.version,
             members=node.replica.members,
+            unknown_claims=(
+                tables.claims.get_by_state(control_pb2.CLAIM_UNKNOWN)
+                if req.list_unknown
+                else None
+            ),
         )
 
     def _progress(self, version: int) -> list[control_pb2.EntryProgress]:
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -144,7 +144,7 @@
         for served, address in (
             (entry.callers_app(), cfg.callers_address),
             (
-                entries_app.EntriesApp(entry.owner, entry.clk),
+                entries_app.EntriesApp(entry.owner, entry.session, entry.clk),
                 cfg.entries_address,
             ),
             (operators, cfg.operators_address),
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import loguru
 from returns import result
 
 from cardamomkeel import clock
@@ -10,6 +11,9 @@
 from cardamomkeel.entries import forward
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import session as session_lib
+
+logger = loguru.logger
 
 
 @dataclasses.dataclass
@@ -17,6 +21,7 @@
     """Makes one attempt for another entry."""
 
     owner: owner_lib.Owner
+    session: session_lib.Session
     clk: clock.Clock
 
     async def __call__(
@@ -36,12 +41,26 @@
             error = body.failure()
             ended = messages.not_run(error.message, error.remedy)
         else:
-            req = self._make_request(scope, body.unwrap())
+            ended = await self._dispatch(scope, body.unwrap())
+        await answers.send_ended(send, ended, forwarded=True)
+
+    async def _dispatch(
+        self, scope: requests.Scope, body: bytes
+    ) -> messages.Ended:
+        try:
+            req = self._make_request(scope, body)
+            if req.session and req.session not in self.session.view.entries:
+                return messages.not_run(
+                    "the entry that claimed it lost its session",
+                    "send it again",
+                )
             excluded = requests.get_header(scope, messages.EXCLUDE).decode()
-            ended = await self.owner.dispatch(
+            return await self.owner.dispatch(
                 req, frozenset(excluded.split(","))
             )
-        await answers.send_ended(send, ended, forwarded=True)
+        except Exception:
+            logger.exception("a forwarded request failed")
+            return messages.FAILED
 
     def _make_request(
         self, scope: requests.Scope, body: bytes
@@ -61,4 +80,5 @@
             body=body,
             deadline=self.clk.now() + left,
             depth=depth,
+            session=int(requests.get_header(scope, messages.SESSION) or b"0"),
         )
--- a/src/cardamomkeel/entries/forward.py
+++ b/src/cardamomkeel/entries/forward.py
@@ -1,6 +1,8 @@
 """Hands a request to the entry that owns a target for it."""
 
 import dataclasses
+import enum
+import typing
 
 from returns import result
 
@@ -9,6 +11,15 @@
 from cardamomkeel.routing import messages
 
 PREFIX = "/v1/forward/"
+# Headers that entries write for each other, and that callers don't get.
+OWN_HEADERS = (
+    messages.OUTCOME,
+    messages.SIGN,
+    messages.TARGET,
+    messages.INSTANCE,
+)
+
+Kind = typing.TypeVar("Kind", bound=enum.Enum)
 
 
 class Forwarder:
@@ -28,6 +39,7 @@
             (messages.DEADLINE, b"%d" % left),
             (messages.DEPTH, b"%d" % req.depth),
             (messages.EXCLUDE, ",".join(sorted(excluded)).encode()),
+            (messages.SESSION, b"%d" % req.session),
         ]
         there = dataclasses.replace(
             req, path=f"{PREFIX}{req.service}{req.path}"
@@ -39,18 +51,31 @@
         ended = messages.not_run(
             f"entry {address} did not answer: {failure.message}",
             "send it again",
+            messages.Sign.UNREACHABLE,
         )
         if failure.kind is client_lib.FailureKind.NOT_SENT:
             return ended
         return dataclasses.replace(ended, outcome=messages.Outcome.UNKNOWN)
 
 
+def _read(answer: messages.Answer, name: bytes, default: Kind) -> Kind:
+    """Returns the value of a header, or the default where it has none."""
+    try:
+        return type(default)(answer.header(name).decode("latin-1"))
+    except ValueError:
+        return default
+
+
 def parse_answer(answer: messages.Answer) -> messages.Ended:
-    """Returns how a request ended that another entry was given."""
-    outcome = messages.Outcome(answer.header(messages.OUTCOME).decode())
-    sign = messages.Sign(answer.header(messages.SIGN).decode() or "none")
-    target = answer.header(messages.TARGET).decode()
-    instance = answer.header(messages.INSTANCE).decode()
+    """Returns how a request ended that another entry was given.
+
+    An answer that does not say so may come from an entry that failed after
+    the request was run.
+    """
+    outcome = _read(answer, messages.OUTCOME, messages.Outcome.UNKNOWN)
+    sign = _read(answer, messages.SIGN, messages.Sign.NONE)
+    target = answer.header(messages.TARGET).decode("latin-1")
+    instance = answer.header(messages.INSTANCE).decode("latin-1")
     if outcome is not messages.Outcome.ANSWERED:
         ended = messages.not_run(
             answer.body.decode("utf-8", "replace"),
@@ -59,12 +84,11 @@
             target,
         )
         return dataclasses.replace(ended, outcome=outcome, instance=instance)
-    own = (messages.OUTCOME, messages.SIGN, messages.TARGET, messages.INSTANCE)
     return messages.Ended(
         outcome,
         answer=messages.Answer(
             answer.status,
-            [(n, v) for n, v in answer.headers if n.lower() not in own],
+            [(n, v) for n, v in answer.headers if n.lower() not in OWN_HEADERS],
             answer.body,
         ),
         sign=sign,
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -12,6 +12,7 @@
 
 from cardamomkeel import errors
 from cardamomkeel.operators import client
+from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
@@ -192,6 +193,9 @@
     _print(_call(at, secret_file, "/dump", {}))
 
 
+resolutions.add_commands(app, _call, _print, At, SecretFile)
+
+
 def main() -> None:
     """Runs the command line."""
     app()
--- a/src/cardamomkeel/routing/claims.py
+++ b/src/cardamomkeel/routing/claims.py
@@ -1,5 +1,6 @@
 """Claims the one run of a non-idempotent request, and settles the claim."""
 
+import dataclasses
 import secrets
 
 import anyio
@@ -15,7 +16,8 @@
 
 # Answers up to this size are kept for a repeat of the request.
 LARGEST_KEPT_ANSWER = 64 * 1024
-REPEAT_PAUSE_MS = 50.0
+REPEAT_PAUSE_MS = 25.0
+LONGEST_REPEAT_PAUSE_MS = 400.0
 SETTLE_TIMEOUT_MS = 10_000.0
 
 _STATES = {
@@ -27,6 +29,14 @@
 logger = loguru.logger
 
 
+@dataclasses.dataclass
+class _Job:
+    """A request that is brought to its end even where its caller leaves."""
+
+    ended: messages.Ended = messages.FAILED
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
 class Claims:
     """Makes sure that a request with a key runs at most once."""
 
@@ -45,44 +55,111 @@
     async def run_once(
         self, req: messages.Request, attempt: messages.Attempt
     ) -> messages.Ended:
-        """Runs a request where no other has, and else tells how it ended."""
+        """Runs a request where no other has, and else tells how it ended.
+
+        The run goes on where the caller leaves: its end is written down for
+        a repeat of the request.
+        """
+        job = _Job()
+        self._tasks.start_soon(self._run_job, req, attempt, job)
+        await job.done.wait()
+        return job.ended
+
+    async def _run_job(
+        self, req: messages.Request, attempt: messages.Attempt, job: _Job
+    ) -> None:
+        try:
+            job.ended = await self._run(req, attempt)
+        except Exception:
+            logger.exception("a claimed request failed", key=req.key)
+        finally:
+            job.done.set()
+
+    async def _run(
+        self, req: messages.Request, attempt: messages.Attempt
+    ) -> messages.Ended:
         token = secrets.token_hex(16)
+        pause = REPEAT_PAUSE_MS
         while True:
+            req = dataclasses.replace(req, session=self._session.id)
             claimed = await self._claim(req, token)
             if not isinstance(claimed, result.Success):
                 # The claim may be committed yet, so it has to be let go.
                 self._tasks.start_soon(self._abandon, req, token)
-                return messages.Ended(
-                    messages.Outcome.NOT_RUN, error=claimed.failure()
-                )
+                return messages.not_claimed(req, claimed.failure())
             done = claimed.unwrap()
             if done.claim_granted:
-                ended = await attempt(req, frozenset())
-                await self._settle(req, token, ended)
-                return ended
+                return await self._run_claimed(req, token, attempt)
+            if done.status == control_pb2.STATUS_SESSION_EXPIRED:
+                return await self._end_expired(req, token, done)
             if done.claim != control_pb2.CLAIM_RUNNING:
                 return _repeat(req, done)
             # The first one still runs: wait for it within the deadline.
-            left = req.deadline - self._clock.now()
-            if left <= 0 or done.fingerprint_differs:
+            if done.fingerprint_differs or not self._left(req):
                 return _repeat(req, done)
-            await anyio.sleep(clock.seconds(min(left, REPEAT_PAUSE_MS)))
+            await self._wait_for_first(req, pause)
+            pause = min(2 * pause, LONGEST_REPEAT_PAUSE_MS)
+
+    def _left(self, req: messages.Request) -> clock.Millis:
+        return max(0.0, req.deadline - self._clock.now())
 
     async def _claim(
         self, req: messages.Request, token: str
     ) -> result.Result[control_pb2.CommandResult, errors.Error]:
-        command = control_pb2.Command(
-            claim=control_pb2.Claim(
-                session=self._session.id,
-                token=token,
-                service=req.service,
-                key=req.key,
-                fingerprint=req.fingerprint,
+        command = _make_claim(req, token)
+        done = await self._control.propose([command], self._left(req))
+        return done.map(lambda results: results[0])
+
+    async def _run_claimed(
+        self, req: messages.Request, token: str, attempt: messages.Attempt
+    ) -> messages.Ended:
+        ended = messages.FAILED
+        try:
+            ended = await attempt(req, frozenset())
+        except Exception:
+            logger.exception("an attempt failed", key=req.key)
+        await self._settle(req, token, ended)
+        return ended
+
+    async def _end_expired(
+        self,
+        req: messages.Request,
+        token: str,
+        done: control_pb2.CommandResult,
+    ) -> messages.Ended:
+        """Ends a request whose entry lost its session while it claimed."""
+        if done.claim in (
+            control_pb2.CLAIM_NONE,
+            control_pb2.CLAIM_RELEASED,
+        ):
+            return messages.not_run(
+                "this entry lost its session", "send it to another entry"
+            )
+        # An earlier copy of this very claim may be the one that is known.
+        if await self._abandon(req, token):
+            return messages.not_run(
+                "this entry lost its session", "send it to another entry"
             )
+        return _repeat(req, done)
+
+    async def _wait_for_first(
+        self, req: messages.Request, pause: clock.Millis
+    ) -> None:
+        """Waits until the first run ends, or for as long as it may take.
+
+        Reading costs no log entry, as claiming again would.
+        """
+        read = control_pb2.ReadRequest(
+            key="-", service=req.service, claim_key=req.key
         )
-        left = req.deadline - self._clock.now()
-        done = await self._control.propose([command], max(left, 0))
-        return done.map(lambda results: results[0])
+        while self._left(req):
+            await anyio.sleep(clock.seconds(min(self._left(req), pause)))
+            got = await self._control.read(read, max(1.0, self._left(req)))
+            if not isinstance(got, result.Success):
+                return
+            if got.unwrap().claim.state != control_pb2.CLAIM_RUNNING:
+                return
+            pause = min(2 * pause, LONGEST_REPEAT_PAUSE_MS)
 
     async def _settle(
         self, req: messages.Request, token: str, ended: messages.Ended
@@ -92,18 +169,11 @@
         Waits for it only within the deadline: the caller gets its answer
         either way, and the rest is done in the background.
         """
-        settle = control_pb2.Settle(
-            session=self._session.id,
-            token=token,
-            service=req.service,
-            key=req.key,
-            state=_STATES[ended.outcome],
-        )
+        settle = _make_settle(req, token, _STATES[ended.outcome])
         _keep_answer(settle, ended.answer)
         written = anyio.Event()
         self._tasks.start_soon(self._write, settle, written)
-        left = max(0.0, req.deadline - self._clock.now())
-        with anyio.move_on_after(clock.seconds(left)):
+        with anyio.move_on_after(clock.seconds(self._left(req))):
             await written.wait()
 
     async def _write(
@@ -120,29 +190,50 @@
             )
         written.set()
 
-    async def _abandon(self, req: messages.Request, token: str) -> None:
-        """Lets go of a claim that may or may not have been committed."""
-        claim = control_pb2.Command(
-            claim=control_pb2.Claim(
-                session=self._session.id,
-                token=token,
-                service=req.service,
-                key=req.key,
-                fingerprint=req.fingerprint,
-            )
-        )
+    async def _abandon(self, req: messages.Request, token: str) -> bool:
+        """Lets go of a claim that may or may not have been committed.
+
+        Returns:
+            Whether the claim was the one of this token, and is released.
+        """
         settle = control_pb2.Command(
-            settle=control_pb2.Settle(
-                session=self._session.id,
-                token=token,
-                service=req.service,
-                key=req.key,
-                state=control_pb2.CLAIM_RELEASED,
-            )
+            settle=_make_settle(req, token, control_pb2.CLAIM_RELEASED)
         )
         # Claimed again first: a claim that arrived after its release would
         # block the key.
-        await self._control.propose([claim, settle], SETTLE_TIMEOUT_MS)
+        commands = [_make_claim(req, token), settle]
+        done = await self._control.propose(commands, SETTLE_TIMEOUT_MS)
+        if not isinstance(done, result.Success):
+            return False
+        settled = done.unwrap()[1]
+        return (
+            settled.status == control_pb2.STATUS_OK
+            and settled.claim == control_pb2.CLAIM_RELEASED
+        )
+
+
+def _make_claim(req: messages.Request, token: str) -> control_pb2.Command:
+    return control_pb2.Command(
+        claim=control_pb2.Claim(
+            session=req.session,
+            token=token,
+            service=req.service,
+            key=req.key,
+            fingerprint=req.fingerprint,
+        )
+    )
+
+
+def _make_settle(
+    req: messages.Request, token: str, state: int
+) -> control_pb2.Settle:
+    return control_pb2.Settle(
+        session=req.session,
+        token=token,
+        service=req.service,
+        key=req.key,
+        state=state,
+    )
 
 
 def _keep_answer(
@@ -150,7 +241,8 @@
 ) -> None:
     if answer is None:
         return
-    if len(answer.body) > LARGEST_KEPT_ANSWER:
+    size = len(answer.body) + sum(len(n) + len(v) for n, v in answer.headers)
+    if size > LARGEST_KEPT_ANSWER:
         settle.answer_too_large = True
         return
     settle.answer.status = answer.status
@@ -172,13 +264,11 @@
                 422,
             ),
         )
-    if done.status == control_pb2.STATUS_SESSION_EXPIRED:
-        return messages.not_run(
-            "this entry lost its session", "send it to another entry"
-        )
+    if done.claim == control_pb2.CLAIM_NONE:
+        return messages.not_run(done.message, "send it again later")
     if done.claim == control_pb2.CLAIM_RELEASED:
         return messages.not_run("it was let go", "send it again")
-    if done.claim == control_pb2.CLAIM_ANSWERED and not done.answer_dropped:
+    if done.claim == control_pb2.CLAIM_ANSWERED and done.HasField("answer"):
         answer = messages.Answer(
             done.answer.status,
             [(h.name, h.value) for h in done.answer.headers],
@@ -196,7 +286,7 @@
 
 def _describe(req: messages.Request, done: control_pb2.CommandResult) -> str:
     if done.claim == control_pb2.CLAIM_ANSWERED:
-        return f"{req.key} was answered; the answer is no longer kept"
+        return f"{req.key} ran to its end; its answer is no longer kept"
     if done.claim == control_pb2.CLAIM_RUNNING:
         return f"{req.key} still runs"
     return f"{req.key} may have run; its answer was lost"
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -19,6 +19,10 @@
 INSTANCE = b"cardamomkeel-instance"
 IDEMPOTENCY_KEY = b"idempotency-key"
 SIGN = b"cardamomkeel-sign"
+# The session that claimed a forwarded request.
+SESSION = b"cardamomkeel-session"
+# A caller counts its sendings of one key from 1.
+ATTEMPT = b"cardamomkeel-attempt"
 
 
 class Outcome(enum.Enum):
@@ -35,7 +39,7 @@
 
 
 class Sign(enum.Enum):
-    """What an attempt showed of the target it was sent to."""
+    """What an attempt showed of the target, or entry, it was sent to."""
 
     NONE = "none"
     SUCCESS = "success"
@@ -44,6 +48,8 @@
     REFUSED = "refused"
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
+    FULL = "full"
+    UNREACHABLE = "unreachable"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +67,8 @@
         idempotent: Whether it may run more than once.
         key: The idempotency key; empty for none.
         fingerprint: A hash of service, method, path and body.
+        is_first: Whether the caller says that it never sent the key before.
+        session: The session that claimed the run; 0 for none.
     """
 
     service: str
@@ -73,6 +81,8 @@
     idempotent: bool = True
     key: str = ""
     fingerprint: bytes = b""
+    is_first: bool = False
+    session: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +112,7 @@
         sign: What the attempt showed of the target.
         target: Address of the target; empty where none was tried.
         instance: Its instance, as it announced itself.
+        final: Whether another attempt can't end otherwise.
     """
 
     outcome: Outcome
@@ -110,6 +121,7 @@
     sign: Sign = Sign.NONE
     target: str = ""
     instance: str = ""
+    final: bool = False
 
 
 Attempt = collections.abc.Callable[
@@ -127,3 +139,37 @@
         sign=sign,
         target=target,
     )
+
+
+# The end of a request that this process failed to bring to an end.
+FAILED = Ended(
+    Outcome.UNKNOWN,
+    error=errors.UnavailableError(
+        "this entry failed on the request and can't tell whether it ran",
+        "send it again with the same key; see the log of the entry",
+    ),
+)
+
+
+def not_fresh(may_have_run: bool) -> Ended:
+    """Returns the end of a request at an entry whose lease ran out.
+
+    Args:
+        may_have_run: Whether the request may have been sent before, so that
+            only its claim could tell whether it ran.
+    """
+    ended = not_run(
+        "this entry can't confirm its settings",
+        "send it to another entry, with the same key where it has one",
+    )
+    if may_have_run:
+        return dataclasses.replace(ended, outcome=Outcome.UNKNOWN)
+    return ended
+
+
+def not_claimed(req: Request, reason: errors.Error) -> Ended:
+    """Returns the end of a request whose claim could not be read."""
+    ended = Ended(Outcome.NOT_RUN, error=reason)
+    if req.is_first:
+        return ended
+    return dataclasses.replace(ended, outcome=Outcome.UNKNOWN)
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -200,7 +200,9 @@
         limit = 0 if service is None else service.queue
         if self._waiting.get(req.service, 0) >= limit:
             return messages.not_run(
-                f"the queue of {req.service} is full", "send it again later"
+                f"the queue of {req.service} is full",
+                "send it again later",
+                messages.Sign.FULL,
             )
         self._waiting[req.service] = self._waiting.get(req.service, 0) + 1
         try:
@@ -213,6 +215,7 @@
             return messages.not_run(
                 f"no slot for {req.service} before the deadline",
                 "send it again, or allow a later deadline",
+                messages.Sign.FULL,
             )
         return await self._send(owned, req)
 
--- a/src/cardamomkeel/routing/router.py
+++ b/src/cardamomkeel/routing/router.py
@@ -1,10 +1,10 @@
 """Brings one request of a caller to its end."""
 
+import dataclasses
 import random
 
 import anyio
 import loguru
-from returns import result
 
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
@@ -14,15 +14,47 @@
 from cardamomkeel.routing import claims as claims_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import places as places_lib
 from cardamomkeel.routing import session as session_lib
-from cardamomkeel.wire import control_pb2
+from cardamomkeel.routing import suspects as suspects_lib
 
 MAX_ATTEMPTS = 3
-REPORT_TIMEOUT_MS = 2000.0
 
 logger = loguru.logger
 
 
+@dataclasses.dataclass
+class _Progress:
+    """The attempts at one request so far.
+
+    Attributes:
+        excluded: Targets that already failed it.
+        ended: How the newest attempt ended; None before the first.
+        may_have_run: The newest attempt that may have run, or None.
+        places: The places that were tried.
+    """
+
+    excluded: frozenset[str]
+    ended: messages.Ended | None = None
+    may_have_run: messages.Ended | None = None
+    places: list[str] = dataclasses.field(default_factory=list)
+
+    def add(self, place: str, ended: messages.Ended) -> None:
+        """Takes one ended attempt into account."""
+        self.places.append(place)
+        self.ended = ended
+        if ended.outcome is messages.Outcome.UNKNOWN:
+            self.may_have_run = ended
+        if ended.target:
+            self.excluded |= {ended.target}
+
+    def broke(self) -> bool:
+        """Tells whether the newest attempt broke a connection."""
+        return (
+            self.ended is not None and self.ended.sign is messages.Sign.BROKEN
+        )
+
+
 class Router:
     """Chooses where each attempt goes, and retries where that is safe."""
 
@@ -39,123 +71,100 @@
         metrics: metrics_lib.Metrics,
         tasks: anyio.abc.TaskGroup,
     ):
-        self._data_centre = data_centre
         self._session = session
         self._owner = owner
         self._forwarder = forwarder
         self._claims = claims
-        self._control = control
         self._clock = clk
-        self._rng = rng
         self._metrics = metrics
-        self._tasks = tasks
+        self._places = places_lib.Places(data_centre, session, clk, rng)
+        self._suspects = suspects_lib.Suspects(session, control, clk, tasks)
         self._retries: dict[str, budget.ShareBudget] = {}
 
     async def handle(self, req: messages.Request) -> messages.Ended:
         """Brings a request to its end, whatever happens on the way."""
-        refused = self._refuse(req)
-        if refused is not None:
-            return refused
+        try:
+            return await self._handle(req)
+        except Exception:
+            logger.exception("a request failed", service=req.service)
+            return messages.FAILED
+
+    async def _handle(self, req: messages.Request) -> messages.Ended:
+        if not self._session.is_fresh():
+            return messages.not_fresh(bool(req.key) and not req.is_first)
         if req.idempotent:
             return await self._attempts(req, frozenset())
         return await self._claims.run_once(req, self._attempts)
 
-    def _refuse(self, req: messages.Request) -> messages.Ended | None:
-        if not self._session.is_fresh():
-            return messages.not_run(
-                "this entry can't confirm its settings",
-                "send it to another entry",
-            )
-        if self._session.view.is_quarantined(req.fingerprint):
-            return messages.not_run(
-                "this request broke backend servers before",
-                "change it, or have an operator `resolve` its quarantine",
-            )
-        return None
-
     async def _attempts(
         self, req: messages.Request, excluded: frozenset[str]
     ) -> messages.Ended:
         """Tries one place after another for as long as that is safe."""
-        retries = self._retry_budget(req.service)
-        retries.earn()
-        ended = messages.not_run(
-            f"no entry owns a target of {req.service}",
-            "see with `cardamomkeel show` which backend servers are there",
-        )
-        for tried, place in enumerate(self._places(req.service)):
-            if tried and not self._may_retry(req, ended, tried, retries):
-                break
-            ended = await self._attempt(req, place, excluded)
+        self._retry_budget(req.service).earn()
+        progress = _Progress(excluded)
+        while True:
+            ended = await self._attempt(req, progress)
             if ended.outcome is messages.Outcome.ANSWERED:
                 return ended
-            if ended.sign is messages.Sign.BROKEN:
-                self._tasks.start_soon(self._report_break, req, ended)
-            if ended.target:
-                excluded |= {ended.target}
-        return ended
+            if not self._may_retry(req, progress):
+                # One attempt that was not run says nothing of another one.
+                return progress.may_have_run or ended
 
-    def _may_retry(
-        self,
-        req: messages.Request,
-        ended: messages.Ended,
-        tried: int,
-        retries: budget.ShareBudget,
-    ) -> bool:
-        if tried >= MAX_ATTEMPTS or req.depth > 0:
+    def _may_retry(self, req: messages.Request, progress: _Progress) -> bool:
+        if len(progress.places) >= MAX_ATTEMPTS or req.depth > 0:
+            return False
+        if not progress.places or progress.ended.final:
             return False
-        if ended.outcome is messages.Outcome.UNKNOWN and not req.idempotent:
+        if progress.may_have_run is not None and not req.idempotent:
             return False
         if self._clock.now() >= req.deadline:
             return False
-        return retries.take()
+        return self._retry_budget(req.service).take()
 
     def _retry_budget(self, name: str) -> budget.ShareBudget:
+        service = self._session.view.get_service(name)
+        share = 0.0 if service is None else service.retry_share
         if name not in self._retries:
-            service = self._session.view.get_service(name)
-            share = 0.0 if service is None else service.retry_share
             self._retries[name] = budget.ShareBudget(share)
+        self._retries[name].share = share
         return self._retries[name]
 
-    def _places(self, service: str) -> list[str]:
-        """Returns the entries to try: this one (empty), then near ones."""
-        view = self._session.view
-        ranked = {}
-        for target in view.get_targets_by_service(service):
-            entry = view.entries.get(target.owner)
-            if entry is None or view.is_out(target):
-                continue
-            far = entry.data_centre != self._data_centre
-            if entry.session == self._session.id:
-                ranked[""] = (0, 0.0)
-            elif entry.entries_address not in ranked:
-                rank = (2 if far else 1, self._rng.random())
-                ranked[entry.entries_address] = rank
-        places = sorted(ranked, key=lambda place: ranked[place])
-        # Two targets of one owner can be tried one after the other.
-        return (places * MAX_ATTEMPTS)[:MAX_ATTEMPTS]
-
     async def _attempt(
+        self, req: messages.Request, progress: _Progress
+    ) -> messages.Ended:
+        """Makes one attempt, as long as this request may run at all."""
+        admission = await self._suspects.admit(req, progress.broke())
+        if admission.refused is not None:
+            progress.ended = dataclasses.replace(admission.refused, final=True)
+            return progress.ended
+        excluded = progress.excluded | admission.avoid
+        ended = messages.not_run(
+            f"no entry owns another target of {req.service}",
+            "see with `cardamomkeel show` which backend servers are there",
+        )
+        places = self._places.rank(req.service, excluded, progress.places)
+        try:
+            if places:
+                ended = await self._try_place(req, places[0], excluded)
+                self._places.note(req.service, places[0], ended)
+                progress.add(places[0], ended)
+            else:
+                progress.ended = ended = dataclasses.replace(ended, final=True)
+        finally:
+            await self._suspects.note(req, admission, ended)
+        return ended
+
+    async def _try_place(
         self, req: messages.Request, place: str, excluded: frozenset[str]
     ) -> messages.Ended:
-        if not place:
+        # A claim holds only for as long as the session that made it.
+        if req.session and (
+            req.session != self._session.id or not self._session.is_fresh()
+        ):
+            return messages.not_fresh(may_have_run=False)
+        if place == places_lib.HERE:
             return await self._owner.dispatch(req, excluded)
         self._metrics.count(
             "forwards", "Requests handed to another entry.", service=req.service
         )
         return await self._forwarder.forward(place, req, excluded)
-
-    async def _report_break(
-        self, req: messages.Request, ended: messages.Ended
-    ) -> None:
-        """Tells the control group of a request that broke a connection."""
-        command = control_pb2.Command(
-            report_break=control_pb2.ReportBreak(
-                fingerprint=req.fingerprint,
-                service=req.service,
-                target=f"{ended.target}#{ended.instance}",
-            )
-        )
-        done = await self._control.propose([command], REPORT_TIMEOUT_MS)
-        if not isinstance(done, result.Success):
-            logger.warning("a break is not counted", reason=str(done.failure()))
--- /dev/null
+++ b/src/cardamomkeel/routing/suspects.py
@@ -0,0 +1,168 @@
+"""Requests that broke connections of backend servers, and their probes."""
+
+import dataclasses
+import secrets
+
+import anyio
+import loguru
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.control import client as client_lib
+from cardamomkeel.routing import messages
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.wire import control_pb2
+
+REPORT_TIMEOUT_MS = 2000.0
+# How long to wait while another entry probes the same request.
+PROBE_PAUSE_MS = 20.0
+
+logger = loguru.logger
+
+
+@dataclasses.dataclass(frozen=True)
+class Admission:
+    """Leave to run a request once.
+
+    Attributes:
+        token: Of the probe; empty where the request is not suspect.
+        avoid: Targets whose connections it broke already.
+        refused: Why it may not run, or None.
+    """
+
+    token: str = ""
+    avoid: frozenset[str] = frozenset()
+    refused: messages.Ended | None = None
+
+
+class Suspects:
+    """Lets a suspect request run at one entry at a time, or not at all."""
+
+    def __init__(
+        self,
+        session: session_lib.Session,
+        control: client_lib.ControlClient,
+        clk: clock.Clock,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self._session = session
+        self._control = control
+        self._clock = clk
+        self._tasks = tasks
+
+    async def admit(
+        self, req: messages.Request, broke_before: bool
+    ) -> Admission:
+        """Tells whether a request may be run now.
+
+        Args:
+            req: The request.
+            broke_before: Whether an earlier attempt at it broke a connection,
+                of which the view may not tell yet.
+        """
+        row = self._session.view.quarantines.get(req.fingerprint)
+        if row is None and not broke_before:
+            return Admission()
+        if row is not None and row.confirmed:
+            return Admission(refused=_refuse())
+        return await self._probe(req)
+
+    async def _probe(self, req: messages.Request) -> Admission:
+        token = secrets.token_hex(8)
+        command = control_pb2.Command(
+            begin_probe=control_pb2.BeginProbe(
+                fingerprint=req.fingerprint, token=token
+            )
+        )
+        while (left := req.deadline - self._clock.now()) > 0:
+            asked = await self._control.propose([command], left)
+            if not isinstance(asked, result.Success):
+                break
+            done = asked.unwrap()[0]
+            if done.quarantined:
+                return Admission(refused=_refuse())
+            if done.probe_granted:
+                return Admission(token, self._get_broken(req))
+            await anyio.sleep(clock.seconds(PROBE_PAUSE_MS))
+        return Admission(
+            refused=messages.not_run(
+                "this request broke a backend server and is being probed",
+                "send it again later",
+            )
+        )
+
+    def _get_broken(self, req: messages.Request) -> frozenset[str]:
+        """Returns the targets to avoid, where there are others."""
+        view = self._session.view
+        row = view.quarantines.get(req.fingerprint)
+        if row is None:
+            return frozenset()
+        broken = frozenset(name.partition("#")[0] for name in row.targets)
+        usable = {
+            target.address
+            for target in view.get_targets_by_service(req.service)
+            if not view.is_out(target)
+        }
+        return broken if usable - broken else frozenset()
+
+    async def note(
+        self,
+        req: messages.Request,
+        admission: Admission,
+        ended: messages.Ended,
+    ) -> None:
+        """Takes into account how an admitted attempt ended."""
+        if ended.sign is messages.Sign.BROKEN:
+            await self._report(req, admission, ended)
+        elif admission.token:
+            self._tasks.start_soon(self._end_probe, req, admission, ended)
+
+    async def _report(
+        self,
+        req: messages.Request,
+        admission: Admission,
+        ended: messages.Ended,
+    ) -> None:
+        command = control_pb2.Command(
+            report_break=control_pb2.ReportBreak(
+                fingerprint=req.fingerprint,
+                service=req.service,
+                target=f"{ended.target}#{ended.instance}",
+                probe_token=admission.token,
+            )
+        )
+        done = await self._control.propose([command], REPORT_TIMEOUT_MS)
+        if not isinstance(done, result.Success):
+            logger.warning("a break is not counted", reason=str(done.failure()))
+            return
+        if done.unwrap()[0].quarantined:
+            logger.error(
+                "a request is in quarantine",
+                service=req.service,
+                path=req.path,
+                fingerprint=req.fingerprint.hex(),
+            )
+
+    async def _end_probe(
+        self,
+        req: messages.Request,
+        admission: Admission,
+        ended: messages.Ended,
+    ) -> None:
+        command = control_pb2.Command(
+            end_probe=control_pb2.EndProbe(
+                fingerprint=req.fingerprint,
+                token=admission.token,
+                answered=ended.outcome is messages.Outcome.ANSWERED,
+            )
+        )
+        done = await self._control.propose([command], REPORT_TIMEOUT_MS)
+        if not isinstance(done, result.Success):
+            logger.warning("a probe is not ended", reason=str(done.failure()))
+
+
+def _refuse() -> messages.Ended:
+    return messages.not_run(
+        "this request broke backend servers before",
+        "change it, or have an operator `resolve` its quarantine",
+    )
--- a/src/cardamomkeel/state/commands/claims.py
+++ b/src/cardamomkeel/state/commands/claims.py
@@ -1,5 +1,6 @@
 """Commands about claims of non-idempotent requests."""
 
+from cardamomkeel.state import claims_table
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
@@ -15,29 +16,48 @@
 KEEP_KEY_MS = 24 * 3600 * 1000
 # The bodies of answers are kept for a shorter time.
 KEEP_ANSWER_MS = 3600 * 1000
+# Longer than any copy of a released claim can be on its way.
+KEEP_RELEASED_MS = 60 * 1000
+# Longer than the longest deadline and the time to write down the end.
+LONGEST_RUN_MS = 60 * 1000
+# By then every entry that may dispatch knows that the session has ended:
+# the longest deadline, one lease and a margin.
+RESOLVE_AFTER_MS = 15 * 1000
+MAX_RELEASED_TOKENS = 8
 
 
 def claim(
     tables: tables_lib.Tables, cmd: control_pb2.Claim, index: int
 ) -> control_pb2.CommandResult:
     """Grants the run of a request to one claimer, or tells its state."""
-    if tables.get(tables_lib.entry_key(cmd.session)) is None:
-        return control_pb2.CommandResult(status=EXPIRED)
+    live = tables.get(tables_lib.entry_key(cmd.session)) is not None
+    status = OK if live else EXPIRED
     known = tables.claims.get((cmd.service, cmd.key))
     if known is None:
-        return _grant(tables, cmd, index)
+        return _grant(tables, cmd, index, []) if live else _tell(None, status)
     if known.fingerprint != cmd.fingerprint:
         return control_pb2.CommandResult(
             status=REFUSED, fingerprint_differs=True, claim=known.state
         )
+    if not live:
+        return _tell(known, status)
     if known.token == cmd.token and known.state == RUNNING:
         return control_pb2.CommandResult(
             status=OK, claim_granted=True, claim=RUNNING
         )
-    if known.state == RELEASED and known.token != cmd.token:
-        return _grant(tables, cmd, index)
+    if known.state == RELEASED and cmd.token not in known.released_tokens:
+        return _grant(tables, cmd, index, list(known.released_tokens))
+    return _tell(known, status)
+
+
+def _tell(
+    known: control_pb2.ClaimRecord | None, status: int
+) -> control_pb2.CommandResult:
+    """Returns the state of a claim that is not granted."""
+    if known is None:
+        return control_pb2.CommandResult(status=status)
     return control_pb2.CommandResult(
-        status=OK,
+        status=status,
         claim=known.state,
         answer=known.answer if known.HasField("answer") else None,
         answer_dropped=known.answer_dropped,
@@ -45,16 +65,27 @@
 
 
 def _grant(
-    tables: tables_lib.Tables, cmd: control_pb2.Claim, index: int
+    tables: tables_lib.Tables,
+    cmd: control_pb2.Claim,
+    index: int,
+    released_tokens: list[str],
 ) -> control_pb2.CommandResult:
-    tables.claims[(cmd.service, cmd.key)] = control_pb2.ClaimRecord(
-        service=cmd.service,
-        key=cmd.key,
-        token=cmd.token,
-        session=cmd.session,
-        fingerprint=cmd.fingerprint,
-        state=RUNNING,
-        changed_log_ms=tables.log_ms,
+    if not tables.claims.make_room():
+        return control_pb2.CommandResult(
+            status=REFUSED,
+            message=f"there are {claims_table.MAX_CLAIMS} claims already",
+        )
+    tables.claims.put(
+        control_pb2.ClaimRecord(
+            service=cmd.service,
+            key=cmd.key,
+            token=cmd.token,
+            session=cmd.session,
+            fingerprint=cmd.fingerprint,
+            state=RUNNING,
+            changed_log_ms=tables.log_ms,
+            released_tokens=released_tokens,
+        )
     )
     return control_pb2.CommandResult(
         status=OK, claim_granted=True, claim=RUNNING, version=index
@@ -69,20 +100,33 @@
     if known is None or known.token != cmd.token:
         return control_pb2.CommandResult(status=REFUSED)
     if known.state in (RUNNING, UNKNOWN):
-        known.state = cmd.state
-        known.changed_log_ms = tables.log_ms
-        known.answer_dropped = cmd.answer_too_large
+        changed = _change(tables, known, cmd.state)
+        changed.answer_dropped = cmd.answer_too_large
         if cmd.HasField("answer"):
-            known.answer.CopyFrom(cmd.answer)
+            changed.answer.CopyFrom(cmd.answer)
+        tables.claims.put(changed)
+        known = changed
     return control_pb2.CommandResult(status=OK, claim=known.state)
 
 
+def _change(
+    tables: tables_lib.Tables, known: control_pb2.ClaimRecord, state: int
+) -> control_pb2.ClaimRecord:
+    """Returns a copy of a claim in another state."""
+    changed = control_pb2.ClaimRecord()
+    changed.CopyFrom(known)
+    changed.state = state
+    changed.changed_log_ms = tables.log_ms
+    if state == RELEASED:
+        changed.released_tokens.append(known.token)
+        del changed.released_tokens[:-MAX_RELEASED_TOKENS]
+    return changed
+
+
 def drop_session(tables: tables_lib.Tables, session: int) -> None:
     """Marks what a lost claimer was running as unknown."""
-    for known in tables.claims.values():
-        if known.session == session and known.state == RUNNING:
-            known.state = UNKNOWN
-            known.changed_log_ms = tables.log_ms
+    for known in tables.claims.get_running(session):
+        tables.claims.put(_change(tables, known, UNKNOWN))
 
 
 def resolve(
@@ -92,32 +136,63 @@
     if cmd.change_id in tables.changes:
         return tables.changes[cmd.change_id]
     if cmd.fingerprint:
-        tables.delete(tables_lib.quarantine_key(cmd.fingerprint), index)
-        done = control_pb2.CommandResult(status=OK, version=index)
+        done = _lift(tables, cmd, index)
+    else:
+        done = _resolve_claim(tables, cmd)
+    if done.status == OK:
         tables.remember_change(cmd.change_id, done)
-        return done
+    return done
+
+
+def _lift(
+    tables: tables_lib.Tables, cmd: control_pb2.Resolve, index: int
+) -> control_pb2.CommandResult:
+    key = tables_lib.quarantine_key(cmd.fingerprint)
+    if tables.get(key) is None:
+        return control_pb2.CommandResult(
+            status=REFUSED,
+            message=f"{cmd.fingerprint.hex()} is not in quarantine",
+        )
+    tables.delete(key, index)
+    return control_pb2.CommandResult(status=OK, version=index)
+
+
+def _resolve_claim(
+    tables: tables_lib.Tables, cmd: control_pb2.Resolve
+) -> control_pb2.CommandResult:
     known = tables.claims.get((cmd.service, cmd.key))
     if known is None or known.state != UNKNOWN:
         return control_pb2.CommandResult(
             status=REFUSED,
             message=f"{cmd.service} has no unknown request {cmd.key}",
         )
-    known.state = cmd.state
-    known.answer_dropped = cmd.state == ANSWERED
-    known.changed_log_ms = tables.log_ms
-    done = control_pb2.CommandResult(status=OK, claim=known.state)
-    tables.remember_change(cmd.change_id, done)
-    return done
+    if cmd.state not in (RELEASED, ANSWERED):
+        return control_pb2.CommandResult(
+            status=REFUSED, message="a request either ran or did not run"
+        )
+    left_ms = known.changed_log_ms + RESOLVE_AFTER_MS - tables.log_ms
+    if cmd.state == RELEASED and left_ms > 0:
+        return control_pb2.CommandResult(
+            status=REFUSED,
+            message=f"{cmd.key} may run for {left_ms} ms yet; wait so long",
+        )
+    changed = _change(tables, known, cmd.state)
+    changed.answer_dropped = cmd.state == ANSWERED
+    tables.claims.put(changed)
+    return control_pb2.CommandResult(status=OK, claim=changed.state)
 
 
 def sweep(tables: tables_lib.Tables) -> None:
     """Forgets keys and answers whose time has passed."""
-    for key, known in list(tables.claims.items()):
-        age_ms = tables.log_ms - known.changed_log_ms
-        if known.state in (RUNNING, UNKNOWN):
-            continue
-        if age_ms > KEEP_KEY_MS:
-            del tables.claims[key]
-        elif age_ms > KEEP_ANSWER_MS and known.HasField("answer"):
-            known.ClearField("answer")
-            known.answer_dropped = True
+    claims = tables.claims
+    now = tables.log_ms
+    for known in claims.get_changed_before(RUNNING, now - LONGEST_RUN_MS):
+        claims.put(_change(tables, known, UNKNOWN))
+    for state, keep_ms in (
+        (RELEASED, KEEP_RELEASED_MS),
+        (ANSWERED, KEEP_KEY_MS),
+    ):
+        for known in claims.get_changed_before(state, now - keep_ms):
+            claims.remove((known.service, known.key))
+    for known in claims.get_with_answer_before(now - KEEP_ANSWER_MS):
+        claims.drop_answer((known.service, known.key))
--- a/src/cardamomkeel/state/commands/quarantine.py
+++ b/src/cardamomkeel/state/commands/quarantine.py
@@ -1,33 +1,149 @@
-"""Commands about requests that break the connections of backend servers."""
+"""Commands about requests that break the connections of backend servers.
+
+A request whose connection broke is suspect: from then on one entry at a time
+may run it, as a probe. A probe that is answered clears it, a probe that
+breaks the connection of another target puts it into quarantine. Where none of
+these targets was lost or came back as another instance, the network broke
+the connections, and the quarantine ends early.
+"""
 
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
 OK = control_pb2.STATUS_OK
 
-# A request that broke the connections of this many targets is refused.
-BREAKS_TO_QUARANTINE = 2
 SUSPECT_MS = 10 * 60 * 1000
 QUARANTINE_MS = 60 * 60 * 1000
+# Longer than the longest deadline of a request.
+PROBE_MS = 15 * 1000
+# So many broken probes are enough where there is no other target.
+BROKEN_PROBES_TO_QUARANTINE = 2
+# By then a crashed backend server has been missed, or has come back.
+CONFIRM_MS = 30 * 1000
+MAX_TARGETS_NAMED = 4
+MAX_SUSPECTS = 1000
+
+
+def _read(
+    tables: tables_lib.Tables, fingerprint: bytes
+) -> control_pb2.QuarantineRecord | None:
+    """Returns a copy of the row of a request, or None."""
+    record = tables.get(tables_lib.quarantine_key(fingerprint))
+    if record is None:
+        return None
+    row = control_pb2.QuarantineRecord()
+    row.CopyFrom(record.quarantine)
+    return row
+
+
+def _write(
+    tables: tables_lib.Tables, row: control_pb2.QuarantineRecord, index: int
+) -> None:
+    key = tables_lib.quarantine_key(row.fingerprint)
+    tables.put(key, index, quarantine=row)
 
 
 def report_break(
     tables: tables_lib.Tables, cmd: control_pb2.ReportBreak, index: int
 ) -> control_pb2.CommandResult:
     """Counts a target whose connection a request broke."""
-    key = tables_lib.quarantine_key(cmd.fingerprint)
-    record = tables.get(key)
-    row = control_pb2.QuarantineRecord(
-        fingerprint=cmd.fingerprint, service=cmd.service
-    )
-    if record is not None:
-        row.CopyFrom(record.quarantine)
-    if cmd.target not in row.targets:
+    row = _read(tables, cmd.fingerprint)
+    if row is None:
+        _drop_oldest_suspect(tables, index)
+        row = control_pb2.QuarantineRecord(
+            fingerprint=cmd.fingerprint, service=cmd.service
+        )
+    if cmd.probe_token and cmd.probe_token == row.probe_token:
+        _count_probe(tables, row, cmd.target)
+    if cmd.target not in row.targets and len(row.targets) < MAX_TARGETS_NAMED:
         row.targets.append(cmd.target)
-    row.active = len(row.targets) >= BREAKS_TO_QUARANTINE
     keep_ms = QUARANTINE_MS if row.active else SUSPECT_MS
     row.expires_log_ms = tables.log_ms + keep_ms
-    tables.put(key, index, quarantine=row)
+    _write(tables, row, index)
+    return control_pb2.CommandResult(
+        status=OK, version=index, quarantined=row.active
+    )
+
+
+def _count_probe(
+    tables: tables_lib.Tables,
+    row: control_pb2.QuarantineRecord,
+    target: str,
+) -> None:
+    row.probe_token = ""
+    row.probe_breaks += 1
+    enough = row.probe_breaks >= BROKEN_PROBES_TO_QUARANTINE
+    if enough or target not in row.targets:
+        row.active = True
+        row.active_since_log_ms = tables.log_ms
+
+
+def _was_lost(tables: tables_lib.Tables, target: str) -> bool:
+    """Tells whether a target is gone, or is another instance by now."""
+    address, _, instance = target.partition("#")
+    record = tables.get(tables_lib.target_key(address))
+    return record is None or record.target.instance != instance
+
+
+def _confirm(
+    tables: tables_lib.Tables, row: control_pb2.QuarantineRecord, index: int
+) -> bool:
+    """Tells whether a quarantine stays in force."""
+    if row.confirmed:
+        return True
+    row.confirmed = any(_was_lost(tables, target) for target in row.targets)
+    if row.confirmed:
+        _write(tables, row, index)
+        return True
+    if tables.log_ms < row.active_since_log_ms + CONFIRM_MS:
+        return True
+    tables.delete(tables_lib.quarantine_key(row.fingerprint), index)
+    return False
+
+
+def _drop_oldest_suspect(tables: tables_lib.Tables, index: int) -> None:
+    rows = tables.rows("quarantine")
+    if len(rows) < MAX_SUSPECTS:
+        return
+    suspects = [record for record in rows if not record.quarantine.active]
+    for record in suspects[:1]:
+        tables.delete(record.key, index)
+
+
+def begin_probe(
+    tables: tables_lib.Tables, cmd: control_pb2.BeginProbe, index: int
+) -> control_pb2.CommandResult:
+    """Lets one entry run a suspect request."""
+    row = _read(tables, cmd.fingerprint)
+    if row is None:
+        return control_pb2.CommandResult(status=OK, probe_granted=True)
+    if row.active:
+        stays = _confirm(tables, row, index)
+        return control_pb2.CommandResult(
+            status=OK, quarantined=stays, probe_granted=not stays
+        )
+    if row.probe_token == cmd.token:
+        return control_pb2.CommandResult(status=OK, probe_granted=True)
+    if row.probe_token and tables.log_ms < row.probe_until_log_ms:
+        return control_pb2.CommandResult(status=OK)
+    row.probe_token = cmd.token
+    row.probe_until_log_ms = tables.log_ms + PROBE_MS
+    _write(tables, row, index)
+    return control_pb2.CommandResult(status=OK, probe_granted=True)
+
+
+def end_probe(
+    tables: tables_lib.Tables, cmd: control_pb2.EndProbe, index: int
+) -> control_pb2.CommandResult:
+    """Ends a probe that broke no connection."""
+    row = _read(tables, cmd.fingerprint)
+    if row is None or row.active or row.probe_token != cmd.token:
+        return control_pb2.CommandResult(status=OK)
+    if cmd.answered:
+        tables.delete(tables_lib.quarantine_key(cmd.fingerprint), index)
+    else:
+        row.probe_token = ""
+        _write(tables, row, index)
     return control_pb2.CommandResult(status=OK, version=index)
 
 
--- a/src/cardamomkeel/state/machine.py
+++ b/src/cardamomkeel/state/machine.py
@@ -32,6 +32,8 @@
     "claim": claims.claim,
     "settle": claims.settle,
     "report_break": quarantine.report_break,
+    "begin_probe": quarantine.begin_probe,
+    "end_probe": quarantine.end_probe,
     "resolve": claims.resolve,
     "sweep": _sweep,
 }
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from cardamomkeel.state import claims_table
 from cardamomkeel.wire import control_pb2
 
 SETTINGS_KEY = "settings"
@@ -50,7 +51,7 @@
             collections.OrderedDict()
         )
         self._deleted: collections.deque[str] = collections.deque()
-        self.claims: dict[tuple[str, str], control_pb2.ClaimRecord] = {}
+        self.claims = claims_table.ClaimsTable()
         self.changes: collections.OrderedDict[
             str, control_pb2.CommandResult
         ] = collections.OrderedDict()
@@ -151,9 +152,9 @@
         self._deleted = collections.deque(
             record.key for record in state.records if record.deleted
         )
-        self.claims = {
-            (claim.service, claim.key): claim for claim in state.claims
-        }
+        self.claims = claims_table.ClaimsTable()
+        for claim in state.claims:
+            self.claims.put(claim)
         self.changes = collections.OrderedDict(
             (change.change_id, change.result) for change in state.changes
         )
