--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -61,10 +61,7 @@
 
     async def _call(self, scope, receive, send) -> None:
         if not self.session.is_fresh():
-            ended = messages.not_run(
-                "this entry can't confirm its settings",
-                "send it to another entry",
-            )
+            ended = messages.not_fresh(requests.may_be_repeat(scope))
             await answers.send_ended(send, ended, scope["method"])
             return
         body = await requests.read_body(receive)
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import loguru
 from returns import result
 
 from cardamomkeel import clock
@@ -12,6 +13,9 @@
 from cardamomkeel.entries import forward
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import session as session_lib
+
+logger = loguru.logger
 
 
 @dataclasses.dataclass
@@ -19,6 +23,7 @@
     """Makes one attempt for another entry."""
 
     owner: owner_lib.Owner
+    session: session_lib.Session
     clk: clock.Clock
 
     async def __call__(
@@ -38,14 +43,29 @@
             error = body.failure()
             ended = messages.not_run(error.message, error.remedy)
         else:
-            req = self._make_request(scope, body.unwrap())
+            ended = await self._dispatch(scope, body.unwrap())
+        await answers.send_ended(send, ended, scope["method"], forwarded=True)
+
+    async def _dispatch(
+        self, scope: requests.Scope, body: bytes
+    ) -> messages.Ended:
+        try:
+            req = self._make_request(scope, body)
+            if req.session and req.session not in self.session.view.entries:
+                return messages.not_run(
+                    "the entry that claimed it lost its session",
+                    "send it again",
+                )
             excluded = requests.get_header(scope, messages.EXCLUDE).decode()
             scope[http1.CANCELLABLE] = req.idempotent
-            ended = await self.owner.dispatch(
+            return await self.owner.dispatch(
                 req, frozenset(excluded.split(","))
             )
-        scope[http1.CANCELLABLE] = False
-        await answers.send_ended(send, ended, scope["method"], forwarded=True)
+        except Exception:
+            logger.exception("a forwarded request failed")
+            return messages.FAILED
+        finally:
+            scope[http1.CANCELLABLE] = False
 
     def _make_request(
         self, scope: requests.Scope, body: bytes
@@ -64,6 +84,7 @@
             deadline=self.clk.now() + left,
             depth=depth,
             idempotent=self._is_idempotent(service, scope["method"]),
+            session=int(requests.get_header(scope, messages.SESSION) or b"0"),
         )
 
     def _is_idempotent(self, name: str, method: str) -> bool:
