--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -101,11 +101,31 @@
             timers.append(loop.call_later(delay_s, _replace, pool, conn, now))
         silent_ms = max(late_ms, SILENT_MS)
         # On a new connection a missing answer is the other side's own.
-        if idempotent and conn.used > 1 and now + silent_ms < deadline:
+        if conn.used > 1 and now + silent_ms < deadline:
             delay_s = clock.seconds(silent_ms)
-            timers.append(loop.call_later(delay_s, _give_up_silent, conn))
+            timers.append(
+                loop.call_later(delay_s, self._suspect, conn, now, idempotent)
+            )
         return timers
 
+    def _suspect(
+        self,
+        conn: pool_connection.Connection,
+        sent_at: clock.Millis,
+        idempotent: bool,
+    ) -> None:
+        """Takes a connection for silent, and all that are as old.
+
+        What lost track of it may have lost track of those to other addresses
+        too, and a retry must not find that out one by one.
+        """
+        if conn.has_heard():
+            return
+        for pool in self._pools.values():
+            pool.replace_older(sent_at)
+        if idempotent:
+            conn.time_out("the connection is silent")
+
     async def _give_up(self, conn: pool_connection.Connection) -> None:
         """Cancels a request; the other side may have seen it by the end."""
         closing = asyncio.ensure_future(conn.close_and_wait(CANCEL_MS))
@@ -152,11 +172,6 @@
         pool.replace_older(sent_at)
 
 
-def _give_up_silent(conn: pool_connection.Connection) -> None:
-    if not conn.has_heard():
-        conn.time_out("the connection is silent")
-
-
 def encode(
     address: str, req: messages.Request, headers: messages.Headers
 ) -> bytes | None:
