--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -12,6 +12,7 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.control import deadlines as deadlines_lib
 from cardamomkeel.control import leases as leases_lib
 from cardamomkeel.control import signal
 from cardamomkeel.policy import owners
@@ -26,6 +27,7 @@
 DUTY_PERIOD_MS = 500.0
 DUTY_PAUSE_MS = 50.0
 SWEEP_PERIOD_MS = 30_000.0
+BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
 PEER_PAUSE_MS = 100.0
 
@@ -74,12 +76,14 @@
         self._log_ms_base = 0
         self._ready_since = 0.0
         self._swept_at = 0.0
+        self._balanced_at = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
         self._failure: storage_lib.StorageFailedError | None = None
         self._failed = anyio.Event()
         self.changed = signal.Signal()
         self.confirmed = signal.Signal()
         self.leases = leases_lib.Leases(lease_ms)
+        self._deadlines = deadlines_lib.Deadlines(lease_ms)
         self.tables = tables_lib.Tables()
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
@@ -145,6 +149,7 @@
             self._log_ms_base = self.tables.log_ms
             self._ready_since = now
             self.leases.start(self._sessions(), now)
+            self._deadlines.start(now)
         else:
             self._fail_waiting()
         logger.info("leads" if ready else "follows", term=self.replica.term)
@@ -370,16 +375,21 @@
         now = self._clock.now()
         sessions = self._sessions()
         self.leases.forget_all_but(sessions)
+        settings = self.tables.get(tables_lib.SETTINGS_KEY)
+        if settings is not None:
+            self._deadlines.follow(settings.settings.text, now)
         commands = []
         expired = self.leases.close_expired(sessions, now)
         if expired:
             logger.warning("ends sessions of entries", sessions=expired)
             commands.append(
                 control_pb2.Command(
-                    entry_expire=control_pb2.EntryExpire(sessions=expired)
+                    entry_expire=control_pb2.EntryExpire(
+                        sessions=expired, bounds=self._deadlines.bounds(now)
+                    )
                 )
             )
-        assignments = owners.plan(self.tables.targets(), self.tables.entries())
+        assignments = self._plan_owners(now)
         if assignments:
             commands.append(
                 control_pb2.Command(
@@ -395,6 +405,14 @@
             await self.propose(commands)
         await self._promote_learners()
 
+    def _plan_owners(self, now: clock.Millis) -> list[control_pb2.Assignment]:
+        may_balance = now - self._balanced_at >= BALANCE_PERIOD_MS
+        if may_balance:
+            self._balanced_at = now
+        return owners.plan(
+            self.tables.targets(), self.tables.entries(), may_balance
+        )
+
     async def _promote_learners(self) -> None:
         now = self._clock.now()
         for member in self.replica.members.members:
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -24,6 +24,7 @@
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import changes
 from cardamomkeel.operators import members as members_calls
+from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members
@@ -136,6 +137,7 @@
         metrics_lib.Metrics(),
         lambda: dump(cfg, node),
         changes.Changes(control, clk).handlers()
+        | resolutions.Resolutions(control).handlers()
         | members_calls.MemberChanges(control).handlers(),
     )
     async with anyio.create_task_group() as tasks:
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -11,6 +11,7 @@
 from cardamomkeel import errors
 from cardamomkeel.operators import commandline_options as options
 from cardamomkeel.operators import member_commands
+from cardamomkeel.operators import resolutions
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
 
@@ -162,6 +163,9 @@
     _print(_call(at, secret_file, "/dump", {}))
 
 
+resolutions.add_commands(app, _call, _print, At, SecretFile)
+
+
 def main() -> None:
     """Runs the command line."""
     app()
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from cardamomkeel.state import claims_table
 from cardamomkeel.wire import control_pb2
 
 SETTINGS_KEY = "settings"
@@ -50,7 +51,7 @@
             collections.OrderedDict()
         )
         self._deleted: collections.deque[str] = collections.deque()
-        self.claims: dict[tuple[str, str], control_pb2.ClaimRecord] = {}
+        self.claims = claims_table.ClaimsTable()
         self.changes: collections.OrderedDict[
             str, control_pb2.CommandResult
         ] = collections.OrderedDict()
@@ -86,12 +87,17 @@
         self._rows.move_to_end(key)
         self.version = index
 
-    def delete(self, key: str, index: int) -> None:
-        """Deletes a row at a log index."""
+    def get_deleted(self, key: str) -> control_pb2.Record | None:
+        """Returns what is kept of a deleted row, or None."""
+        record = self._rows.get(key)
+        return record if record is not None and record.deleted else None
+
+    def delete(self, key: str, index: int, **kept) -> None:
+        """Deletes a row at a log index; keywords name what is kept of it."""
         if self.get(key) is None:
             return
         self._rows[key] = control_pb2.Record(
-            key=key, version=index, deleted=True
+            key=key, version=index, deleted=True, **kept
         )
         self._rows.move_to_end(key)
         self.version = index
@@ -154,9 +160,9 @@
         self._deleted = collections.deque(
             record.key for record in state.records if record.deleted
         )
-        self.claims = {
-            (claim.service, claim.key): claim for claim in state.claims
-        }
+        self.claims = claims_table.ClaimsTable()
+        for claim in state.claims:
+            self.claims.put(claim)
         self.changes = collections.OrderedDict(
             (change.change_id, change.result) for change in state.changes
         )
