--- a/features/replicas.py
+++ b/features/replicas.py
@@ -13,6 +13,8 @@
 from cardamomkeel.wire import control_pb2
 
 STEP_MS = 20.0
+# Long enough that some history outlasts the time that claims are kept.
+LOG_STEP_MS = 3_600_000
 
 
 @dataclasses.dataclass
@@ -210,8 +212,41 @@
             change_id=f"change-{self.proposed // 2}",
             text=f"text {self.proposed}",
         )
-        command = control_pb2.Command(change_settings=change)
-        self.replicas[name].propose([command])
+        commands = [
+            control_pb2.Command(change_settings=change),
+            *self._make_commands(name),
+        ]
+        for command in commands:
+            command.log_ms = self.proposed * LOG_STEP_MS
+        self.replicas[name].propose(commands)
+
+    def _make_commands(self, name: str) -> list[control_pb2.Command]:
+        """Returns some commands of other kinds, on few names."""
+        sessions = [e.session for e in self.tables[name].entries()] or [1]
+        session = self.rng.choice(sessions)
+        key = self.rng.choice(["key-1", "key-2"])
+        token = self.rng.choice(["token-1", "token-2"])
+        address = self.rng.choice(["target-1", "target-2"])
+        claim = {"session": session, "service": "s", "key": key}
+        state = self.rng.choice(
+            [control_pb2.CLAIM_ANSWERED, control_pb2.CLAIM_RELEASED]
+        )
+        settle = claim | {"state": state, "answer": {"body": b"answer"}}
+        kinds = [
+            {"entry_join": {"name": "entry-1", "nonce": token}},
+            {"claim": claim | {"token": token, "fingerprint": b"f"}},
+            {"settle": settle | {"token": token}},
+            {"entry_expire": {"sessions": [session]}},
+            {"target_seen": {"address": address, "service": "s", "slots": 3}},
+            {"target_gone": {"address": address}},
+            {"take_out": {"data_centre": "brest", "change_id": token}},
+            {"bring_back": {"data_centre": "brest"}},
+            {"report_break": {"fingerprint": b"f", "target": address}},
+            {"sweep": {}},
+        ]
+        return [
+            control_pb2.Command(**body) for body in self.rng.choices(kinds, k=4)
+        ]
 
     def compact(self, name: str) -> None:
         """Has a replica replace its log by a snapshot."""
