--- a/features/log_replication.feature
+++ b/features/log_replication.feature
@@ -66,3 +66,8 @@
     Given a group of replicas control-1 control-2 control-3
     When a new leader learns that all have an entry of an earlier term
     Then it has committed nothing of it and is not ready
+
+  Scenario: A snapshot stays as it was while its state goes on
+    Given tables that were loaded from a snapshot with an answer
+    When the answer is dropped for its age
+    Then the snapshot still holds the answer
--- a/features/steps/log_replication.py
+++ b/features/steps/log_replication.py
@@ -10,6 +10,9 @@
 
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.state import machine
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.state.commands import claims
 from cardamomkeel.wire import control_pb2
 from features import replicas
 
@@ -365,3 +368,32 @@
 def check_earlier_term(context):
     assert context.leader.commit < context.index, context.leader.commit
     assert not context.leader.is_ready
+
+
+@given("tables that were loaded from a snapshot with an answer")
+def load_snapshot(context):
+    context.state = control_pb2.State(
+        claims=[
+            control_pb2.ClaimRecord(
+                service="s",
+                key="k",
+                state=control_pb2.CLAIM_ANSWERED,
+                answer=control_pb2.Answer(body=b"answer"),
+            )
+        ]
+    )
+    context.tables = tables_lib.Tables()
+    context.tables.load(context.state)
+
+
+@when("the answer is dropped for its age")
+def drop_answer(context):
+    later_ms = claims.KEEP_ANSWER_MS + 1
+    sweep = control_pb2.Command(sweep=control_pb2.Sweep(), log_ms=later_ms)
+    machine.apply(context.tables, sweep, 1)
+    assert context.tables.claims.get(("s", "k")).answer_dropped
+
+
+@then("the snapshot still holds the answer")
+def check_snapshot(context):
+    assert context.state.claims[0].answer.body == b"answer"
