--- a/features/steps/control_repair.py
+++ b/features/steps/control_repair.py
@@ -147,6 +147,21 @@
     assert context.got.get("expected") == [name], context.got
 
 
+@then("it says that {name} is not expected within {seconds:d} s")
+def check_not_expected(context, name, seconds):
+    log = control_process(context, name).log
+    deployment_lib.wait_for(
+        lambda: f"{name} is not expected" in log.read_text(),
+        seconds,
+        f"{name} is not expected",
+    )
+
+
+@when("an operator adds {name}")
+def add_member(context, name):
+    context.got = context.deployment.operate("/v1/member-add", {"name": name})
+
+
 @when("an operator removes {name}")
 def remove_member(context, name):
     # A majority has to have noticed who does not answer.
