--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -209,6 +209,10 @@
     def _data_centre(self, number: int) -> str:
         return self.shape.data_centres[number % len(self.shape.data_centres)]
 
+    def entry_data_centre(self, name: str) -> str:
+        """Returns the data centre of an entry."""
+        return self._data_centre(list(self.callers_addresses).index(name))
+
     def _write(self, name: str, settings: typing.Any) -> pathlib.Path:
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -225,6 +225,7 @@
         self.record: list[Run] = []
         self.entries = entries
         self.announcements = 0
+        self.announced_bytes = 0
 
     def crash(self, server: Server) -> None:
         """Breaks all connections and starts anew, cold."""
@@ -263,7 +264,10 @@
                         "state": server.state,
                     },
                 )
-                self.announcements += 1
+                self._count_announcement(got)
+                if got.status_code == 429:
+                    await asyncio.sleep(int(got.headers["retry-after"]))
+                    continue
                 if got.status_code != 200:
                     raise httpx.HTTPError(got.text)
                 reply = got.json()
@@ -275,6 +279,12 @@
             known = reply["announce_to"] + others
             await self._pause(server, reply["every_ms"] / 1000)
 
+    def _count_announcement(self, got: httpx.Response) -> None:
+        self.announcements += 1
+        for message in (got.request, got):
+            lines = sum(len(n) + len(v) + 4 for n, v in message.headers.raw)
+            self.announced_bytes += lines + len(message.content) + 40
+
     async def _pause(self, server: Server, seconds: float) -> None:
         """Waits for the next announcement, or for a change to announce."""
         before = (server.state, server.instance)
@@ -295,6 +305,8 @@
             ]
         if path == "/record":
             return [dataclasses.asdict(run) for run in self.record]
+        if path == "/announcements":
+            return {"count": self.announcements, "bytes": self.announced_bytes}
         if path == "/clear":
             self.record.clear()
             for server in self.servers.values():
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Fixtures that scenarios share, chosen by tags."""
 
+import dataclasses
 import pathlib
 import shutil
 import tempfile
@@ -14,11 +15,17 @@
 CART_COMMONS = deployment_lib.CART_COMMONS
 
 
-def _run(context, shape, relayed=False):
+# Callers keep an address answer for this long where tests stop entries.
+SHORT_KEEP = {"keep_addresses_ms": 1000}
+
+
+def _run(context, shape, relayed=False, entry_settings=None):
     """Yields a running deployment, and ends it."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
     relays = relay.Relays() if relayed else None
-    deployment = deployment_lib.Deployment(folder, shape, relays=relays)
+    deployment = deployment_lib.Deployment(
+        folder, shape, entry_settings=entry_settings, relays=relays
+    )
     context.deployment = deployment
     context.caller = caller.Caller(
         list(deployment.callers_addresses.values()), shape.data_centres[0]
@@ -45,6 +52,18 @@
     yield from _run(context, shape, relayed=True)
 
 
+@behave.fixture
+def small_short_keep(context):
+    shape = deployment_lib.make_small(AR_GWENN_SKOUARN)
+    yield from _run(context, shape, entry_settings=SHORT_KEEP)
+
+
+@behave.fixture
+def many_targets(context):
+    shape = dataclasses.replace(AR_GWENN_SKOUARN, entries=3)
+    yield from _run(context, shape)
+
+
 @behave.fixture
 def ar_gwenn_skouarn(context):
     yield from _run(context, AR_GWENN_SKOUARN)
@@ -65,6 +84,8 @@
 FIXTURES = {
     "fixture.small": small,
     "fixture.small_relayed": small_relayed,
+    "fixture.small_short_keep": small_short_keep,
+    "fixture.many_targets": many_targets,
     "fixture.ar_gwenn_skouarn": ar_gwenn_skouarn,
     "fixture.cart_commons": cart_commons,
     "fixture.folder": folder,
--- /dev/null
+++ b/features/steps/freshness.py
@@ -0,0 +1,93 @@
+"""Steps about entries that can't confirm their settings."""
+
+import json
+
+from behave import then
+from behave import when
+import httpx
+
+from bench import deployment as deployment_lib
+
+
+def _list_others(context):
+    addresses = context.deployment.callers_addresses
+    return {a for name, a in addresses.items() if name != "entry-1"}
+
+
+@then("the message names the addresses of the other entries")
+def check_names_others(context):
+    remedy = json.loads(context.got.body)["remedy"]
+    for address in _list_others(context):
+        assert address in remedy, remedy
+
+
+@then("entry-1 was given no work that it passed on after {seconds:d} s")
+def check_no_answers(context, seconds):
+    assert context.passed_s == seconds
+    own = [call for call in list(context.load.calls) if call.entry == "entry-1"]
+    assert own[-1].got.outcome == "not-run", own[-1]
+
+
+@then("entry-1 refuses to name addresses, but tells those of the others")
+def check_addresses(context):
+    address = context.deployment.callers_addresses["entry-1"]
+    got = httpx.get(
+        f"http://{address}/v1/addresses?service=dossier", trust_env=False
+    )
+    assert got.status_code == 503, got.text
+    assert set(got.json()["addresses"]) == _list_others(context), got.text
+    assert got.json()["keep_ms"] == 0
+
+
+@then("entry-1 refuses announcements")
+def check_announcements(context):
+    address = context.deployment.callers_addresses["entry-1"]
+    got = httpx.post(
+        f"http://{address}/v1/announce",
+        json={
+            "service": "dossier",
+            "address": "127.0.0.1:9",
+            "data_centre": "brest",
+            "slots": 3,
+            "instance": "late",
+        },
+        trust_env=False,
+    )
+    assert got.status_code == 503, got.text
+
+
+@when("all faults end")
+def heal(context):
+    context.deployment.relays.heal()
+
+
+@then("entry-1 answers again within {seconds:d} s")
+def check_answers_again(context, seconds):
+    address = context.deployment.callers_addresses["entry-1"]
+
+    def is_answered():
+        got = context.caller.call("dossier", address=address)
+        return got.outcome == "answered"
+
+    deployment_lib.wait_for(is_answered, seconds, "entry-1 answers")
+
+
+@then("what was told to be not run did not run")
+def check_not_run(context):
+    calls = context.load.stop()
+    told = {c.key for c in calls if c.key and c.got.outcome == "not-run"}
+    ran = {run["key"] for run in context.deployment.record()}
+    assert told, "some were told so"
+    assert not told & ran, told & ran
+
+
+@when("two control VMs are killed")
+def kill_two(context):
+    for name in list(context.deployment.controls)[:2]:
+        context.deployment.controls[name].kill()
+
+
+@when("the control VMs are started again")
+def start_again(context):
+    for name in list(context.deployment.controls)[:2]:
+        context.deployment.controls[name].start()
--- /dev/null
+++ b/features/stop_entry.feature
@@ -0,0 +1,23 @@
+Feature: A planned stop of an entry cuts no request
+
+  @fixture.small_short_keep
+  Scenario: Each entry is restarted, one after another, under load
+    Given 6 callers that use the addresses that they are told
+    When each entry is stopped and started, one after another
+    Then each stop ended with status 0 within 20 s
+    And every call was answered
+    And each booking ran once
+    And no backend server ran more than it can bear
+
+  @fixture.small_short_keep
+  Scenario: A second signal ends an entry at once, and says what was left
+    Given a lookup of dossier that takes 4000 ms through entry-1
+    When entry-1 gets two signals to end
+    Then entry-1 ended with status 3
+    And its log names "stops before it has finished" and 1 request in flight
+
+  @fixture.small_short_keep
+  Scenario: An entry that stops says so to callers of the others
+    When entry-1 is asked to stop
+    Then no entry names entry-1 to callers within 1000 ms
+    And entry-1 still answers lookups
--- a/src/cardamomkeel/backend_servers/announcements.py
+++ b/src/cardamomkeel/backend_servers/announcements.py
@@ -9,18 +9,18 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel.backend_servers import measuring as measuring_lib
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.policy import measuring
 from cardamomkeel.routing import owner as owner_lib
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
 COMMIT_TIMEOUT_MS = 2000.0
-LEAST_PERIOD_MS = 2000
+EXPIRY_PERIOD_MS = 2000.0
 # A target that left out this many announcements is gone.
 MISSED_ANNOUNCEMENTS = 4
-# What one announcement and its answer take on the wire, with headers.
-ANNOUNCEMENT_BYTES = 700
 
 logger = loguru.logger
 
@@ -57,25 +57,14 @@
         owner: owner_lib.Owner,
         control: client_lib.ControlClient,
         clk: clock.Clock,
+        budget: measuring_lib.MeasuringBudget,
     ):
         self._session = session
         self._owner = owner
         self._control = control
         self._clock = clk
-
-    def period_ms(self) -> int:
-        """Returns how often each target may announce itself.
-
-        The more targets there are, the less often: all of them together stay
-        within the budget for measuring.
-        """
-        measuring = self._session.view.text.measuring
-        per_second = min(
-            measuring.messages_per_second / 2,
-            measuring.bytes_per_second / ANNOUNCEMENT_BYTES,
-        )
-        targets = len(self._session.view.targets)
-        return max(LEAST_PERIOD_MS, int(1000 * targets / per_second))
+        self._budget = budget
+        self._heard_at: dict[str, clock.Millis] = {}
 
     async def take(self, raw: bytes) -> result.Result[Reply, errors.Error]:
         """Checks an announcement and passes it on."""
@@ -93,6 +82,9 @@
         if refused is not None:
             logger.warning("refused announcement", reason=str(refused))
             return result.Failure(refused)
+        early = self._draw(said, len(raw) + measuring_lib.OVERHEAD_BYTES)
+        if early is not None:
+            return result.Failure(early)
         owned = self._owner.owned.get(said.address)
         if owned is not None:
             owned.seen_at = self._clock.now()
@@ -102,6 +94,30 @@
                 return result.Failure(written)
         return result.Success(self._reply(said))
 
+    def _draw(self, said: Announcement, size: int) -> errors.Error | None:
+        """Draws an announcement from the budget for measuring.
+
+        Ordinary ones are bounded by their period. News, and what comes to
+        an entry that does not own the target, draws from a token bucket.
+        """
+        period_ms = self._budget.period_ms(said.service)
+        owned = self._owner.owned.get(said.address)
+        if owned is not None and not self._is_news(said):
+            now = self._clock.now()
+            heard_at = self._heard_at.get(said.address, float("-inf"))
+            if now - heard_at >= measuring.EARLY_SHARE * period_ms:
+                self._heard_at[said.address] = now
+                self._budget.note(said.service, size, "announcement")
+                return None
+            self._budget.note(said.service, size, "announcement-refused")
+        elif self._budget.take(said.service, size, "news"):
+            return None
+        return errors.TooEarlyError(
+            f"{said.address} announces itself too often",
+            f"announce again in {period_ms} ms",
+            retry_after_ms=period_ms,
+        )
+
     def _refuse(self, said: Announcement) -> errors.Error | None:
         if not self._session.is_fresh():
             return errors.AnnouncementError(
@@ -161,15 +177,21 @@
         addresses += [e.callers_address for e in near if not e.leaving]
         return Reply(
             announce_to=list(dict.fromkeys(addresses))[:4],
-            every_ms=self.period_ms(),
+            every_ms=self._budget.period_ms(said.service),
         )
 
+    def _limit_ms(self, owned: owner_lib.Owned) -> clock.Millis:
+        """Returns after how long without an announcement a target is gone."""
+        period_ms = self._budget.period_ms(owned.record.service)
+        return MISSED_ANNOUNCEMENTS * period_ms
+
     async def run(self) -> None:
         """Forgets targets that no longer announce themselves."""
         while True:
-            await anyio.sleep(clock.seconds(LEAST_PERIOD_MS))
-            limit_ms = MISSED_ANNOUNCEMENTS * self.period_ms()
+            await anyio.sleep(clock.seconds(EXPIRY_PERIOD_MS))
             now = self._clock.now()
+            for address in set(self._heard_at) - set(self._owner.owned):
+                del self._heard_at[address]
             gone = [
                 control_pb2.Command(
                     target_gone=control_pb2.TargetGone(
@@ -177,7 +199,7 @@
                     )
                 )
                 for address, owned in self._owner.owned.items()
-                if now - owned.seen_at > limit_ms
+                if now - owned.seen_at > self._limit_ms(owned)
             ]
             if gone and self._session.is_fresh():
                 logger.warning("targets are gone", count=len(gone))
--- /dev/null
+++ b/src/cardamomkeel/backend_servers/measuring.py
@@ -0,0 +1,79 @@
+"""Keeps what measuring costs within the budget of the settings text."""
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.policy import measuring
+from cardamomkeel.routing import session as session_lib
+
+LEAST_PERIOD_MS = 2000
+# What an announcement and its answer take beside its body, with headers.
+OVERHEAD_BYTES = 550
+# The body of an ordinary announcement.
+BODY_BYTES = 150
+IN_ALL = ""
+
+
+class MeasuringBudget:
+    """Draws messages of measuring from the budget.
+
+    Whoever sends a probe or a report calls `take` first and leaves it out
+    where that is refused.
+    """
+
+    def __init__(
+        self,
+        session: session_lib.Session,
+        clk: clock.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._session = session
+        self._clock = clk
+        self._metrics = metrics
+        self._meters = measuring.Meters()
+
+    def period_ms(self, service: str) -> int:
+        """Returns how often each target of a service may announce itself."""
+        view = self._session.view
+        text = view.text.measuring
+        message_bytes = OVERHEAD_BYTES + BODY_BYTES
+        in_all = measuring.get_period_ms(
+            text.rate(), len(view.targets), message_bytes
+        )
+        own = measuring.get_period_ms(
+            text.service_rate(),
+            len(view.get_targets_by_service(service)),
+            message_bytes,
+        )
+        return max(LEAST_PERIOD_MS, int(in_all), int(own))
+
+    def take(self, service: str, size_bytes: int, kind: str) -> bool:
+        """Draws one message that is not an ordinary announcement.
+
+        This entry may draw its share: the budget is for all entries.
+        """
+        text = self._session.view.text.measuring
+        entries = max(1, len(self._session.view.entries))
+        share = (1 - measuring.ORDINARY_SHARE) / entries
+        rates = {
+            IN_ALL: text.rate().scaled(share),
+            service: text.service_rate().scaled(share),
+        }
+        taken = self._meters.take(rates, size_bytes, self._clock.now())
+        self.note(service, size_bytes, kind if taken else f"{kind}-refused")
+        return taken
+
+    def note(self, service: str, size_bytes: int, kind: str) -> None:
+        """Shows a message in the metrics."""
+        self._metrics.count(
+            "measuring_messages",
+            "Messages of measuring, by service and kind.",
+            service=service,
+            kind=kind,
+        )
+        self._metrics.count(
+            "measuring_bytes",
+            "Bytes of measuring, by service and kind.",
+            by=size_bytes,
+            service=service,
+            kind=kind,
+        )
--- a/src/cardamomkeel/callers/addresses.py
+++ b/src/cardamomkeel/callers/addresses.py
@@ -1,19 +1,32 @@
 """Which entries callers of a service should connect to."""
 
+import random
+
+from cardamomkeel.routing import messages
 from cardamomkeel.routing import view as view_lib
+from cardamomkeel.wire import control_pb2
 
 MAX_ADDRESSES = 6
 
 
 def get_addresses(
-    view: view_lib.View, service: str, data_centre: str
+    view: view_lib.View,
+    service: str,
+    data_centre: str,
+    rng: random.Random,
+    without: int = 0,
 ) -> list[str]:
     """Returns addresses for the callers of a service, the best first.
 
+    Owners of the service come first, and near ones before others. Among
+    equals the order is random, so that callers spread over them.
+
     Args:
         view: The entry's view.
         service: The service; empty for any.
         data_centre: Where the caller is; empty for not known.
+        rng: Decides between equals.
+        without: The session of an entry to leave out; 0 for none.
     """
     owners = {
         target.owner
@@ -23,13 +36,35 @@
     usable = [
         entry
         for entry in view.entries.values()
-        if not entry.leaving and not view.is_data_centre_out(entry.data_centre)
+        if entry.session != without and _is_usable(view, entry)
     ]
     usable.sort(
         key=lambda entry: (
             entry.session not in owners,
             entry.data_centre != data_centre,
-            entry.name,
+            rng.random(),
         )
     )
     return [entry.callers_address for entry in usable[:MAX_ADDRESSES]]
+
+
+def _is_usable(view: view_lib.View, entry: control_pb2.EntryRecord) -> bool:
+    return not entry.leaving and not view.is_data_centre_out(entry.data_centre)
+
+
+def refuse_stale(others: list[str]) -> messages.Ended:
+    """Returns the end of a request at an entry that is not fresh.
+
+    Args:
+        others: Addresses of other entries, as this one last knew them.
+    """
+    return messages.not_run(
+        "this entry can't confirm its settings", tell_others(others)
+    )
+
+
+def tell_others(others: list[str]) -> str:
+    """Returns what to do where an entry is not fresh."""
+    if not others:
+        return "send it to another entry"
+    return "send it to another entry: " + ", ".join(others)
--- a/src/cardamomkeel/callers/answers.py
+++ b/src/cardamomkeel/callers/answers.py
@@ -67,7 +67,10 @@
 
 
 async def send_ended(
-    send_event: Send, ended: messages.Ended, forwarded: bool = False
+    send_event: Send,
+    ended: messages.Ended,
+    forwarded: bool = False,
+    more: messages.Headers | None = None,
 ) -> None:
     """Sends how a request ended.
 
@@ -75,8 +78,9 @@
         send_event: The ASGI function.
         ended: How the request ended.
         forwarded: Whether the other side is an entry.
+        more: Headers to send besides.
     """
-    headers = _describe(ended)
+    headers = _describe(ended) + (more or [])
     if forwarded:
         headers.append((messages.SIGN, ended.sign.value.encode()))
         headers.append((messages.INSTANCE, ended.instance.encode()))
--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -1,6 +1,8 @@
 """The ASGI application towards callers and backend servers."""
 
 import dataclasses
+import math
+import random
 
 import loguru
 from returns import result
@@ -11,6 +13,7 @@
 from cardamomkeel.callers import addresses
 from cardamomkeel.callers import answers
 from cardamomkeel.callers import requests
+from cardamomkeel.routing import decisions as decisions_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import router as router_lib
 from cardamomkeel.routing import session as session_lib
@@ -29,6 +32,8 @@
     announcements: announcements_lib.Announcements
     clk: clock.Clock
     keep_addresses_ms: int
+    decisions: decisions_lib.Decisions
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
 
     async def __call__(
         self,
@@ -59,14 +64,17 @@
             await answers.send_error(send, error.status, error, NOT_RUN)
 
     async def _call(self, scope, receive, send) -> None:
+        started = self.clk.now()
         body = await requests.read_body(receive)
+        given = requests.get_header(scope, decisions_lib.REQUEST_ID)
+        request_id = self.decisions.make_id(given)
+        named = [(decisions_lib.REQUEST_ID, request_id.encode())]
         view = self.session.view
         if not self.session.is_fresh():
-            ended = messages.not_run(
-                "this entry can't confirm its settings",
-                "send it to another entry",
-            )
-            await answers.send_ended(send, ended)
+            service, _ = requests.split_path(scope, requests.PREFIX)
+            ended = addresses.refuse_stale(self._list_others())
+            self.decisions.note(request_id, service, ended, started)
+            await answers.send_ended(send, ended, more=named)
             return
         req = body.bind(
             lambda whole: requests.make_request(
@@ -75,10 +83,29 @@
         )
         if not isinstance(req, result.Success):
             error = req.failure()
-            logger.info("refused request", reason=str(error))
-            await answers.send_error(send, error.status, error, NOT_RUN)
+            logger.info(
+                "refused request", request_id=request_id, reason=str(error)
+            )
+            await answers.send_error(send, error.status, error, NOT_RUN + named)
             return
-        await answers.send_ended(send, await self.router.handle(req.unwrap()))
+        ended = await self.router.handle(req.unwrap())
+        self.decisions.note(request_id, req.unwrap().service, ended, started)
+        self._log(request_id, req.unwrap(), ended)
+        await answers.send_ended(send, ended, more=named)
+
+    def _log(
+        self, request_id: str, req: messages.Request, ended: messages.Ended
+    ) -> None:
+        if ended.outcome is messages.Outcome.ANSWERED:
+            return
+        logger.info(
+            "not answered",
+            request_id=request_id,
+            service=req.service,
+            outcome=ended.outcome.value,
+            target=ended.target,
+            reason=str(ended.error),
+        )
 
     async def _addresses(self, scope, send) -> None:
         query = scope.get("query_string", b"").decode("latin-1")
@@ -87,6 +114,9 @@
         )
         service = asked.get("service", "")
         view = self.session.view
+        if not self.session.is_fresh():
+            await self._refuse_addresses(send)
+            return
         if service and view.get_service(service) is None:
             error = errors.RequestError(
                 f"there is no service {service!r}",
@@ -97,12 +127,29 @@
             return
         body = {
             "addresses": addresses.get_addresses(
-                view, service, asked.get("data_centre", "")
+                view, service, asked.get("data_centre", ""), self.rng
             ),
             "keep_ms": self.keep_addresses_ms,
         }
         await answers.send_json(send, 200, body)
 
+    async def _refuse_addresses(self, send) -> None:
+        others = self._list_others()
+        body = {
+            "kind": errors.UnavailableError.kind,
+            "message": "this entry can't confirm its settings",
+            "remedy": addresses.tell_others(others),
+            "addresses": others,
+            "keep_ms": 0,
+        }
+        await answers.send_json(send, 503, body)
+
+    def _list_others(self) -> list[str]:
+        """Returns other entries, as this one last knew them."""
+        return addresses.get_addresses(
+            self.session.view, "", "", self.rng, without=self.session.id
+        )
+
     async def _announce(self, receive, send) -> None:
         raw = await requests.read_body(receive)
         if not isinstance(raw, result.Success):
@@ -115,4 +162,8 @@
             await answers.send_json(send, 200, reply)
             return
         error = taken.failure()
-        await answers.send_error(send, error.status, error)
+        headers = []
+        if isinstance(error, errors.TooEarlyError):
+            after_s = math.ceil(clock.seconds(error.retry_after_ms))
+            headers.append((b"retry-after", b"%d" % after_s))
+        await answers.send_error(send, error.status, error, headers)
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -1,5 +1,6 @@
 """The program of an entry VM."""
 
+import dataclasses
 import pathlib
 import random
 import typing
@@ -12,20 +13,28 @@
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import announcements as announcements_lib
 from cardamomkeel.backend_servers import httpx_client
+from cardamomkeel.backend_servers import measuring
 from cardamomkeel.callers import app as callers_app
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.daemons import entry_stop
+from cardamomkeel.daemons import in_flight as in_flight_lib
 from cardamomkeel.daemons import serve
 from cardamomkeel.daemons import start
 from cardamomkeel.entries import app as entries_app
 from cardamomkeel.entries import forward
 from cardamomkeel.operators import app as operators_app
+from cardamomkeel.operators import explain
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.routing import claims as claims_lib
+from cardamomkeel.routing import decisions as decisions_lib
 from cardamomkeel.routing import owner as owner_lib
 from cardamomkeel.routing import router as router_lib
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.settings import process
 
+# Exit status of a stop that may have cut requests.
+STATUS_CUT = 3
+
 logger = loguru.logger
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help="Runs an entry VM."
@@ -45,7 +54,8 @@
 ) -> None:
     """Runs until it gets SIGTERM."""
     cfg = start.read_settings(settings, process.EntrySettings)
-    anyio.run(_run, cfg)
+    if not anyio.run(_run, cfg):
+        raise typer.Exit(STATUS_CUT)
 
 
 class Entry:
@@ -55,6 +65,7 @@
         self.cfg = cfg
         self.clk = clock.MonotonicClock()
         self.metrics = metrics_lib.Metrics()
+        self.in_flight = in_flight_lib.InFlight()
         rng = random.Random()
         self.control = client_lib.ControlClient(
             list(cfg.control.values()), cfg.reach, self.clk
@@ -84,7 +95,27 @@
             tasks,
         )
         self.announcements = announcements_lib.Announcements(
-            self.session, self.owner, self.control, self.clk
+            self.session,
+            self.owner,
+            self.control,
+            self.clk,
+            measuring.MeasuringBudget(self.session, self.clk, self.metrics),
+        )
+
+        self.decisions = decisions_lib.Decisions(
+            self.session, self.clk, self.metrics
+        )
+        self.explain = explain.Explain(
+            self.session, self.owner, self.decisions, self.clk
+        )
+        self.metrics.read_with(self._set_gauges)
+        self.stop = entry_stop.EntryStop(
+            cfg,
+            self.session,
+            self.owner,
+            self.control,
+            self.in_flight,
+            self.clk,
         )
 
     def _follow(self) -> None:
@@ -98,7 +129,27 @@
             self.announcements,
             self.clk,
             self.cfg.keep_addresses_ms,
+            self.decisions,
+        )
+
+    def _set_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        left_ms = max(0.0, self.session.lease_until - self.clk.now())
+        gauge("lease_left_ms", "How long the lease runs yet.", left_ms)
+        gauge("revision", "Revision followed.", self.session.view.revision)
+        gauge(
+            "requests_in_flight",
+            "Requests being served.",
+            self.in_flight.count,
         )
+        owned = list(self.owner.owned.values())
+        for service in self.session.view.text.services:
+            mine = [o for o in owned if o.record.service == service]
+            in_use = sum(o.candidate.slots.in_flight for o in mine)
+            limit = sum(o.candidate.slots.limit for o in mine)
+            gauge("owned_targets", "Targets owned.", len(mine), service=service)
+            gauge("slots_in_use", "Slots taken.", in_use, service=service)
+            gauge("slots_allowed", "Slots allowed.", limit, service=service)
 
     def dump(self) -> dict[str, typing.Any]:
         """Returns the state of this process."""
@@ -129,32 +180,72 @@
         }
 
 
-async def _run(cfg: process.EntrySettings) -> None:
+async def _run(cfg: process.EntrySettings) -> bool:
+    """Runs until told to stop; False where requests may have been cut."""
     secret = start.unwrap(secret_lib.read_secret(pathlib.Path(cfg.secret_file)))
-    stop = anyio.Event()
+    signals = start.StopSignals()
+    closed = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        entry = Entry(cfg, tasks)
-        operators = operators_app.OperatorsApp(
-            secret, entry.metrics, entry.dump, {}
-        )
-        tasks.start_soon(start.wait_for_stop, stop)
-        tasks.start_soon(entry.session.run)
-        tasks.start_soon(entry.owner.run)
-        tasks.start_soon(entry.announcements.run)
-        for served, address in (
-            (entry.callers_app(), cfg.callers_address),
-            (
-                entries_app.EntriesApp(entry.owner, entry.clk),
-                cfg.entries_address,
-            ),
-            (operators, cfg.operators_address),
-        ):
-            tasks.start_soon(serve.serve, served, address, stop)
-        logger.info("runs", callers=cfg.callers_address)
-        await stop.wait()
+        # What goes on behind an answer, such as settling a claim, is waited
+        # for at the end.
+        async with anyio.create_task_group() as behind:
+            entry = Entry(cfg, behind)
+            tasks.start_soon(signals.watch)
+            tasks.start_soon(entry.stop.keep_session)
+            tasks.start_soon(entry.owner.run)
+            tasks.start_soon(entry.announcements.run)
+            for served, address in _list_served(entry, secret):
+                tasks.start_soon(serve.serve, served, address, closed)
+            logger.info("runs", callers=cfg.callers_address)
+            await signals.asked.wait()
+            whole = await _stop(entry, signals)
+            closed.set()
+            if not whole:
+                behind.cancel_scope.cancel()
         await entry.http.close()
         entry.control.close()
         tasks.cancel_scope.cancel()
+    return whole
+
+
+def _list_served(
+    entry: Entry, secret: str
+) -> list[tuple[typing.Callable, str]]:
+    """Returns the applications and the addresses that they are served at."""
+    operators = operators_app.OperatorsApp(
+        secret, entry.metrics, entry.dump, entry.explain.handlers()
+    )
+    entries = entries_app.EntriesApp(entry.owner, entry.clk)
+    count = entry.in_flight.wrap
+    return [
+        (count(entry.callers_app()), entry.cfg.callers_address),
+        (count(entries), entry.cfg.entries_address),
+        (operators, entry.cfg.operators_address),
+    ]
+
+
+async def _stop(entry: Entry, signals: start.StopSignals) -> bool:
+    """Stops without cutting a request; False where it could not."""
+    finished = False
+
+    async def run_steps() -> None:
+        nonlocal finished
+        await entry.stop.run()
+        finished = True
+        limit.cancel()
+
+    limit_s = clock.seconds(entry.cfg.stop_within_ms)
+    with anyio.move_on_after(limit_s) as limit:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_steps)
+            await signals.pressed.wait()
+            tasks.cancel_scope.cancel()
+    left = entry.stop.left()
+    if finished:
+        logger.info("has stopped")
+        return True
+    logger.warning("stops before it has finished", **dataclasses.asdict(left))
+    return left.is_nothing()
 
 
 def main() -> None:
--- /dev/null
+++ b/src/cardamomkeel/daemons/entry_stop.py
@@ -0,0 +1,162 @@
+"""The planned stop of an entry, step by step."""
+
+import dataclasses
+import enum
+import typing
+
+import anyio
+import loguru
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.control import client as client_lib
+from cardamomkeel.daemons import in_flight as in_flight_lib
+from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.settings import process
+from cardamomkeel.wire import control_pb2
+
+LEAVE_TIMEOUT_MS = 5000.0
+PROGRESS_PAUSE_MS = 50.0
+HAND_OVER_PAUSE_MS = 20.0
+# Callers' connections that are quiet for this long get no more requests.
+QUIET_MS = 300.0
+
+logger = loguru.logger
+
+
+class Step(enum.Enum):
+    """The steps of a planned stop, in their order."""
+
+    LEAVE = "leave the address answers"
+    WAIT_IN_FORCE = "wait until every entry knows"
+    KEEP_SERVING = "serve until the longest kept answer has run out"
+    HAND_OVER = "hand the targets over"
+    FINISH = "finish what is in flight"
+    END = "end the session"
+
+
+@dataclasses.dataclass(frozen=True)
+class Left:
+    """What a stop has not finished yet."""
+
+    step: str
+    in_flight: int
+    owned: int
+
+    def is_nothing(self) -> bool:
+        """Tells whether nothing would be cut."""
+        return self.in_flight == 0
+
+
+class EntryStop:
+    """Brings an entry to its end without cutting a request.
+
+    Attributes:
+        step: The step that is being done.
+    """
+
+    def __init__(
+        self,
+        cfg: process.EntrySettings,
+        session: session_lib.Session,
+        owner: owner_lib.Owner,
+        control: client_lib.ControlClient,
+        in_flight: in_flight_lib.InFlight,
+        clk: clock.Clock,
+    ):
+        self._cfg = cfg
+        self._session = session
+        self._owner = owner
+        self._control = control
+        self._in_flight = in_flight
+        self._clock = clk
+        self._left_version = 0
+        self._polling = anyio.CancelScope()
+        self.step = Step.LEAVE
+
+    async def keep_session(self) -> None:
+        """Keeps the session until the stop ends it."""
+        with self._polling:
+            await self._session.run()
+
+    def left(self) -> Left:
+        """Returns what would be lost if the process ended now."""
+        return Left(
+            self.step.value, self._in_flight.count, len(self._owner.owned)
+        )
+
+    async def run(self) -> None:
+        """Does all steps; each one waits for the one before."""
+        steps: dict[Step, typing.Callable] = {
+            Step.LEAVE: self._leave,
+            Step.WAIT_IN_FORCE: self._wait_in_force,
+            Step.KEEP_SERVING: self._keep_serving,
+            Step.HAND_OVER: self._hand_over,
+            Step.FINISH: self._finish,
+            Step.END: self._end,
+        }
+        for step, do in steps.items():
+            self.step = step
+            logger.info("stopping", **dataclasses.asdict(self.left()))
+            await do()
+
+    async def _propose_leave(self, finished: bool) -> int:
+        """Has control told; returns the version that says so, 0 for none."""
+        if self._session.id == 0:
+            return 0
+        command = control_pb2.Command(
+            entry_leave=control_pb2.EntryLeave(
+                session=self._session.id, finished=finished
+            )
+        )
+        done = await self._control.propose([command], LEAVE_TIMEOUT_MS)
+        if not isinstance(done, result.Success):
+            logger.warning("control is not told", reason=str(done.failure()))
+            return 0
+        return done.unwrap()[0].version
+
+    async def _leave(self) -> None:
+        self._left_version = await self._propose_leave(finished=False)
+
+    async def _wait_in_force(self) -> None:
+        """Waits until no entry names this one to callers any more.
+
+        At the latest, that is so once each lease from before has run out.
+        """
+        until = self._clock.now() + self._cfg.timings.lease_ms
+        req = control_pb2.ReadRequest(key="-", version=self._left_version)
+        while self._left_version and self._clock.now() < until:
+            read = await self._control.read(
+                req, until - self._clock.now(), PROGRESS_PAUSE_MS * 10
+            )
+            if isinstance(read, result.Success) and not any(
+                not entry.lease_over for entry in read.unwrap().progress
+            ):
+                return
+            await anyio.sleep(clock.seconds(PROGRESS_PAUSE_MS))
+
+    async def _keep_serving(self) -> None:
+        await anyio.sleep(clock.seconds(self._cfg.keep_addresses_ms))
+
+    async def _hand_over(self) -> None:
+        """Waits until control has moved all targets to other entries."""
+        while self._owner.owned and self._has_successor():
+            await anyio.sleep(clock.seconds(HAND_OVER_PAUSE_MS))
+
+    def _has_successor(self) -> bool:
+        return self._session.is_fresh() and any(
+            not entry.leaving for entry in self._session.view.entries.values()
+        )
+
+    async def _finish(self) -> None:
+        """Lets connections end with an answer, and the last work with one."""
+        self._in_flight.closing = True
+        await self._in_flight.wait_until_idle()
+        await anyio.sleep(clock.seconds(QUIET_MS))
+        await self._in_flight.wait_until_idle()
+
+    async def _end(self) -> None:
+        # A poll that finds the session ended would open another one.
+        self._polling.cancel()
+        await self._propose_leave(finished=True)
--- /dev/null
+++ b/src/cardamomkeel/daemons/in_flight.py
@@ -0,0 +1,55 @@
+"""Counts the requests that a process serves, and ends idle connections."""
+
+import typing
+
+from cardamomkeel.control import signal
+
+CLOSE = (b"connection", b"close")
+
+
+class InFlight:
+    """Wraps ASGI applications and counts what they serve.
+
+    Attributes:
+        count: How many requests are being served.
+        closing: Whether each answer ends its connection.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self.closing = False
+        self._ended = signal.Signal()
+
+    def wrap(self, app: typing.Callable) -> typing.Callable:
+        """Returns an application whose requests are counted."""
+
+        async def counted(scope, receive, send) -> None:
+            if scope["type"] != "http":
+                await app(scope, receive, send)
+                return
+            self.count += 1
+            try:
+                await app(scope, receive, self._closer(scope, send))
+            finally:
+                self.count -= 1
+                self._ended.notify()
+
+        return counted
+
+    def _closer(self, scope, send: typing.Callable) -> typing.Callable:
+        # HTTP/2 has no such header: the server announces the end itself.
+        if scope.get("http_version", "1.1").startswith("2"):
+            return send
+
+        async def closing_send(event: dict[str, typing.Any]) -> None:
+            if self.closing and event["type"] == "http.response.start":
+                headers = [*event.get("headers", []), CLOSE]
+                event = {**event, "headers": headers}
+            await send(event)
+
+        return closing_send
+
+    async def wait_until_idle(self) -> None:
+        """Waits until no request is being served."""
+        while self.count:
+            await self._ended.wait()
--- a/src/cardamomkeel/daemons/serve.py
+++ b/src/cardamomkeel/daemons/serve.py
@@ -39,6 +39,18 @@
     cfg.errorlog = None
     cfg.graceful_timeout = GRACE_S
     cfg.keep_alive_timeout = 60.0
-    await hypercorn_asyncio.serve(
-        _log_failures(app), cfg, shutdown_trigger=stop.wait
-    )
+    closing = anyio.Event()
+
+    async def run() -> None:
+        # hypercorn fails where it is cancelled instead of told to close.
+        with anyio.CancelScope(shield=True):
+            await hypercorn_asyncio.serve(
+                _log_failures(app), cfg, shutdown_trigger=closing.wait
+            )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        try:
+            await stop.wait()
+        finally:
+            closing.set()
--- a/src/cardamomkeel/daemons/start.py
+++ b/src/cardamomkeel/daemons/start.py
@@ -1,5 +1,6 @@
 """What the long-running programs do alike at their start and end."""
 
+import dataclasses
 import pathlib
 import signal
 import sys
@@ -42,6 +43,31 @@
     return got.unwrap()
 
 
+@dataclasses.dataclass
+class StopSignals:
+    """What the signals to end have asked for so far.
+
+    Attributes:
+        asked: Set on the first signal: end once nothing is cut.
+        pressed: Set on the second signal: end now.
+    """
+
+    asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    pressed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    async def watch(self) -> None:
+        """Sets the events as signals come."""
+        watched = (signal.SIGTERM, signal.SIGINT)
+        with anyio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if self.asked.is_set():
+                    logger.warning("stops at once", signal=int(number))
+                    self.pressed.set()
+                else:
+                    logger.info("stops", signal=int(number))
+                    self.asked.set()
+
+
 async def wait_for_stop(stop: anyio.Event) -> None:
     """Sets an event on the first signal to end; logs the others."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/src/cardamomkeel/errors.py
+++ b/src/cardamomkeel/errors.py
@@ -63,3 +63,12 @@
 
     kind: typing.ClassVar[str] = "announcement"
     status: int = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class TooEarlyError(AnnouncementError):
+    """An announcement beyond the budget for measuring."""
+
+    kind: typing.ClassVar[str] = "too-early"
+    status: int = 429
+    retry_after_ms: int = 0
--- a/src/cardamomkeel/operators/app.py
+++ b/src/cardamomkeel/operators/app.py
@@ -96,5 +96,5 @@
             await answers.send_json(send, 200, done.unwrap())
             return
         error = done.failure()
-        status = STATUS.get(type(error), 400)
+        status = STATUS.get(type(error), getattr(error, "status", 400))
         await answers.send_error(send, status, error)
--- a/src/cardamomkeel/operators/changes.py
+++ b/src/cardamomkeel/operators/changes.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import difflib
-import typing
 
 import anyio
 from google.protobuf import json_format
@@ -13,6 +12,7 @@
 from cardamomkeel import errors
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.operators import app as app_lib
+from cardamomkeel.operators import bodies
 from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
@@ -78,7 +78,7 @@
 
     async def apply(self, body: app_lib.Body) -> result.Result:
         """Replaces the settings text."""
-        asked = _validate(Apply, body)
+        asked = bodies.validate(Apply, body)
         if not isinstance(asked, result.Success):
             return asked
         change = asked.unwrap()
@@ -94,62 +94,36 @@
 
     async def take_out(self, body: app_lib.Body) -> result.Result:
         """Takes a data centre or a backend server out of service."""
-        asked = _validate(Out, body)
+        asked = bodies.validate(Out, body)
         if not isinstance(asked, result.Success):
             return asked
         out = asked.unwrap()
-        if not out.force:
-            refused = await self._check_rest(out)
-            if refused is not None:
-                return result.Failure(refused)
         return await self._commit(
             control_pb2.Command(
                 take_out=control_pb2.TakeOut(**out.model_dump())
-            )
+            ),
+            remedy="bring others back first, or use --force",
         )
 
     async def bring_back(self, body: app_lib.Body) -> result.Result:
         """Brings a data centre or a backend server back into service."""
-        asked = _validate(Out, body)
+        asked = bodies.validate(Out, body)
         if not isinstance(asked, result.Success):
             return asked
         fields = asked.unwrap().model_dump(exclude={"force"})
         return await self._commit(
-            control_pb2.Command(bring_back=control_pb2.BringBack(**fields))
-        )
-
-    async def _check_rest(self, out: Out) -> errors.Error | None:
-        """Returns why a service would be left without a target, if so."""
-        read = await self.control.read(
-            control_pb2.ReadRequest(), COMMIT_TIMEOUT_MS
-        )
-        if not isinstance(read, result.Success):
-            return read.failure()
-        records = read.unwrap().records
-        outs = [r.out for r in records if r.HasField("out")]
-        outs.append(
-            control_pb2.OutRecord(
-                data_centre=out.data_centre, address=out.address
-            )
-        )
-        targets = [r.target for r in records if r.HasField("target")]
-        named = {target.service for target in targets}
-        left = {t.service for t in targets if not _is_out(t, outs)}
-        if named <= left:
-            return None
-        return errors.ConflictError(
-            "these services would have no target left: "
-            + ", ".join(sorted(named - left)),
-            "bring others back first, or use --force",
+            control_pb2.Command(bring_back=control_pb2.BringBack(**fields)),
+            remedy="see with `show` what is taken out",
         )
 
     async def wait(self, body: app_lib.Body) -> result.Result:
         """Waits until a version is in force everywhere."""
-        asked = _validate(Wait, body)
+        asked = bodies.validate(Wait, body)
         if not isinstance(asked, result.Success):
             return asked
         wait = asked.unwrap()
-        until = self.clk.now() + wait.timeout_ms
+        started = self.clk.now()
+        until = started + wait.timeout_ms
         while True:
             read = await self.control.read(
                 control_pb2.ReadRequest(key="-", version=wait.version),
@@ -157,17 +131,25 @@
             )
             if not isinstance(read, result.Success):
                 return read
-            late = [
-                entry.name
-                for entry in read.unwrap().progress
-                if not entry.lease_over
-            ]
-            if not late or self.clk.now() >= until:
-                return result.Success({"in_force": not late, "late": late})
+            late = read.unwrap().progress
+            cut_off = [entry.name for entry in late if entry.lease_over]
+            missing = [entry.name for entry in late if not entry.lease_over]
+            if not missing or self.clk.now() >= until:
+                return result.Success(
+                    {
+                        "in_force": not missing,
+                        "late": missing,
+                        "without_lease": cut_off,
+                        "waited_ms": int(self.clk.now() - started),
+                    }
+                )
             await anyio.sleep(clock.seconds(PROGRESS_PAUSE_MS))
 
     async def _commit(
-        self, command: control_pb2.Command, text: str = ""
+        self,
+        command: control_pb2.Command,
+        text: str = "",
+        remedy: str = "see `show`",
     ) -> result.Result[app_lib.Body, errors.Error]:
         done = await self.control.propose([command], COMMIT_TIMEOUT_MS)
         if not isinstance(done, result.Success):
@@ -176,40 +158,12 @@
         if outcome.status == control_pb2.STATUS_CONFLICT:
             return result.Failure(_conflict(outcome, text))
         if outcome.status != control_pb2.STATUS_OK:
-            return result.Failure(
-                errors.ConflictError(outcome.message, "see `show`")
-            )
+            return result.Failure(errors.ConflictError(outcome.message, remedy))
         return result.Success(
             {"revision": outcome.revision, "version": outcome.version}
         )
 
 
-def _is_out(
-    target: control_pb2.TargetRecord, outs: list[control_pb2.OutRecord]
-) -> bool:
-    return any(
-        out.address == target.address
-        if out.address
-        else out.data_centre == target.data_centre
-        for out in outs
-    )
-
-
-def _validate(
-    model: type[pydantic.BaseModel], body: app_lib.Body
-) -> result.Result[typing.Any, errors.Error]:
-    try:
-        return result.Success(model.model_validate(body))
-    except pydantic.ValidationError as exc:
-        return result.Failure(
-            errors.SettingsError(
-                f"wrong call: {exc.errors()[0]['loc']}: "
-                f"{exc.errors()[0]['msg']}",
-                "use the `cardamomkeel` command of the same version",
-            )
-        )
-
-
 def _conflict(
     outcome: control_pb2.CommandResult, text: str
 ) -> errors.ConflictError:
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -1,5 +1,6 @@
 """The command line of operators."""
 
+import enum
 import getpass
 import json
 import pathlib
@@ -7,15 +8,32 @@
 import sys
 import typing
 
+import pydantic
 from returns import result
 import typer
 
+from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.operators import client
+from cardamomkeel.operators import listings
 from cardamomkeel.operators import secret as secret_lib
+from cardamomkeel.settings import page
+from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
 
+RequestId = typing.Annotated[
+    str, typer.Option(help="The cardamomkeel-request-id of an answer.")
+]
+TargetAddress = typing.Annotated[
+    str, typer.Option(help="Address of a backend server.")
+]
+Version = typing.Annotated[
+    int, typer.Option(help="The version that a change was accepted as.")
+]
+
+STATUS_NOT_IN_FORCE = 2
+
 app = typer.Typer(
     no_args_is_help=True,
     add_completion=False,
@@ -62,21 +80,39 @@
     return done.unwrap()
 
 
+def _call_any(
+    at: list[str], secret_file: pathlib.Path, path: str, body: dict
+) -> dict:
+    """Asks the processes named until one knows the answer."""
+    secret = secret_lib.read_secret(secret_file)
+    if not isinstance(secret, result.Success):
+        _fail(secret.failure())
+    for address in at:
+        done = client.call([address], secret.unwrap(), path, body)
+        if isinstance(done, result.Success):
+            return done.unwrap()
+    _fail(done.failure())
+
+
 def _print(answer: dict) -> None:
     print(json.dumps(answer, indent=2, sort_keys=True))
 
 
-def _finish(
-    at: list[str], secret_file: pathlib.Path, done: dict, wait: bool
+def _change(
+    at: list[str], secret_file: pathlib.Path, path: str, body: dict, wait: bool
 ) -> None:
-    """Reports an accepted change and waits for it where asked to."""
+    """Has a change accepted, and waits for it where asked to."""
+    clk = clock.MonotonicClock()
+    sent_at = clk.now()
+    done = _call(at, secret_file, path, body)
     _print(done)
     if not wait:
         return
     waited = _call(at, secret_file, "/v1/wait", {"version": done["version"]})
+    waited["took_ms"] = int(clk.now() - sent_at)
     _print(waited)
     if not waited["in_force"]:
-        raise typer.Exit(2)
+        raise typer.Exit(STATUS_NOT_IN_FORCE)
 
 
 def _read_text(path: pathlib.Path) -> str:
@@ -86,10 +122,32 @@
     return path.read_text(encoding="utf-8")
 
 
+class Program(enum.Enum):
+    """Whose settings a file holds."""
+
+    SERVICES = "services"
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+MODELS: dict[Program, type[pydantic.BaseModel]] = {
+    Program.SERVICES: services.ServicesText,
+    Program.ENTRY: process.EntrySettings,
+    Program.CONTROL: process.ControlSettings,
+}
+
+
 @app.command()
-def check(path: pathlib.Path) -> None:
-    """Checks a settings text without applying it."""
-    _read_text(path)
+def check(
+    path: pathlib.Path,
+    of: typing.Annotated[
+        Program, typer.Option(help="Whose settings they are.")
+    ] = Program.SERVICES,
+) -> None:
+    """Checks settings without applying them; status 1 where wrong."""
+    checked = reader.read_file(path, MODELS[of])
+    if not isinstance(checked, result.Success):
+        _fail(checked.failure())
     print(f"{path} is well-formed")
 
 
@@ -130,8 +188,7 @@
         "change_id": change_id or secrets.token_hex(8),
         "operator": operator or getpass.getuser(),
     }
-    done = _call(at, secret_file, "/v1/apply", body)
-    _finish(at, secret_file, done, wait)
+    _change(at, secret_file, "/v1/apply", body, wait)
 
 
 def _out_body(
@@ -166,8 +223,7 @@
     """Takes a data centre or a backend server out of service."""
     body = _out_body(data_centre, server, change_id, operator)
     body["force"] = force
-    done = _call(at, secret_file, "/v1/take-out", body)
-    _finish(at, secret_file, done, wait)
+    _change(at, secret_file, "/v1/take-out", body, wait)
 
 
 @app.command()
@@ -182,8 +238,7 @@
 ) -> None:
     """Brings a data centre or a backend server back into service."""
     body = _out_body(data_centre, server, change_id, operator)
-    done = _call(at, secret_file, "/v1/bring-back", body)
-    _finish(at, secret_file, done, wait)
+    _change(at, secret_file, "/v1/bring-back", body, wait)
 
 
 @app.command()
@@ -192,6 +247,43 @@
     _print(_call(at, secret_file, "/dump", {}))
 
 
+@app.command()
+def entries(at: At, secret_file: SecretFile) -> None:
+    """Lists the entries."""
+    rows = listings.list_entries(_call(at, secret_file, "/v1/show", {}))
+    print(listings.render(listings.ENTRY_COLUMNS, rows))
+
+
+@app.command()
+def targets(at: At, secret_file: SecretFile) -> None:
+    """Lists the backend servers that have announced themselves."""
+    rows = listings.list_targets(_call(at, secret_file, "/v1/show", {}))
+    print(listings.render(listings.TARGET_COLUMNS, rows))
+
+
+@app.command()
+def explain(
+    at: At,
+    secret_file: SecretFile,
+    request: RequestId = "",
+    target: TargetAddress = "",
+    version: Version = 0,
+) -> None:
+    """Explains a request, a backend server or a late change."""
+    if version:
+        body = {"version": version, "timeout_ms": 0}
+        _print(_call(at, secret_file, "/v1/wait", body))
+        return
+    body = {"request_id": request, "target": target}
+    _print(_call_any(at, secret_file, "/v1/explain", body))
+
+
+@app.command()
+def settings_page() -> None:
+    """Prints the page that lists all settings."""
+    print(page.render(), end="")
+
+
 def main() -> None:
     """Runs the command line."""
     app()
--- /dev/null
+++ b/src/cardamomkeel/operators/explain.py
@@ -0,0 +1,163 @@
+"""Tells operators why an entry did what it did."""
+
+import dataclasses
+import typing
+
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import errors
+from cardamomkeel.operators import app as app_lib
+from cardamomkeel.operators import bodies
+from cardamomkeel.policy import outs
+from cardamomkeel.routing import decisions as decisions_lib
+from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.settings import process
+
+
+class Asked(process.Strict):
+    """What is to be explained: one of both."""
+
+    request_id: str = ""
+    target: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Facts:
+    """What an entry knows of a target.
+
+    Attributes:
+        owned: The target as its owner sees it; None for other entries.
+    """
+
+    session: session_lib.Session
+    target: typing.Any
+    owned: owner_lib.Owned | None
+    now: clock.Millis
+
+    @property
+    def slots(self) -> typing.Any:
+        """The slots of an owned target."""
+        return self.owned.candidate.slots
+
+    def is_taken_out(self) -> bool:
+        """Tells whether an operator took it out of service."""
+        announced_out = self.target.state in outs.STATES_WITHOUT_WORK
+        return self.session.view.is_out(self.target) and not announced_out
+
+
+# Each reason why a target may get little work, and when it holds.
+REASONS: dict[str, typing.Callable[[_Facts], bool]] = {
+    "this entry can't confirm its settings, so it gives no work": (
+        lambda facts: not facts.session.is_fresh()
+    ),
+    "its service is not in the settings text": (
+        lambda facts: (
+            facts.session.view.get_service(facts.target.service) is None
+        )
+    ),
+    "it, or its data centre, is taken out of service": (
+        lambda facts: facts.is_taken_out()
+    ),
+    "it announced that it drains or leaves": (
+        lambda facts: facts.target.state in outs.STATES_WITHOUT_WORK
+    ),
+    "it announced that it is cold": (
+        lambda facts: facts.target.state == "cold"
+    ),
+    "no entry owns it yet": lambda facts: facts.target.owner == 0,
+    "another entry owns it; ask that one": (
+        lambda facts: facts.owned is None and facts.target.owner != 0
+    ),
+    "it is being handed over to another entry": (
+        lambda facts: facts.owned is not None and facts.owned.leaving
+    ),
+    "it is in cold start: its limit grows with each success": (
+        lambda facts: (
+            facts.owned is not None and facts.slots.limit < facts.slots.slots
+        )
+    ),
+    "work of its owner before may still run on it": (
+        lambda facts: (
+            facts.owned is not None and facts.slots.residual(facts.now) > 0
+        )
+    ),
+    "all its slots are taken": (
+        lambda facts: (
+            facts.owned is not None and facts.slots.free(facts.now) == 0
+        )
+    ),
+    "some of its last requests failed": (
+        lambda facts: (
+            facts.owned is not None
+            and facts.owned.candidate.health.failures > 0.01
+        )
+    ),
+}
+
+
+@dataclasses.dataclass
+class Explain:
+    """Answers an entry's operators."""
+
+    session: session_lib.Session
+    owner: owner_lib.Owner
+    decisions: decisions_lib.Decisions
+    clk: clock.Clock
+
+    def handlers(self) -> dict[str, app_lib.Handler]:
+        """Returns the calls by path."""
+        return {"/v1/explain": self.explain}
+
+    async def explain(self, body: app_lib.Body) -> result.Result:
+        """Explains a request or a target."""
+        asked = bodies.validate(Asked, body)
+        if not isinstance(asked, result.Success):
+            return asked
+        if asked.unwrap().target:
+            return self._explain_target(asked.unwrap().target)
+        return self._explain_request(asked.unwrap().request_id)
+
+    def _explain_request(self, request_id: str) -> result.Result:
+        found = self.decisions.find(request_id)
+        if not found:
+            return result.Failure(
+                errors.RequestError(
+                    f"this entry remembers no request {request_id!r}",
+                    "ask the entry that answered it, soon after; each one "
+                    f"remembers {decisions_lib.MAX_DECISIONS}",
+                    404,
+                )
+            )
+        return result.Success(
+            {"requests": [dataclasses.asdict(one) for one in found]}
+        )
+
+    def _explain_target(self, address: str) -> result.Result:
+        view = self.session.view
+        target = view.targets.get(address)
+        if target is None:
+            return result.Failure(
+                errors.RequestError(
+                    f"no backend server announces {address!r}",
+                    "see `cardamomkeel targets`; look whether it can reach "
+                    "an entry",
+                    404,
+                )
+            )
+        owned = self.owner.owned.get(address)
+        facts = _Facts(self.session, target, owned, self.clk.now())
+        owner = view.entries.get(target.owner)
+        told = {
+            "target": address,
+            "service": target.service,
+            "state": target.state,
+            "owner": "" if owner is None else owner.name,
+            "reasons": [why for why, holds in REASONS.items() if holds(facts)],
+        }
+        if owned is not None:
+            told["limit"] = facts.slots.limit
+            told["slots"] = facts.slots.slots
+            told["in_flight"] = facts.slots.in_flight
+        return result.Success(told)
--- /dev/null
+++ b/src/cardamomkeel/operators/listings.py
@@ -0,0 +1,74 @@
+"""Lists entries and targets for operators, one a line."""
+
+import collections.abc
+import typing
+
+Record = dict[str, typing.Any]
+
+# The columns of each listing, by the field that they show.
+ENTRY_COLUMNS = ("name", "data_centre", "callers_address", "state")
+TARGET_COLUMNS = ("service", "address", "data_centre", "state", "owner", "out")
+
+
+def list_entries(show: Record) -> list[Record]:
+    """Returns the entries of an answer of `show`."""
+    outs = _list_outs(show)
+    return [
+        {
+            "name": entry["name"],
+            "data_centre": entry["data_centre"],
+            "callers_address": entry["callers_address"],
+            "state": _describe_entry(entry, outs),
+        }
+        for entry in _rows(show, "entry")
+    ]
+
+
+def _describe_entry(entry: Record, outs: set[str]) -> str:
+    if entry.get("leaving"):
+        return "leaving"
+    return "out" if entry["data_centre"] in outs else "serves"
+
+
+def list_targets(show: Record) -> list[Record]:
+    """Returns the targets of an answer of `show`."""
+    outs = _list_outs(show)
+    names = {row["session"]: row["name"] for row in _rows(show, "entry")}
+    return [
+        {
+            "service": target["service"],
+            "address": target["address"],
+            "data_centre": target["data_centre"],
+            "state": target["state"],
+            "owner": names.get(target.get("owner"), "none"),
+            "out": "out"
+            if {target["address"], target["data_centre"]} & outs
+            else "",
+        }
+        for target in _rows(show, "target")
+    ]
+
+
+def _rows(show: Record, kind: str) -> list[Record]:
+    return [r[kind] for r in show.get("records", []) if kind in r]
+
+
+def _list_outs(show: Record) -> set[str]:
+    """Returns the data centres and addresses that are out of service."""
+    return {
+        out.get("address") or out.get("data_centre", "")
+        for out in _rows(show, "out")
+    }
+
+
+def render(columns: collections.abc.Sequence[str], rows: list[Record]) -> str:
+    """Returns rows as text in columns, sorted."""
+    lines = [tuple(columns)]
+    lines += sorted(tuple(row[name] for name in columns) for row in rows)
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
--- /dev/null
+++ b/src/cardamomkeel/routing/decisions.py
@@ -0,0 +1,117 @@
+"""Remembers how recent requests ended, for operators who ask why."""
+
+import collections
+import dataclasses
+import itertools
+import secrets
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.routing import messages
+from cardamomkeel.routing import session as session_lib
+
+REQUEST_ID = b"cardamomkeel-request-id"
+MAX_ID_LENGTH = 100
+MAX_DECISIONS = 2000
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """How one request ended, and where it went.
+
+    Attributes:
+        request_id: The id that its answer carries.
+        service: The service that it was for.
+        outcome: What the caller was told.
+        target: The target that was tried last; empty for none.
+        owner: The name of the entry that owned it; empty for none.
+        sign: What the last attempt showed of the target.
+        reason: Why there is no answer; empty where there is one.
+        usable: How many targets of the service might have had it.
+        elapsed_ms: How long it took.
+        at_ms: When it ended, on this entry's clock.
+    """
+
+    request_id: str
+    service: str
+    outcome: str
+    target: str
+    owner: str
+    sign: str
+    reason: str
+    usable: int
+    elapsed_ms: float
+    at_ms: float
+
+
+class Decisions:
+    """The newest decisions of this entry, up to a bounded number."""
+
+    def __init__(
+        self,
+        session: session_lib.Session,
+        clk: clock.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._session = session
+        self._clock = clk
+        self._metrics = metrics
+        self._prefix = secrets.token_hex(4)
+        self._numbers = itertools.count(1)
+        self._kept: collections.deque[Decision] = collections.deque(
+            maxlen=MAX_DECISIONS
+        )
+
+    def make_id(self, given: bytes) -> str:
+        """Returns the id that the caller gave, or a new one."""
+        if 0 < len(given) <= MAX_ID_LENGTH and given.isascii():
+            return given.decode()
+        return f"{self._prefix}-{next(self._numbers)}"
+
+    def note(
+        self,
+        request_id: str,
+        service: str,
+        ended: messages.Ended,
+        started: clock.Millis,
+    ) -> None:
+        """Remembers how a request ended, and counts it."""
+        now = self._clock.now()
+        elapsed_ms = now - started
+        outcome = ended.outcome.value
+        self._metrics.count(
+            "requests",
+            "Requests of callers, by service and outcome.",
+            service=service,
+            outcome=outcome,
+        )
+        self._metrics.observe(
+            "request_ms",
+            "How long requests of callers took, in milliseconds.",
+            elapsed_ms,
+            service=service,
+        )
+        view = self._session.view
+        known = view.targets.get(ended.target)
+        owner = None if known is None else view.entries.get(known.owner)
+        usable = sum(
+            not view.is_out(t) for t in view.get_targets_by_service(service)
+        )
+        self._kept.append(
+            Decision(
+                request_id=request_id,
+                service=service,
+                outcome=outcome,
+                target=ended.target,
+                owner="" if owner is None else owner.name,
+                sign=ended.sign.value,
+                reason="" if ended.error is None else ended.error.message,
+                usable=usable,
+                elapsed_ms=round(elapsed_ms, 3),
+                at_ms=round(now, 3),
+            )
+        )
+
+    def find(self, request_id: str) -> list[Decision]:
+        """Returns what is remembered of a request."""
+        return [d for d in self._kept if d.request_id == request_id]
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from cardamomkeel.policy import outs
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
 from cardamomkeel.state import tables
@@ -98,7 +99,7 @@
     def is_out(self, target: control_pb2.TargetRecord) -> bool:
         """Tells whether a target gets no new work."""
         return (
-            target.state in ("draining", "leaving")
+            target.state in outs.STATES_WITHOUT_WORK
             or self.is_data_centre_out(target.data_centre)
             or f"{target.data_centre}/{target.address}" in self.outs
             or f"/{target.address}" in self.outs
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -29,7 +29,19 @@
 
 
 class Timings(Strict):
-    """How long processes wait for each other, in milliseconds."""
+    """How long processes wait for each other, in milliseconds.
+
+    Attributes:
+        heartbeat_ms: How often a control leader calls each other member.
+        election_least_ms: The least time without a heartbeat before a
+            control VM stands for election.
+        election_most_ms: The most time without a heartbeat before it does.
+        lease_ms: How long an entry may act on settings that it confirmed.
+        poll_wait_ms: How long control holds a poll of an entry open where
+            nothing changes.
+        poll_timeout_ms: How long an entry waits for the answer to a poll
+            before it tries another control VM.
+    """
 
     heartbeat_ms: int = pydantic.Field(250, ge=20)
     election_least_ms: int = pydantic.Field(600, ge=50)
@@ -60,7 +72,23 @@
 
 
 class ControlSettings(Strict):
-    """Settings of one control VM."""
+    """Settings of one control VM.
+
+    Attributes:
+        name: Name of this VM; one of those under `control`.
+        data_centre: Where this VM is.
+        data_folder: Folder for the log and the snapshots.
+        address: Where entries, operators' calls and other control VMs reach
+            it.
+        operators_address: Where operators reach this process.
+        secret_file: File with the secret that operators' calls carry.
+        control: Address by name of the control VMs that the group starts
+            with.
+        reach: Addresses to connect to in place of others, where the network
+            needs it.
+        timings: How long processes wait for each other.
+        log_level: The least level of what is logged.
+    """
 
     name: str
     data_centre: str
@@ -68,16 +96,32 @@
     address: Address
     operators_address: Address
     secret_file: str
-    # Address by name of the control VMs that the group starts with.
     control: dict[str, Address]
-    # Addresses to connect to in place of others, where the network needs it.
     reach: dict[Address, Address] = {}
     timings: Timings = Timings()
     log_level: str = "INFO"
 
 
 class EntrySettings(Strict):
-    """Settings of one entry VM."""
+    """Settings of one entry VM.
+
+    Attributes:
+        name: Name of this VM.
+        data_centre: Where this VM is.
+        callers_address: Where callers and backend servers reach it.
+        entries_address: Where other entries reach it.
+        operators_address: Where operators reach this process.
+        secret_file: File with the secret that operators' calls carry.
+        control: Address by name of the control VMs.
+        reach: Addresses to connect to in place of others, where the network
+            needs it.
+        timings: How long processes wait for each other; the same everywhere.
+        keep_addresses_ms: How long callers may keep an address answer; the
+            same in all entries, and a planned stop serves for that long.
+        stop_within_ms: The longest that a planned stop may take; what is
+            left then is cut and logged.
+        log_level: The least level of what is logged.
+    """
 
     name: str
     data_centre: str
@@ -91,3 +135,14 @@
     keep_addresses_ms: int = pydantic.Field(5000, ge=100)
     stop_within_ms: int = pydantic.Field(30_000, ge=0)
     log_level: str = "INFO"
+
+    @pydantic.model_validator(mode="after")
+    def _check_stop(self) -> "EntrySettings":
+        least = self.keep_addresses_ms + self.timings.lease_ms
+        if self.stop_within_ms <= least:
+            raise ValueError(
+                f"stop_within_ms has to be more than {least} to go with "
+                "keep_addresses_ms and lease_ms; raise stop_within_ms or "
+                "lower keep_addresses_ms"
+            )
+        return self
--- a/src/cardamomkeel/settings/services.py
+++ b/src/cardamomkeel/settings/services.py
@@ -2,6 +2,7 @@
 
 import pydantic
 
+from cardamomkeel.policy import measuring
 from cardamomkeel.settings import process
 
 EXAMPLE = "examples/services.json"
@@ -33,16 +34,54 @@
     retry_share: float = pydantic.Field(0.2, ge=0, le=1)
     hedge_share: float = pydantic.Field(0.05, ge=0, le=1)
 
+    @pydantic.model_validator(mode="after")
+    def _check_pairs(self) -> "Service":
+        pairs = [
+            ("default_deadline_ms", "longest_deadline_ms"),
+            ("cold_slots", "slots"),
+        ]
+        for smaller, larger in pairs:
+            if getattr(self, smaller) > getattr(self, larger):
+                raise ValueError(
+                    f"{smaller} is more than {larger}; lower {smaller} or "
+                    f"raise {larger}"
+                )
+        return self
+
 
 class Measuring(process.Strict):
-    """What measuring load may cost in all, per second."""
+    """What measuring load may cost per second, over all entries.
+
+    Attributes:
+        messages_per_second: Messages of all services together.
+        bytes_per_second: Bytes of all services together.
+        service_messages_per_second: Messages of any one service.
+        service_bytes_per_second: Bytes of any one service.
+    """
 
     messages_per_second: float = pydantic.Field(20.0, gt=0)
     bytes_per_second: float = pydantic.Field(10_000.0, gt=0)
+    service_messages_per_second: float = pydantic.Field(15.0, gt=0)
+    service_bytes_per_second: float = pydantic.Field(7_500.0, gt=0)
+
+    def rate(self) -> measuring.Rate:
+        """Returns the budget in all."""
+        return measuring.Rate(self.messages_per_second, self.bytes_per_second)
+
+    def service_rate(self) -> measuring.Rate:
+        """Returns the budget of one service."""
+        return measuring.Rate(
+            self.service_messages_per_second, self.service_bytes_per_second
+        )
 
 
 class ServicesText(process.Strict):
-    """The whole settings text."""
+    """The whole settings text.
+
+    Attributes:
+        services: The services by name.
+        measuring: What measuring load may cost.
+    """
 
     services: dict[str, Service]
     measuring: Measuring = Measuring()
--- a/src/cardamomkeel/state/commands/configuration.py
+++ b/src/cardamomkeel/state/commands/configuration.py
@@ -1,10 +1,12 @@
 """Commands by which operators change the configuration."""
 
+from cardamomkeel.policy import outs
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
 OK = control_pb2.STATUS_OK
 CONFLICT = control_pb2.STATUS_CONFLICT
+REFUSED = control_pb2.STATUS_REFUSED
 
 
 def _accept(
@@ -58,17 +60,22 @@
     """Takes a data centre or one backend server out of service."""
     if cmd.change_id in tables.changes:
         return tables.changes[cmd.change_id]
-    tables.revision += 1
-    tables.put(
-        tables_lib.out_key(cmd.data_centre, cmd.address),
-        index,
-        out=control_pb2.OutRecord(
-            data_centre=cmd.data_centre,
-            address=cmd.address,
-            operator=cmd.operator,
-            revision=tables.revision,
-        ),
+    out = control_pb2.OutRecord(
+        data_centre=cmd.data_centre,
+        address=cmd.address,
+        operator=cmd.operator,
+        revision=tables.revision + 1,
     )
+    refused = ""
+    if not cmd.force:
+        refused = outs.refuse(
+            tables.targets(), tables.entries(), tables.outs(), out
+        )
+    if refused:
+        return control_pb2.CommandResult(status=REFUSED, message=refused)
+    tables.revision = out.revision
+    key = tables_lib.out_key(cmd.data_centre, cmd.address)
+    tables.put(key, index, out=out)
     return _accept(tables, cmd.change_id, index)
 
 
@@ -78,6 +85,12 @@
     """Brings a data centre or one backend server back into service."""
     if cmd.change_id in tables.changes:
         return tables.changes[cmd.change_id]
+    key = tables_lib.out_key(cmd.data_centre, cmd.address)
+    if tables.get(key) is None:
+        named = cmd.address or cmd.data_centre
+        return control_pb2.CommandResult(
+            status=REFUSED, message=f"{named!r} is not taken out"
+        )
     tables.revision += 1
-    tables.delete(tables_lib.out_key(cmd.data_centre, cmd.address), index)
+    tables.delete(key, index)
     return _accept(tables, cmd.change_id, index)
