--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -12,6 +12,7 @@
 from cardamomkeel.backend_servers import announcements as announcements_lib
 from cardamomkeel.callers import addresses
 from cardamomkeel.callers import answers
+from cardamomkeel.callers import http1
 from cardamomkeel.callers import requests
 from cardamomkeel.routing import decisions as decisions_lib
 from cardamomkeel.routing import messages
@@ -65,33 +66,36 @@
 
     async def _call(self, scope, receive, send) -> None:
         started = self.clk.now()
-        body = await requests.read_body(receive)
         given = requests.get_header(scope, decisions_lib.REQUEST_ID)
         request_id = self.decisions.make_id(given)
         named = [(decisions_lib.REQUEST_ID, request_id.encode())]
-        view = self.session.view
         if not self.session.is_fresh():
             service, _ = requests.split_path(scope, requests.PREFIX)
             ended = addresses.refuse_stale(self._list_others())
             self.decisions.note(request_id, service, ended, started)
-            await answers.send_ended(send, ended, more=named)
+            await answers.send_ended(send, ended, scope["method"], more=named)
             return
-        req = body.bind(
+        body = await requests.read_body(receive)
+        made = body.bind(
             lambda whole: requests.make_request(
-                scope, whole, view, self.clk.now()
+                scope, whole, self.session.view, self.clk.now()
             )
         )
-        if not isinstance(req, result.Success):
-            error = req.failure()
+        if not isinstance(made, result.Success):
+            error = made.failure()
             logger.info(
                 "refused request", request_id=request_id, reason=str(error)
             )
             await answers.send_error(send, error.status, error, NOT_RUN + named)
             return
-        ended = await self.router.handle(req.unwrap())
-        self.decisions.note(request_id, req.unwrap().service, ended, started)
-        self._log(request_id, req.unwrap(), ended)
-        await answers.send_ended(send, ended, more=named)
+        req = made.unwrap()
+        # What may run only once goes on to its end, for the repeat.
+        scope[http1.CANCELLABLE] = req.idempotent
+        ended = await self.router.handle(req)
+        scope[http1.CANCELLABLE] = False
+        self.decisions.note(request_id, req.service, ended, started)
+        self._log(request_id, req, ended)
+        await answers.send_ended(send, ended, req.method, more=named)
 
     def _log(
         self, request_id: str, req: messages.Request, ended: messages.Ended
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -12,6 +12,7 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.control import deadlines as deadlines_lib
 from cardamomkeel.control import leases as leases_lib
 from cardamomkeel.control import signal
 from cardamomkeel.policy import owners
@@ -26,6 +27,7 @@
 DUTY_PERIOD_MS = 500.0
 DUTY_PAUSE_MS = 50.0
 SWEEP_PERIOD_MS = 30_000.0
+BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
 PEER_PAUSE_MS = 100.0
 
@@ -74,10 +76,14 @@
         self._log_ms_base = 0
         self._ready_since = 0.0
         self._swept_at = 0.0
+        self._balanced_at = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._failure: storage_lib.StorageFailedError | None = None
+        self._failed = anyio.Event()
         self.changed = signal.Signal()
         self.confirmed = signal.Signal()
         self.leases = leases_lib.Leases(lease_ms)
+        self._deadlines = deadlines_lib.Deadlines(lease_ms)
         self.tables = tables_lib.Tables()
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
@@ -104,12 +110,13 @@
         replica = self.replica
         if self.applied < replica.snapshot.index:
             self._load_snapshot()
-        before = self.applied
+        before = self.tables.version
         for entry in replica.entries(self.applied + 1, replica.commit):
             self._apply(entry)
         self._compact()
         self._note_role()
-        if self.applied != before:
+        # Nobody waits for commands that change no row, such as claims.
+        if self.tables.version != before:
             self.changed.notify()
         self._send.notify()
 
@@ -142,6 +149,7 @@
             self._log_ms_base = self.tables.log_ms
             self._ready_since = now
             self.leases.start(self._sessions(), now)
+            self._deadlines.start(now)
         else:
             self._fail_waiting()
         logger.info("leads" if ready else "follows", term=self.replica.term)
@@ -155,15 +163,40 @@
     def _sessions(self) -> list[int]:
         return [entry.session for entry in self.tables.entries()]
 
+    def handle(self, handler: typing.Callable, req: typing.Any) -> typing.Any:
+        """Has the replica answer a request of another control VM.
+
+        Args:
+            handler: The method of the replica.
+            req: The request.
+
+        Returns:
+            The reply, once what it promises is on the disk.
+        """
+        try:
+            reply = handler(self._clock.now(), req)
+            self.after_step()
+        except storage_lib.StorageFailedError as exc:
+            self._failure = exc
+            self._failed.set()
+            raise
+        return reply
+
     # Tasks.
 
     async def run(self) -> None:
-        """Runs until cancelled."""
+        """Runs until cancelled.
+
+        Raises:
+            StorageFailedError: The disk did not keep what it was given.
+        """
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._run_ticks)
             tasks.start_soon(self._run_batches)
             tasks.start_soon(self._run_duties)
+            await self._failed.wait()
+            raise self._failure
 
     async def _run_ticks(self) -> None:
         while True:
@@ -223,6 +256,7 @@
 
     async def _run_sender(self, member: str) -> None:
         """Sends a member what it lacks for as long as this node leads."""
+        failures = 0
         try:
             while member in self.replica.progress:
                 now = self._clock.now()
@@ -230,12 +264,28 @@
                 if wait_ms > 0:
                     await self._send.wait(clock.seconds(wait_ms))
                     continue
-                if not await self._send_once(now, member):
+                if await self._send_once(now, member, failures):
+                    failures = 0
+                    continue
+                failures += 1
+                if failures > 1:
                     await anyio.sleep(clock.seconds(PEER_PAUSE_MS))
         finally:
             self._senders.discard(member)
 
-    async def _send_once(self, now: clock.Millis, member: str) -> bool:
+    def _append_timeout(self, failures: int) -> clock.Millis:
+        """Returns how long an answer may take after some failed requests.
+
+        The first request leaves time to open another connection before the
+        member calls an election; a slow disk is given more in the end.
+        """
+        least = self._timings.election_least_ms
+        first = (least - self._timings.heartbeat_ms) / 2
+        return min(first * 2**failures, least)
+
+    async def _send_once(
+        self, now: clock.Millis, member: str, failures: int
+    ) -> bool:
         replica = self.replica
         snapshot = replica.needs_snapshot(member)
         if snapshot:
@@ -245,7 +295,7 @@
         else:
             req = replica.make_append_request(now, member)
             method, handle = "Append", replica.on_append_reply
-            timeout_ms = self._timings.election_least_ms
+            timeout_ms = self._append_timeout(failures)
         reply = await self._call_member(member, method, req, timeout_ms)
         if not isinstance(reply, result.Success):
             return False
@@ -325,16 +375,21 @@
         now = self._clock.now()
         sessions = self._sessions()
         self.leases.forget_all_but(sessions)
+        settings = self.tables.get(tables_lib.SETTINGS_KEY)
+        if settings is not None:
+            self._deadlines.follow(settings.settings.text, now)
         commands = []
         expired = self.leases.close_expired(sessions, now)
         if expired:
             logger.warning("ends sessions of entries", sessions=expired)
             commands.append(
                 control_pb2.Command(
-                    entry_expire=control_pb2.EntryExpire(sessions=expired)
+                    entry_expire=control_pb2.EntryExpire(
+                        sessions=expired, bounds=self._deadlines.bounds(now)
+                    )
                 )
             )
-        assignments = owners.plan(self.tables.targets(), self.tables.entries())
+        assignments = self._plan_owners(now)
         if assignments:
             commands.append(
                 control_pb2.Command(
@@ -350,9 +405,18 @@
             await self.propose(commands)
         await self._promote_learners()
 
+    def _plan_owners(self, now: clock.Millis) -> list[control_pb2.Assignment]:
+        may_balance = now - self._balanced_at >= BALANCE_PERIOD_MS
+        if may_balance:
+            self._balanced_at = now
+        return owners.plan(
+            self.tables.targets(), self.tables.entries(), may_balance
+        )
+
     async def _promote_learners(self) -> None:
+        now = self._clock.now()
         for member in self.replica.members.members:
-            if member.voter or not self.replica.is_caught_up(member.id):
+            if member.voter or not self.replica.is_caught_up(member.id, now):
                 continue
             changed = members_lib.with_voter(self.replica.members, member.id)
             if self.replica.propose_members(changed) is not None:
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -12,9 +12,10 @@
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import announcements as announcements_lib
-from cardamomkeel.backend_servers import httpx_client
 from cardamomkeel.backend_servers import measuring
+from cardamomkeel.backend_servers import pool
 from cardamomkeel.callers import app as callers_app
+from cardamomkeel.callers import http1
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.daemons import entry_stop
 from cardamomkeel.daemons import in_flight as in_flight_lib
@@ -54,7 +55,8 @@
 ) -> None:
     """Runs until it gets SIGTERM."""
     cfg = start.read_settings(settings, process.EntrySettings)
-    if not anyio.run(_run, cfg):
+    options = {"use_uvloop": True}
+    if not anyio.run(_run, cfg, backend_options=options):
         raise typer.Exit(STATUS_CUT)
 
 
@@ -70,7 +72,7 @@
         self.control = client_lib.ControlClient(
             list(cfg.control.values()), cfg.reach, self.clk
         )
-        self.http = httpx_client.HttpxClient(cfg.reach, self.clk)
+        self.http = pool.PoolClient(cfg.reach, self.clk)
         self.session = session_lib.Session(
             cfg, self.control, self.clk, self._follow
         )
@@ -194,12 +196,15 @@
             tasks.start_soon(entry.stop.keep_session)
             tasks.start_soon(entry.owner.run)
             tasks.start_soon(entry.announcements.run)
-            for served, address in _list_served(entry, secret):
-                tasks.start_soon(serve.serve, served, address, closed)
-            logger.info("runs", callers=cfg.callers_address)
-            await signals.asked.wait()
-            whole = await _stop(entry, signals)
-            closed.set()
+            async with anyio.create_task_group() as servers:
+                for served in _list_served(entry, secret):
+                    servers.start_soon(*served, closed)
+                logger.info("runs", callers=cfg.callers_address)
+                await signals.asked.wait()
+                whole = await _stop(entry, signals)
+                closed.set()
+                if not whole:
+                    servers.cancel_scope.cancel()
             if not whole:
                 behind.cancel_scope.cancel()
         await entry.http.close()
@@ -210,17 +215,18 @@
 
 def _list_served(
     entry: Entry, secret: str
-) -> list[tuple[typing.Callable, str]]:
-    """Returns the applications and the addresses that they are served at."""
+) -> list[tuple[typing.Callable, typing.Callable, str]]:
+    """Returns how each application is served, and at which address."""
     operators = operators_app.OperatorsApp(
         secret, entry.metrics, entry.dump, entry.explain.handlers()
     )
     entries = entries_app.EntriesApp(entry.owner, entry.clk)
     count = entry.in_flight.wrap
+    cfg = entry.cfg
     return [
-        (count(entry.callers_app()), entry.cfg.callers_address),
-        (count(entries), entry.cfg.entries_address),
-        (operators, entry.cfg.operators_address),
+        (http1.serve, count(entry.callers_app()), cfg.callers_address),
+        (http1.serve, count(entries), cfg.entries_address),
+        (serve.serve, operators, cfg.operators_address),
     ]
 
 
--- a/src/cardamomkeel/state/commands/configuration.py
+++ b/src/cardamomkeel/state/commands/configuration.py
@@ -10,10 +10,11 @@
 
 
 def _accept(
-    tables: tables_lib.Tables, change_id: str, index: int
+    tables: tables_lib.Tables, change_id: str
 ) -> control_pb2.CommandResult:
+    # Of a change that touches no row, the newest row is as new.
     accepted = control_pb2.CommandResult(
-        status=OK, revision=tables.revision, version=index
+        status=OK, revision=tables.revision, version=tables.version
     )
     tables.remember_change(change_id, accepted)
     return accepted
@@ -51,7 +52,7 @@
             change_id=cmd.change_id,
         ),
     )
-    return _accept(tables, cmd.change_id, index)
+    return _accept(tables, cmd.change_id)
 
 
 def take_out(
@@ -76,7 +77,7 @@
     tables.revision = out.revision
     key = tables_lib.out_key(cmd.data_centre, cmd.address)
     tables.put(key, index, out=out)
-    return _accept(tables, cmd.change_id, index)
+    return _accept(tables, cmd.change_id)
 
 
 def bring_back(
@@ -93,4 +94,4 @@
         )
     tables.revision += 1
     tables.delete(key, index)
-    return _accept(tables, cmd.change_id, index)
+    return _accept(tables, cmd.change_id)
