Test the operators' commands, the settings page and the examples

The page of settings is made from the models, so that it can't fall behind them; the examples are what `check` accepts, or refuses with the text in examples/expected.

--- /dev/null
+++ b/features/operators.feature
@@ -0,0 +1,55 @@
+Feature: What operators see and check
+
+  Scenario Outline: Settings are checked, with place and remedy
+    When "examples/<file>" is checked as settings of <program>
+    Then it says what "examples/expected/<expected>" holds, with status <status>
+
+    Examples:
+      | file                          | program  | expected               | status |
+      | ar-gwenn-skouarn.json         | services | ar-gwenn-skouarn.txt   | 0      |
+      | cart-commons.json             | services | cart-commons.txt       | 0      |
+      | entry.json                    | entry    | entry.txt              | 0      |
+      | control.json                  | control  | control.txt            | 0      |
+      | wrong/syntax.json             | services | syntax.txt             | 1      |
+      | wrong/cycle.json              | services | cycle.txt              | 1      |
+      | wrong/unknown-setting.json    | services | unknown-setting.txt    | 1      |
+      | wrong/unknown-dependency.json | services | unknown-dependency.txt | 1      |
+      | wrong/deadlines.json          | services | deadlines.txt          | 1      |
+      | wrong/timings.json            | entry    | timings.txt            | 1      |
+
+  Scenario Outline: Timings that clash are refused and the pair is named
+    When <setting> is <value> in the timings
+    Then they are refused and "<setting>" and "<other>" are named
+
+    Examples:
+      | setting            | value | other              |
+      | heartbeat_ms       | 400   | election_least_ms  |
+      | election_least_ms  | 1300  | election_most_ms   |
+      | poll_wait_ms       | 1000  | poll_timeout_ms    |
+      | lease_ms           | 2000  | election_most_ms   |
+
+  Scenario: The page of settings is the one that the models give
+    Then docs/settings.md is what settings-page prints
+
+  @fixture.small
+  Scenario: An operator lists, explains and dumps, and no secret is shown
+    When the command "entries" is run
+    Then it prints "brest" and ends with status 0
+    When the command "targets" is run
+    Then it prints "entry-1" and ends with status 0
+    When a lookup with request id "why-1" is sent
+    And the command "explain --request why-1" is run at the entries
+    Then it prints "answered" and ends with status 0
+    When the command "explain --request never" is run at the entries
+    Then it prints "remembers no request" and ends with status 1
+    When the backend servers of dossier in brest drain
+    And the command "explain --target" is run for one of them
+    Then it prints "it announced that it drains or leaves" and ends with status 0
+    When the command "take-out --data-centre rennes --wait" is run
+    Then it prints "took_ms" and ends with status 0
+    When the command "take-out --data-centre rnnes" is run
+    Then it prints "rnnes" and ends with status 1
+    When the command "show" is run with a wrong secret
+    Then it prints "secret" and ends with status 1
+    And no dump, metric or log holds the secret
+    And the metrics of entry-1 hold what is needed on call
--- /dev/null
+++ b/features/steps/operators.py
@@ -0,0 +1,165 @@
+"""Steps about the command line of operators."""
+
+import pathlib
+import subprocess
+import sys
+
+from behave import then
+from behave import when
+import httpx
+import pydantic
+
+from bench import deployment as deployment_lib
+from cardamomkeel.settings import page
+from cardamomkeel.settings import process
+
+ROOT = pathlib.Path(__file__).parents[2]
+COMMAND_TIMEOUT_S = 30
+# What an on-call person reads first.
+ON_CALL_METRICS = (
+    "requests{",
+    "request_ms_bucket",
+    "lease_left_ms",
+    "owned_targets",
+    "slots_in_use",
+    "requests_in_flight",
+    "measuring_messages",
+    "measuring_bytes",
+)
+
+
+def _run(args):
+    return subprocess.run(
+        [sys.executable, "-m", "cardamomkeel", *args],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT_S,
+        check=False,
+    )
+
+
+@when('"{path}" is checked as settings of {program}')
+def check_settings(context, path, program):
+    context.ran = _run(["check", path, "--of", program])
+
+
+@then('it says what "{path}" holds, with status {status:d}')
+def check_said(context, path, status):
+    said = context.ran.stdout + context.ran.stderr
+    expected = (ROOT / path).read_text(encoding="utf-8")
+    assert said == expected, said
+    assert context.ran.returncode == status, context.ran
+
+
+@when("{setting} is {value:d} in the timings")
+def make_timings(context, setting, value):
+    context.refusal = ""
+    try:
+        process.Timings(**{setting: value})
+    except pydantic.ValidationError as exc:
+        context.refusal = str(exc)
+
+
+@then('they are refused and "{setting}" and "{other}" are named')
+def check_pair(context, setting, other):
+    assert setting in context.refusal, context.refusal
+    assert other in context.refusal, context.refusal
+
+
+@then("docs/settings.md is what settings-page prints")
+def check_page(context):
+    context.page = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
+    assert context.page == page.render(), "run `cardamomkeel settings-page`"
+
+
+def _operate(context, command, addresses, secret_file):
+    args = [*command.split(), "--secret-file", str(secret_file)]
+    for address in addresses:
+        args += ["--at", address]
+    context.ran = _run(args)
+
+
+@when('the command "{command}" is run')
+def run_command(context, command):
+    deployment = context.deployment
+    addresses = deployment.control_operators.values()
+    _operate(context, command, addresses, deployment.secret_file)
+
+
+@when('the command "{command}" is run at the entries')
+def run_at_entries(context, command):
+    deployment = context.deployment
+    addresses = deployment.entry_operators.values()
+    _operate(context, command, addresses, deployment.secret_file)
+
+
+@when('the command "{command}" is run with a wrong secret')
+def run_without_secret(context, command):
+    deployment = context.deployment
+    wrong = deployment.folder / "wrong-secret"
+    wrong.write_text("0123456789abcdef")
+    addresses = deployment.control_operators.values()
+    _operate(context, command, addresses, wrong)
+
+
+@when('the command "{command}" is run for one of them')
+def run_for_target(context, command):
+    deployment = context.deployment
+    command = f"{command} {context.drained}"
+    addresses = [deployment.entry_operators["entry-1"]]
+    _operate(context, command, addresses, deployment.secret_file)
+
+
+@then('it prints "{words}" and ends with status {status:d}')
+def check_printed(context, words, status):
+    said = context.ran.stdout + context.ran.stderr
+    assert words in said, said
+    assert context.ran.returncode == status, context.ran
+
+
+@when('a lookup with request id "{request_id}" is sent')
+def look_up_with_id(context, request_id):
+    headers = {"cardamomkeel-request-id": request_id}
+    got = context.caller.call("dossier", headers=headers)
+    assert got.outcome == "answered", got
+
+
+@when("the backend servers of {service} in {data_centre} drain")
+def drain_some(context, service, data_centre):
+    deployment = context.deployment
+    where = {"service": service, "data_centre": data_centre}
+    drained = deployment.ask_servers(
+        "/set", {"where": where, "state": "draining"}
+    )
+    context.drained = drained[0]
+
+    def is_known():
+        rows = deployment.operate("/v1/show", {})["records"]
+        return any(r.get("target", {}).get("state") == "draining" for r in rows)
+
+    deployment_lib.wait_for(is_known, 10, "it drains")
+
+
+@then("no dump, metric or log holds the secret")
+def check_no_secret(context):
+    deployment = context.deployment
+    secret = deployment.secret_file.read_text().strip()
+    operators = deployment.entry_operators | deployment.control_operators
+    for name, address in operators.items():
+        dump = deployment.call(address, "/dump")
+        assert dump.status_code == 200, (name, dump.text)
+        assert secret not in dump.text, name
+        metrics = httpx.get(f"http://{address}/metrics", trust_env=False)
+        assert secret not in metrics.text, name
+        log = (deployment.folder / f"{name}.log").read_text()
+        assert log, name
+        assert secret not in log, name
+
+
+@then("the metrics of {name} hold what is needed on call")
+def check_on_call_metrics(context, name):
+    address = context.deployment.entry_operators[name]
+    got = httpx.get(f"http://{address}/metrics", trust_env=False).text
+    missing = [m for m in ON_CALL_METRICS if f"cardamomkeel_{m}" not in got]
+    assert not missing, (missing, got)
