--- a/bench/policies.py
+++ b/bench/policies.py
@@ -14,6 +14,8 @@
 import random
 import typing
 
+import typing_extensions
+
 from cardamomkeel.policy import choose
 from cardamomkeel.policy import slots as slots_lib
 
@@ -124,21 +126,24 @@
         self.messages = 0
 
     def chooser(self, entry: int) -> int:
+        """Returns the entry itself."""
         return entry
 
     def _allowed(self, req: Request) -> list[int]:
         return [t for t in range(len(self.targets)) if t not in req.excluded]
 
     def take(self, chooser: int, target: int, now: float) -> typing.Any:
+        """Counts nothing."""
         return None
 
     def end(self, chooser, target, taken, now, ok) -> None:
-        pass
+        """Counts nothing."""
 
 
 class Random(_Base):
     """Any target, whatever its load."""
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         return self.rng.choice(self._allowed(req))
 
@@ -150,6 +155,7 @@
         super().__init__(targets, rng)
         self.turn = [rng.randrange(len(targets)) for _ in range(ENTRIES)]
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         while True:
             self.turn[chooser] += 1
@@ -165,15 +171,18 @@
         super().__init__(targets, rng)
         self.counts = collections.Counter()
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         return min(
             self._allowed(req),
             key=lambda t: (self.counts[chooser, t], self.rng.random()),
         )
 
+    @typing_extensions.override
     def take(self, chooser, target, now):
         self.counts[chooser, target] += 1
 
+    @typing_extensions.override
     def end(self, chooser, target, taken, now, ok):
         self.counts[chooser, target] -= 1
 
@@ -188,6 +197,7 @@
         self.reported = [0] * len(targets)
         self.reported_at = float("-inf")
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         if now - self.reported_at >= REPORT_PERIOD_MS:
             self.reported_at = now
@@ -215,9 +225,11 @@
         for candidate in self.candidates:
             candidate.slots.limit = candidate.slots.slots
 
+    @typing_extensions.override
     def chooser(self, entry):
         return entry % OWNERS
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         excluded = frozenset(str(number) for number in req.excluded)
         chosen = choose.choose(
@@ -225,13 +237,15 @@
         )
         return None if chosen is None else int(chosen.address)
 
+    @typing_extensions.override
     def take(self, chooser, target, now):
         return self.candidates[target].slots.take(now, DEADLINE_MS)
 
+    @typing_extensions.override
     def end(self, chooser, target, taken, now, ok):
         candidate = self.candidates[target]
         candidate.slots.give_back(taken)
-        candidate.health.note(now - taken.started, failed=ok != "ok")
+        candidate.health.note(now - taken.started, ok != "ok", now)
         if ok == "ok":
             candidate.slots.note_success(taken)
         elif ok == "broken":
@@ -248,9 +262,11 @@
         super().__init__(targets, rng)
         self.taken = [0] * len(targets)
 
+    @typing_extensions.override
     def chooser(self, entry):
         return 0
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         free = [
             t
@@ -261,10 +277,12 @@
             return None
         return min(free, key=lambda t: (self.taken[t], self.rng.random()))
 
+    @typing_extensions.override
     def take(self, chooser, target, now):
         self.taken[target] += 1
         self.messages += 3
 
+    @typing_extensions.override
     def end(self, chooser, target, taken, now, ok):
         self.taken[target] -= 1
 
@@ -282,13 +300,16 @@
         for number, target in enumerate(slots):
             self.free[number % ENTRIES].append(target)
 
+    @typing_extensions.override
     def choose(self, chooser, now, req):
         free = [t for t in self.free[chooser] if t not in req.excluded]
         return self.rng.choice(free) if free else None
 
+    @typing_extensions.override
     def take(self, chooser, target, now):
         self.free[chooser].remove(target)
 
+    @typing_extensions.override
     def end(self, chooser, target, taken, now, ok):
         self.free[chooser].append(target)
 
--- /dev/null
+++ b/features/cold_start.feature
@@ -0,0 +1,17 @@
+@fixture.small
+Feature: A backend server in cold start gets no more than it can bear
+
+  Scenario: One that says that it is cold
+    Given every target of dossier is warm
+    When the targets of dossier announce that they are cold
+    And they are cold for their next 200 runs
+    And dossier is under load for 3 s
+    Then no backend server ran more than it can bear
+    When the targets of dossier announce that they are ready
+    Then every target of dossier is used to its slots within 20 s
+
+  Scenario: One that crashes and starts cold without a word
+    Given every target of dossier is warm
+    When one target of dossier crashes under load
+    And dossier is under load for 3 s
+    Then after its first sign the target ran no more than it can bear
--- /dev/null
+++ b/features/slots_queue.feature
@@ -0,0 +1,29 @@
+Feature: Requests that wait for a slot
+
+  Scenario: Every waiting request gets a slot, and none more than there are
+    Given an owner of a target with 3 slots and a queue for 300 requests
+    When 200 requests of 2 ms each arrive at once
+    Then all 200 were answered and at most 3 ran at a time
+    And no request that got no slot was woken
+
+  Scenario: A slot that is held after a timeout comes free by itself
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When a request times out after 100 ms while another one waits
+    Then the waiting one is answered within 1000 ms of it
+    And at most 1 ran at a time although the timed-out one ran on
+
+  Scenario: A request that is cancelled while it waits takes no slot with it
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When 20 requests wait and every second one is cancelled
+    Then the other 10 are answered
+
+  Scenario: What can't make its deadline is refused at once
+    Given an owner of a target with 3 slots and a queue for 300 requests
+    And its requests take 50 ms
+    When 30 requests wait and one with a deadline of 100 ms arrives
+    Then it ends as not run in less than 50 ms and is told of the wait
+
+  Scenario: A full queue refuses at once
+    Given an owner of a target with 3 slots and a queue for 5 requests
+    When 20 requests of 50 ms each arrive at once
+    Then 8 were answered and the others ended as not run
--- /dev/null
+++ b/features/steps/cold_start.py
@@ -0,0 +1,100 @@
+"""Steps about backend servers in cold start."""
+
+import time
+
+from behave import then
+from behave import when
+
+from bench import deployment as deployment_lib
+from features.steps import ownership
+
+# Requests that were on their way when the connections broke.
+SIGN_S = 0.2
+
+
+def _announce(deployment, service, state):
+    deployment.ask_servers(
+        "/set", {"where": {"service": service}, "state": state}
+    )
+
+
+def _wait_known(deployment, service, is_cold):
+    """Waits until the owners know what the targets announced."""
+    wanted = 1 if is_cold else deployment.shape.slots
+
+    def is_known():
+        rows = [
+            row
+            for name in deployment.entries
+            for row in deployment.dump_entry(name).get("owned", {}).values()
+            if row["service"] == service
+        ]
+        return all(row["limit"] == wanted for row in rows)
+
+    deployment_lib.wait_for(is_known, 10.0, f"{service} cold: {is_cold}")
+
+
+@when("the targets of {service} announce that they are cold")
+def announce_cold(context, service):
+    _announce(context.deployment, service, "cold")
+    _wait_known(context.deployment, service, is_cold=True)
+
+
+@when("they are cold for their next {count:d} runs")
+def make_cold(context, count):
+    context.deployment.ask_servers(
+        "/set", {"where": {"service": "dossier"}, "cold_runs": count}
+    )
+
+
+@when("the targets of {service} announce that they are ready")
+def announce_ready(context, service):
+    deployment = context.deployment
+    deployment.ask_servers(
+        "/set", {"where": {"service": service}, "cold_runs": 0}
+    )
+    _announce(deployment, service, "ready")
+
+
+@then("every target of {service} is used to its slots within {seconds:d} s")
+def check_warm(context, service, seconds):
+    deployment = context.deployment
+    with ownership.load(deployment, service):
+        deployment_lib.wait_for(
+            lambda: ownership.is_warm(deployment, service),
+            seconds,
+            "targets are warm",
+        )
+
+
+@when("one target of {service} crashes under load")
+def crash_one(context, service):
+    deployment = context.deployment
+    context.crashed = deployment.server_addresses[service][0]
+    with ownership.load(deployment, service):
+        time.sleep(0.5)
+        # Cold without a word: the next two at once make it crash.
+        deployment.ask_servers(
+            "/set", {"where": {"address": context.crashed}, "cold_runs": 50}
+        )
+        deployment_lib.wait_for(
+            lambda: _server(context)["crashes"] > 0, 5.0, "it crashes"
+        )
+        time.sleep(SIGN_S)
+        context.overruns = _server(context)["overruns"]
+        time.sleep(1)
+
+
+def _server(context):
+    (server,) = [
+        row
+        for row in context.deployment.ask_servers("/servers")
+        if row["address"] == context.crashed
+    ]
+    return server
+
+
+@then("after its first sign the target ran no more than it can bear")
+def check_no_more_overruns(context):
+    assert context.overruns >= 1, "it never fell over"
+    assert _server(context)["overruns"] == context.overruns, _server(context)
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -28,7 +28,7 @@
     """Returns the owned targets of a service by the name of their owner."""
     found = {}
     for name, process in deployment.entries.items():
-        if not process.is_running() or name in _frozen(deployment):
+        if not process.is_running() or name in _lost(deployment):
             continue
         owned = deployment.dump_entry(name).get("owned", {})
         found[name] = {
@@ -37,11 +37,14 @@
     return found
 
 
-def _frozen(deployment):
-    """Returns the names of entries that can't answer now."""
-    if not hasattr(deployment, "frozen"):
-        deployment.frozen = set()
-    return deployment.frozen
+def _lost(deployment):
+    """Returns the names of entries whose view does not count now."""
+    return vars(deployment).setdefault("lost", set())
+
+
+def _silent(deployment):
+    """Returns the names of entries that don't answer callers now."""
+    return vars(deployment).setdefault("silent", set())
 
 
 def _call(address, service, deadline_ms):
@@ -50,9 +53,9 @@
 
 
 @contextlib.contextmanager
-def _load(deployment, service, deadline_ms=SHORT_DEADLINE_MS):
+def load(deployment, service, deadline_ms=SHORT_DEADLINE_MS):
     """Sends requests through all entries until the context ends."""
-    addresses = list(deployment.callers_addresses.values())
+    names = list(deployment.callers_addresses)
     over = threading.Event()
     answers = []
 
@@ -61,7 +64,10 @@
         turn = number
         while not over.is_set():
             turn += 1
-            address = addresses[turn % len(addresses)]
+            name = names[turn % len(names)]
+            if name in _silent(deployment):
+                continue
+            address = deployment.callers_addresses[name]
             got = caller.call(service, deadline_ms=deadline_ms, address=address)
             answers.append(got)
             if got.outcome != "answered":
@@ -80,7 +86,7 @@
     deployment.ask_servers("/set", {"latency_ms": latency_ms})
 
 
-def _is_warm(deployment, service):
+def is_warm(deployment, service):
     rows = [
         row
         for name in deployment.entries
@@ -96,9 +102,9 @@
 def warm_up(context, service):
     deployment = context.deployment
     _set_latency(deployment, LATENCY_MS)
-    with _load(deployment, service):
+    with load(deployment, service):
         deployment_lib.wait_for(
-            lambda: _is_warm(deployment, service), READY_S, "targets are warm"
+            lambda: is_warm(deployment, service), READY_S, "targets are warm"
         )
     deployment.ask_servers("/clear")
 
@@ -136,7 +142,7 @@
 def _cut_off(deployment, name):
     for control in deployment.controls:
         deployment.relays.inject("silence", name, control)
-    _frozen(deployment).add(name)
+    _lost(deployment).add(name)
 
 
 def _kill(deployment, name):
@@ -145,7 +151,8 @@
 
 def _freeze(deployment, name):
     deployment.entries[name].freeze()
-    _frozen(deployment).add(name)
+    _lost(deployment).add(name)
+    _silent(deployment).add(name)
 
 
 FAULTS = {
@@ -175,7 +182,7 @@
         owned = _owned(deployment, service)
         return context.lost <= set().union(*owned.values())
 
-    with _load(deployment, service):
+    with load(deployment, service):
         context.take_over_s = deployment_lib.wait_for(
             is_taken_over, TAKE_OVER_S, "every target has another owner"
         )
@@ -192,7 +199,8 @@
             process.thaw()
         else:
             process.start()
-    _frozen(deployment).clear()
+    _lost(deployment).clear()
+    _silent(deployment).clear()
     # The callers of what is kept are answered or time out.
     context.pool.shutdown()
     _set_latency(deployment, LATENCY_MS)
@@ -200,14 +208,14 @@
 
 @when("{service} is under load for {seconds:d} s")
 def load_for(context, service, seconds):
-    with _load(context.deployment, service):
+    with load(context.deployment, service):
         time.sleep(seconds)
 
 
 @when("every entry is restarted in turn while {service} is under load")
 def restart_entries(context, service):
     deployment = context.deployment
-    with _load(deployment, service):
+    with load(deployment, service):
         for process in deployment.entries.values():
             process.stop()
             process.start()
@@ -227,7 +235,7 @@
             if run["started"] >= since and run["whole"]
         }
 
-    with _load(deployment, service):
+    with load(deployment, service):
         deployment_lib.wait_for(
             lambda: wanted <= ran(), seconds, "every target answers"
         )
--- /dev/null
+++ b/features/steps/slots_queue.py
@@ -0,0 +1,253 @@
+"""Steps about requests that wait for a slot, in one process."""
+
+import dataclasses
+import random
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.backend_servers import client as client_lib
+from cardamomkeel.control import signal
+from cardamomkeel.routing import messages
+from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import view as view_lib
+from cardamomkeel.settings import services
+from cardamomkeel.wire import control_pb2
+
+ADDRESS = "10.0.0.1:80"
+SERVICE = "dossier"
+DEADLINE_MS = 5000.0
+SESSION = 7
+
+
+class _Session:
+    """A session whose lease does not run out."""
+
+    def __init__(self, slots, queue):
+        self.id = SESSION
+        self.lease_until = float("inf")
+        service = services.Service(slots=slots, queue=queue, cold_slots=slots)
+        self.view = view_lib.View()
+        self.view.text = services.ServicesText(services={SERVICE: service})
+        self.view.targets[ADDRESS] = control_pb2.TargetRecord(
+            service=SERVICE, address=ADDRESS, slots=slots, owner=SESSION
+        )
+
+    def is_fresh(self):
+        return True
+
+
+class _Http:
+    """Runs each request for a time; some go on after their timeout."""
+
+    def __init__(self):
+        self.run_ms = 0.0
+        self.running = 0
+        self.most = 0
+        self.runs_on_ms = 0.0
+
+    async def send(self, address, req, headers, deadline):
+        self.running += 1
+        self.most = max(self.most, self.running)
+        if req.path == "/late":
+            await anyio.sleep(clock.seconds(100))
+            self.tasks.start_soon(self._run_on)
+            failure = client_lib.SendFailure(
+                client_lib.FailureKind.TIMED_OUT, "late"
+            )
+            return result.Failure(failure)
+        await anyio.sleep(clock.seconds(self.run_ms))
+        self.running -= 1
+        return result.Success(messages.Answer(200, [], b""))
+
+    async def _run_on(self):
+        await anyio.sleep(clock.seconds(self.runs_on_ms))
+        self.running -= 1
+
+
+@dataclasses.dataclass
+class _Bench:
+    owner: owner_lib.Owner
+    http: _Http
+    clk: clock.Clock
+    ended: list = dataclasses.field(default_factory=list)
+    elapsed_ms: list = dataclasses.field(default_factory=list)
+
+    async def call(self, deadline_ms=DEADLINE_MS, path="/"):
+        started = self.clk.now()
+        req = messages.Request(
+            SERVICE, "GET", path, [], b"", started + deadline_ms
+        )
+        ended = await self.owner.dispatch(req, frozenset())
+        self.ended.append((path, ended))
+        self.elapsed_ms.append(self.clk.now() - started)
+
+    def answered(self):
+        wanted = messages.Outcome.ANSWERED
+        return [e for _, e in self.ended if e.outcome is wanted]
+
+
+def _play(context, scene):
+    """Runs a scene in a loop with the tasks of the owner."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            bench = context.bench
+            bench.http.tasks = tasks
+            tasks.start_soon(bench.owner.run)
+            bench.owner.follow()
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as calls:
+                    await scene(bench, calls)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@given(
+    "an owner of a target with {slots:d} slots and a queue for "
+    "{queue:d} requests"
+)
+def make_owner(context, slots, queue):
+    clk = clock.MonotonicClock()
+    http = _Http()
+    owner = owner_lib.Owner(
+        _Session(slots, queue),
+        http,
+        None,
+        clk,
+        random.Random(1),
+        metrics_lib.Metrics(),
+    )
+    context.bench = _Bench(owner, http, clk)
+
+
+@given("its requests take {run_ms:d} ms")
+def set_run_time(context, run_ms):
+    context.bench.http.run_ms = run_ms
+
+
+@when("{count:d} requests of {run_ms:d} ms each arrive at once")
+def arrive(context, count, run_ms):
+    context.bench.http.run_ms = run_ms
+    context.woken = 0
+    wait = signal.Signal.wait
+
+    async def counted(self, timeout_s=None):
+        woken = await wait(self, timeout_s)
+        context.woken += 1
+        return woken
+
+    async def scene(bench, calls):
+        for _ in range(count):
+            calls.start_soon(bench.call)
+
+    signal.Signal.wait = counted
+    try:
+        _play(context, scene)
+    finally:
+        signal.Signal.wait = wait
+
+
+@then("all {count:d} were answered and at most {most:d} ran at a time")
+def check_all_answered(context, count, most):
+    assert len(context.bench.answered()) == count, context.bench.ended
+    assert context.bench.http.most == most, context.bench.http.most
+
+
+@then("no request that got no slot was woken")
+def check_woken(context):
+    # Only the owner's own tasks wait for signals, not the requests.
+    assert context.woken <= len(context.bench.ended), context.woken
+
+
+@when("a request times out after {after_ms:d} ms while another one waits")
+def time_out(context, after_ms):
+    context.bench.http.runs_on_ms = 90.0
+
+    async def scene(bench, calls):
+        calls.start_soon(bench.call, float(after_ms), "/late")
+        await anyio.sleep(clock.seconds(10))
+        calls.start_soon(bench.call)
+
+    _play(context, scene)
+
+
+@then("the waiting one is answered within {most_ms:d} ms of it")
+def check_waiting(context, most_ms):
+    assert len(context.bench.answered()) == 1, context.bench.ended
+    assert context.bench.elapsed_ms[-1] < most_ms, context.bench.elapsed_ms
+
+
+@then("at most {most:d} ran at a time although the timed-out one ran on")
+def check_most(context, most):
+    assert context.bench.http.most == most, context.bench.http.most
+
+
+@when("{count:d} requests wait and every second one is cancelled")
+def cancel_half(context, count):
+    context.bench.http.run_ms = 5.0
+
+    async def cancelled(bench, number):
+        with anyio.move_on_after(clock.seconds(number)):
+            await bench.call(path="/cancelled")
+
+    async def scene(bench, calls):
+        # The slot is taken until after the last one is cancelled.
+        bench.http.run_ms = 50.0
+        calls.start_soon(bench.call, DEADLINE_MS, "/first")
+        await anyio.sleep(clock.seconds(10))
+        bench.http.run_ms = 5.0
+        for number in range(count):
+            if number % 2:
+                calls.start_soon(cancelled, bench, number)
+            else:
+                calls.start_soon(bench.call, DEADLINE_MS, "/kept")
+
+    _play(context, scene)
+
+
+@then("the other {count:d} are answered")
+def check_kept(context, count):
+    kept = [e for path, e in context.bench.ended if path == "/kept"]
+    assert len(kept) == count, kept
+    assert all(e.outcome is messages.Outcome.ANSWERED for e in kept), kept
+
+
+@when("{count:d} requests wait and one with a deadline of {ms:d} ms arrives")
+def arrive_late(context, count, ms):
+    async def scene(bench, calls):
+        await bench.call()
+        for _ in range(count):
+            # Earlier deadlines go first, so these have the same one.
+            calls.start_soon(bench.call, float(ms))
+        await anyio.sleep(0.005)
+        bench.elapsed_ms.clear()
+        await bench.call(float(ms), "/refused")
+        context.refused_ms = bench.elapsed_ms[0]
+
+    _play(context, scene)
+
+
+@then("it ends as not run in less than {ms:d} ms and is told of the wait")
+def check_refused(context, ms):
+    (ended,) = [e for p, e in context.bench.ended if p == "/refused"]
+    assert ended.outcome is messages.Outcome.NOT_RUN, ended
+    assert "has a wait of" in str(ended.error), ended
+    assert context.refused_ms < ms, context.refused_ms
+
+
+@then("{count:d} were answered and the others ended as not run")
+def check_some_answered(context, count):
+    assert len(context.bench.answered()) == count, context.bench.ended
+    others = [
+        e
+        for _, e in context.bench.ended
+        if e.outcome is messages.Outcome.NOT_RUN
+    ]
+    assert len(others) + count == len(context.bench.ended)
--- a/src/cardamomkeel/policy/choose.py
+++ b/src/cardamomkeel/policy/choose.py
@@ -1,6 +1,7 @@
 """Which of its targets an owner gives the next request to."""
 
 import dataclasses
+import math
 import random
 
 from cardamomkeel import clock
@@ -9,7 +10,14 @@
 LATENCY_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.2
 # A target that fails every request counts as this many times as slow.
-FAILURE_COST = 50.0
+FAILURE_COST = 10.0
+# After so many failures in a row a target only gets one request at a time,
+# after a pause that doubles with each further failure.
+FAILURES_IN_A_ROW = 3
+LEAST_PROBE_MS = 50.0
+MOST_PROBE_MS = 2000.0
+# What is known of a target's latency loses most of its weight in this time.
+FORGET_MS = 1000.0
 LEAST_LATENCY_MS = 0.1
 # A request is stalled once it is this many times as old as usual answers.
 STALL_FACTOR = 10.0
@@ -23,21 +31,40 @@
     Attributes:
         latency_ms: Moving average of the latency of its answers; 0 for none.
         failures: Moving average of the share of failed requests.
+        failed_in_a_row: How many requests failed since the last answer.
+        noted_at: When the last request ended.
     """
 
     latency_ms: clock.Millis = 0.0
     failures: float = 0.0
+    failed_in_a_row: int = 0
+    noted_at: clock.Millis = float("-inf")
 
-    def note(self, latency_ms: clock.Millis, failed: bool) -> None:
+    def note(
+        self, latency_ms: clock.Millis, failed: bool, now: clock.Millis
+    ) -> None:
         """Takes one ended request into account."""
         share = 1.0 if failed else 0.0
         self.failures += FAILURE_WEIGHT * (share - self.failures)
+        self.noted_at = now
         if failed:
+            self.failed_in_a_row += 1
             return
+        self.failed_in_a_row = 0
         if self.latency_ms == 0.0:
             self.latency_ms = latency_ms
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
 
+    def is_failing(self) -> bool:
+        """Tells whether the target does nothing but fail."""
+        return self.failed_in_a_row >= FAILURES_IN_A_ROW
+
+    def probe_at(self) -> clock.Millis:
+        """Returns when a failing target gets its next request."""
+        further = min(self.failed_in_a_row - FAILURES_IN_A_ROW, 10)
+        pause_ms = min(MOST_PROBE_MS, LEAST_PROBE_MS * 2**further)
+        return self.noted_at + pause_ms
+
     def is_stalled(self, oldest_ms: clock.Millis) -> bool:
         """Tells whether the oldest request waits much too long."""
         if self.latency_ms == 0.0:
@@ -49,7 +76,8 @@
         self,
         in_flight: int,
         typical_ms: clock.Millis,
-        oldest_ms: clock.Millis = 0.0,
+        oldest_ms: clock.Millis,
+        now: clock.Millis,
     ) -> float:
         """Returns how long one more request may take, in milliseconds.
 
@@ -57,10 +85,15 @@
             in_flight: How many requests the target has.
             typical_ms: The latency to assume where none is known.
             oldest_ms: For how long its oldest request has no answer.
+            now: The time.
         """
-        usual_ms = self.latency_ms or typical_ms
+        weight = math.exp(-(now - self.noted_at) / FORGET_MS)
+        usual_ms = typical_ms
+        if self.latency_ms:
+            usual_ms += weight * (self.latency_ms - typical_ms)
         latency_ms = max(usual_ms, oldest_ms, LEAST_LATENCY_MS)
-        return latency_ms * (in_flight + 1) * (1 + FAILURE_COST * self.failures)
+        failure_cost = 1 + FAILURE_COST * self.failures * weight
+        return latency_ms * (in_flight + 1) * failure_cost
 
 
 @dataclasses.dataclass
@@ -76,10 +109,24 @@
         oldest_ms = self.slots.oldest_age(now)
         return self.slots.free(now, self.health.is_stalled(oldest_ms))
 
+    def next_change(self, now: clock.Millis) -> clock.Millis:
+        """Returns when it may take more without an answer, or infinity."""
+        changes = [self.slots.next_end(now)]
+        if self.health.is_failing() and self.health.probe_at() > now:
+            changes.append(self.health.probe_at())
+        return min(changes)
+
+    def may_probe(self, now: clock.Millis) -> bool:
+        """Tells whether a failing target may show that it is well again."""
+        return self.slots.in_flight == 0 and now >= self.health.probe_at()
+
     def cost(self, now: clock.Millis, typical_ms: clock.Millis) -> float:
         """Returns how long one more request may take, in milliseconds."""
         return self.health.cost(
-            self.slots.in_flight, typical_ms, self.slots.oldest_age(now)
+            self.slots.in_flight,
+            typical_ms,
+            self.slots.oldest_age(now),
+            now,
         )
 
 
@@ -102,6 +149,10 @@
         for candidate in candidates
         if candidate.address not in excluded and candidate.free(now) > 0
     ]
+    if any(not candidate.health.is_failing() for candidate in candidates):
+        free = [c for c in free if not c.health.is_failing()] + [
+            c for c in free if c.health.is_failing() and c.may_probe(now)
+        ]
     if not free:
         return None
     known = [c.health.latency_ms for c in free if c.health.latency_ms]
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -158,7 +158,7 @@
         while True:
             now = self._clock.now()
             ends = [
-                owned.candidate.slots.next_end(now)
+                owned.candidate.next_change(now)
                 for owned in self.owned.values()
             ]
             left = min(ends, default=float("inf")) - now
@@ -377,6 +377,8 @@
         ended = classify(sent, owned.record)
         self._learn(owned, ended, work)
         self._freed.notify()
+        if owned.candidate.health.is_failing():
+            self._ends_changed.notify()
         self._serve(owned.record.service)
         return ended
 
@@ -412,9 +414,10 @@
     def _learn(
         self, owned: Owned, ended: messages.Ended, work: slots_lib.Work
     ) -> None:
-        latency_ms = self._clock.now() - work.started
+        now = self._clock.now()
+        latency_ms = now - work.started
         succeeded = ended.sign is messages.Sign.SUCCESS
-        owned.candidate.health.note(latency_ms, failed=not succeeded)
+        owned.candidate.health.note(latency_ms, not succeeded, now)
         if succeeded:
             owned.candidate.slots.note_success(work)
         elif ended.sign is not messages.Sign.SERVER_ERROR:
