--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import random
-import secrets
 import typing
 
 import anyio
@@ -13,19 +12,24 @@
 import typer
 
 from cardamomkeel import clock
+from cardamomkeel import errors
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import channels
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.control import formation
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.control import service
 from cardamomkeel.daemons import serve
 from cardamomkeel.daemons import start
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import changes
+from cardamomkeel.operators import members as members_calls
+from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members
 from cardamomkeel.replication import replica
+from cardamomkeel.replication import storage
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
@@ -52,7 +56,7 @@
         return
     first = members.first_members(cfg.control)
     own_id = members.member_id(cfg.name, members.FIRST_INCARNATION)
-    disk.create(folder, own_id, first)
+    disk.create(folder, own_id, first, formed=len(cfg.control) == 1)
     print(f"made {folder}")
 
 
@@ -67,15 +71,15 @@
     clk = clock.MonotonicClock()
     secret = start.unwrap(secret_lib.read_secret(pathlib.Path(cfg.secret_file)))
     folder = pathlib.Path(cfg.data_folder)
-    joins = disk.is_empty(folder)
-    if joins:
-        incarnation = secrets.token_hex(6)
-        disk.create(
-            folder,
-            members.member_id(cfg.name, incarnation),
-            control_pb2.Members(),
-        )
+    if disk.is_empty(folder):
+        formation.create_joining(folder, cfg.name)
     stored = start.unwrap(disk.load(folder))
+    if not stored.hard_state.formed:
+        forming = formation.Formation(
+            folder, cfg.name, cfg.control, cfg.reach, stored.hard_state, clk
+        )
+        await forming.run()
+        stored = start.unwrap(disk.load(folder))
     node = node_lib.ControlNode(
         stored,
         disk.DiskStorage(folder, stored),
@@ -89,7 +93,21 @@
         clk,
         random.Random(),
     )
-    await _serve(cfg, node, clk, secret)
+    failed: list[errors.Error] = []
+    try:
+        await _serve(cfg, node, clk, secret)
+    except* storage.StorageFailedError as group:
+        failed.append(_first_error(group))
+    if failed:
+        start.fail(failed[0])
+
+
+def _first_error(group: BaseExceptionGroup) -> errors.Error:
+    """Returns the error of the first storage failure of a nested group."""
+    first = group.exceptions[0]
+    if isinstance(first, storage.StorageFailedError):
+        return first.error
+    return _first_error(first)
 
 
 async def _serve(
@@ -114,12 +132,14 @@
         secret,
         metrics_lib.Metrics(),
         lambda: dump(cfg, node),
-        changes.Changes(control, clk).handlers(),
+        changes.Changes(control, clk).handlers()
+        | resolutions.Resolutions(control).handlers()
+        | members_calls.MemberChanges(control).handlers(),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(start.wait_for_stop, stop)
         tasks.start_soon(node.run)
-        tasks.start_soon(_join, cfg, node)
+        tasks.start_soon(_join, cfg, node, clk)
         tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
         logger.info("runs", member=node.replica.id)
         await stop.wait()
@@ -129,10 +149,10 @@
 
 
 async def _join(
-    cfg: process.ControlSettings, node: node_lib.ControlNode
+    cfg: process.ControlSettings, node: node_lib.ControlNode, clk: clock.Clock
 ) -> None:
     """Asks to be a member for as long as this replica is none."""
-    asked = channels.Channels(cfg.reach)
+    asked = channels.Channels(cfg.reach, clk)
     own = control_pb2.Member(
         id=node.replica.id, name=cfg.name, address=cfg.address
     )
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -2,14 +2,20 @@
 
 import dataclasses
 
+import loguru
 from returns import result
 
 from cardamomkeel import clock
+from cardamomkeel import http_headers
 from cardamomkeel.callers import answers
+from cardamomkeel.callers import http1
 from cardamomkeel.callers import requests
 from cardamomkeel.entries import forward
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import owner as owner_lib
+from cardamomkeel.routing import session as session_lib
+
+logger = loguru.logger
 
 
 @dataclasses.dataclass
@@ -17,6 +23,7 @@
     """Makes one attempt for another entry."""
 
     owner: owner_lib.Owner
+    session: session_lib.Session
     clk: clock.Clock
 
     async def __call__(
@@ -36,12 +43,29 @@
             error = body.failure()
             ended = messages.not_run(error.message, error.remedy)
         else:
-            req = self._make_request(scope, body.unwrap())
+            ended = await self._dispatch(scope, body.unwrap())
+        await answers.send_ended(send, ended, scope["method"], forwarded=True)
+
+    async def _dispatch(
+        self, scope: requests.Scope, body: bytes
+    ) -> messages.Ended:
+        try:
+            req = self._make_request(scope, body)
+            if req.session and req.session not in self.session.view.entries:
+                return messages.not_run(
+                    "the entry that claimed it lost its session",
+                    "send it again",
+                )
             excluded = requests.get_header(scope, messages.EXCLUDE).decode()
-            ended = await self.owner.dispatch(
+            scope[http1.CANCELLABLE] = req.idempotent
+            return await self.owner.dispatch(
                 req, frozenset(excluded.split(","))
             )
-        await answers.send_ended(send, ended, forwarded=True)
+        except Exception:
+            logger.exception("a forwarded request failed")
+            return messages.FAILED
+        finally:
+            scope[http1.CANCELLABLE] = False
 
     def _make_request(
         self, scope: requests.Scope, body: bytes
@@ -53,12 +77,16 @@
             service=service,
             method=scope["method"],
             path=path,
-            headers=[
-                (name, value)
-                for name, value in scope["headers"]
-                if name.lower() not in requests.DROPPED_HEADERS
-            ],
+            headers=http_headers.keep_end_to_end(
+                scope["headers"], requests.OWN_HEADERS
+            ),
             body=body,
             deadline=self.clk.now() + left,
             depth=depth,
+            idempotent=self._is_idempotent(service, scope["method"]),
+            session=int(requests.get_header(scope, messages.SESSION) or b"0"),
         )
+
+    def _is_idempotent(self, name: str, method: str) -> bool:
+        service = self.owner.get_service(name)
+        return service is not None and requests.is_idempotent(service, method)
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -17,6 +17,7 @@
 from cardamomkeel.policy import waiting
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
+from cardamomkeel.settings import services
 from cardamomkeel.wire import control_pb2
 
 # How long a target that is handed over may finish its work first.
@@ -209,6 +210,10 @@
 
     # Dispatch.
 
+    def get_service(self, name: str) -> services.Service | None:
+        """Returns what operators say of a service, or None."""
+        return self._session.view.get_service(name)
+
     def owns(self, service: str) -> bool:
         """Tells whether this entry owns a usable target of a service."""
         return any(True for _ in self._usable(service))
@@ -270,6 +275,7 @@
         return messages.not_run(
             f"no slot for {req.service} before the deadline",
             "send it again, or allow a later deadline",
+            messages.Sign.FULL,
         )
 
     def _refuse(
@@ -278,7 +284,9 @@
         """Refuses what could only wait in vain."""
         if queue.is_full():
             return messages.not_run(
-                f"the queue of {req.service} is full", "send it again later"
+                f"the queue of {req.service} is full",
+                "send it again later",
+                messages.Sign.FULL,
             )
         candidates = [owned.candidate for owned in self._usable(req.service)]
         slots = sum(candidate.slots.limit for candidate in candidates)
@@ -293,6 +301,7 @@
             f"{req.service} has a wait of {wait_ms:.0f} ms and answers in "
             f"{latency_ms:.0f} ms; {max(left, 0):.0f} ms are left",
             "send it again, or allow a later deadline",
+            messages.Sign.FULL,
         )
 
     def _grant(self, waiter: _Waiter, queue: waiting.Queue[_Waiter]) -> None:
