Check the lease once the connection is there, right before the first byte

The pool may wait for a connection after the owner's check, so a request could leave after the lease had run out, and its time counted from before the wait. The client now asks right before the first byte.

--- a/features/slots_queue.feature
+++ b/features/slots_queue.feature
@@ -27,3 +27,13 @@
     Given an owner of a target with 3 slots and a queue for 5 requests
     When 20 requests of 50 ms each arrive at once
     Then 8 were answered and the others ended as not run
+
+  Scenario: A lease that runs out while a connection opens stops the request
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When the lease runs out while a connection opens for a request
+    Then nothing was sent and the request ended as not run
+
+  Scenario: The time of a request counts from its first byte
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When a request of 1000 ms waits 300 ms for its connection
+    Then its slot counts as taken for 1000 ms from the first byte on
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 
 import anyio
 from behave import given
@@ -26,7 +27,7 @@
 
 
 class _Session:
-    """A session whose lease does not run out."""
+    """A session whose lease runs out where a test says so."""
 
     def __init__(self, slots, queue):
         self.id = SESSION
@@ -39,7 +40,7 @@
         )
 
     def is_fresh(self):
-        return True
+        return time.monotonic() * 1000 < self.lease_until
 
 
 class _Http:
@@ -51,7 +52,12 @@
         self.most = 0
         self.runs_on_ms = 0.0
 
-    async def send(self, address, req, headers, deadline):
+    async def send(self, address, req, headers, deadline, may_send):
+        if req.path == "/slow-connection":
+            await anyio.sleep(clock.seconds(self.run_ms))
+        if not may_send():
+            kind = client_lib.FailureKind.NOT_SENT
+            return result.Failure(client_lib.SendFailure(kind, "no lease"))
         self.running += 1
         self.most = max(self.most, self.running)
         if req.path == "/late":
@@ -251,3 +257,40 @@
         if e.outcome is messages.Outcome.NOT_RUN
     ]
     assert len(others) + count == len(context.bench.ended)
+
+
+@when("the lease runs out while a connection opens for a request")
+def lose_lease(context):
+    context.bench.http.run_ms = 100.0
+
+    async def scene(bench, calls):
+        calls.start_soon(bench.call, DEADLINE_MS, "/slow-connection")
+        await anyio.sleep(clock.seconds(50))
+        bench.owner._session.lease_until = bench.clk.now()
+
+    _play(context, scene)
+
+
+@then("nothing was sent and the request ended as not run")
+def check_not_sent(context):
+    ((_, ended),) = context.bench.ended
+    assert ended.outcome is messages.Outcome.NOT_RUN, ended
+    assert context.bench.http.most == 0
+
+
+@when("a request of {run_ms:d} ms waits {wait_ms:d} ms for its connection")
+def wait_for_connection(context, run_ms, wait_ms):
+    context.bench.http.run_ms = float(wait_ms)
+
+    async def scene(bench, calls):
+        calls.start_soon(bench.call, float(run_ms), "/slow-connection")
+        await anyio.sleep(clock.seconds(wait_ms + 20))
+        (owned,) = bench.owner.owned.values()
+        context.counted_ms = owned.candidate.slots.remaining(bench.clk.now())[1]
+
+    _play(context, scene)
+
+
+@then("its slot counts as taken for {run_ms:d} ms from the first byte on")
+def check_counted(context, run_ms):
+    assert context.counted_ms >= run_ms, context.counted_ms
--- a/src/cardamomkeel/backend_servers/client.py
+++ b/src/cardamomkeel/backend_servers/client.py
@@ -31,6 +31,11 @@
     message: str
 
 
+def always() -> bool:
+    """Allows every request."""
+    return True
+
+
 class Client(typing.Protocol):
     """Sends requests over pooled connections."""
 
@@ -40,6 +45,7 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
+        may_send: typing.Callable[[], bool] = always,
     ) -> result.Result[messages.Answer, SendFailure]:
         """Sends a request and returns its whole answer.
 
@@ -48,6 +54,8 @@
             req: The request.
             headers: The headers to send; those of the request do not count.
             deadline: When to give up, on the local clock.
+            may_send: Asked once a connection is there, right before the
+                first byte; nothing is sent where it says no.
         """
         ...
 
--- a/src/cardamomkeel/backend_servers/httpx_client.py
+++ b/src/cardamomkeel/backend_servers/httpx_client.py
@@ -1,5 +1,7 @@
 """Sends requests by httpx."""
 
+import typing
+
 import anyio
 import httpx
 from returns import result
@@ -35,10 +37,11 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
+        may_send: typing.Callable[[], bool] = client.always,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         """Sends a request and returns its whole answer."""
         left = deadline - self._clock.now()
-        if left <= 0:
+        if left <= 0 or not may_send():
             return _failed(client.FailureKind.NOT_SENT, "no time is left")
         address = self._reach.get(address, address)
         try:
--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -1,6 +1,7 @@
 """Sends requests over a connection pool of this project's own."""
 
 import asyncio
+import typing
 
 from returns import result
 
@@ -39,6 +40,7 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
+        may_send: typing.Callable[[], bool] = client.always,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         """Sends a request and returns its whole answer."""
         if deadline <= self._clock.now():
@@ -56,6 +58,9 @@
             return _not_sent("no connection was opened in time")
         except OSError as exc:
             return _not_sent(repr(exc))
+        if not may_send():
+            pool.give_back(conn)
+            return _not_sent("the lease ran out before it was sent")
         return await self._exchange(pool, conn, req, data, deadline)
 
     async def _exchange(
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -380,6 +380,7 @@
                 req,
                 self._headers(req, allowed_ms),
                 started + allowed_ms,
+                lambda: self._confirm(work, allowed_ms),
             )
         finally:
             self._end(slots, work, sent)
@@ -391,6 +392,16 @@
         self._serve(owned.record.service)
         return ended
 
+    def _confirm(self, work: slots_lib.Work, allowed_ms: clock.Millis) -> bool:
+        """Tells, right before the first byte, whether to send at all.
+
+        A connection may have taken long to open: the lease may be over, and
+        the target counts the allowed time from now.
+        """
+        now = self._clock.now()
+        work.until = now + slots_lib.bound_work(allowed_ms)
+        return self._session.is_fresh()
+
     def _end(
         self,
         slots: slots_lib.Slots,
