Hedge late idempotent requests within an owner

After the 95th percentile of the newest 256 latencies a second attempt goes to another target of the same owner, only where a slot is free, nobody waits and hedge_share allows it. The loser is cancelled; its slot comes free once the target has closed the connection, or else when its time is over.

--- a/features/slots_queue.feature
+++ b/features/slots_queue.feature
@@ -37,3 +37,15 @@
     Given an owner of a target with 1 slots and a queue for 300 requests
     When a request of 1000 ms waits 300 ms for its connection
     Then its slot counts as taken for 1000 ms from the first byte on
+
+  Scenario: Late idempotent requests are sent again, within the budget
+    Given an owner of 3 targets that hedges a share of 0.05
+    When 400 requests are sent, every 50th attempt of which is slow
+    Then fewer than 4 of them took as long as a slow attempt
+    And all were answered, with at most 30 attempts more than requests
+
+  Scenario: Without a share nothing is sent twice
+    Given an owner of 3 targets that hedges a share of 0
+    When 400 requests are sent, every 50th attempt of which is slow
+    Then at least 8 of them took as long as a slow attempt
+    And all were answered, with at most 0 attempts more than requests
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -20,24 +20,32 @@
 from cardamomkeel.settings import services
 from cardamomkeel.wire import control_pb2
 
-ADDRESS = "10.0.0.1:80"
 SERVICE = "dossier"
 DEADLINE_MS = 5000.0
 SESSION = 7
+SLOW_MS = 200.0
 
 
 class _Session:
     """A session whose lease runs out where a test says so."""
 
-    def __init__(self, slots, queue):
+    def __init__(self, slots, queue, targets=1, hedge_share=0.0):
         self.id = SESSION
         self.lease_until = float("inf")
-        service = services.Service(slots=slots, queue=queue, cold_slots=slots)
+        service = services.Service(
+            slots=slots,
+            queue=queue,
+            cold_slots=slots,
+            idempotent=True,
+            hedge_share=hedge_share,
+        )
         self.view = view_lib.View()
         self.view.text = services.ServicesText(services={SERVICE: service})
-        self.view.targets[ADDRESS] = control_pb2.TargetRecord(
-            service=SERVICE, address=ADDRESS, slots=slots, owner=SESSION
-        )
+        for number in range(targets):
+            address = f"10.0.0.{number + 1}:80"
+            self.view.targets[address] = control_pb2.TargetRecord(
+                service=SERVICE, address=address, slots=slots, owner=SESSION
+            )
 
     def is_fresh(self):
         return time.monotonic() * 1000 < self.lease_until
@@ -51,13 +59,17 @@
         self.running = 0
         self.most = 0
         self.runs_on_ms = 0.0
+        self.sent = 0
+        self.slow_every = 0
+        self.slow_ms = 0.0
 
-    async def send(self, address, req, headers, deadline, may_send):
+    async def send(self, address, req, headers, deadline, guard):
         if req.path == "/slow-connection":
             await anyio.sleep(clock.seconds(self.run_ms))
-        if not may_send():
+        if not guard.may_send():
             kind = client_lib.FailureKind.NOT_SENT
             return result.Failure(client_lib.SendFailure(kind, "no lease"))
+        self.sent += 1
         self.running += 1
         self.most = max(self.most, self.running)
         if req.path == "/late":
@@ -67,8 +79,15 @@
                 client_lib.FailureKind.TIMED_OUT, "late"
             )
             return result.Failure(failure)
-        await anyio.sleep(clock.seconds(self.run_ms))
-        self.running -= 1
+        is_slow = self.slow_every and self.sent % self.slow_every == 0
+        run_ms = self.slow_ms if is_slow else self.run_ms
+        try:
+            await anyio.sleep(clock.seconds(run_ms))
+        except anyio.get_cancelled_exc_class():
+            guard.note_over()
+            raise
+        finally:
+            self.running -= 1
         return result.Success(messages.Answer(200, [], b""))
 
     async def _run_on(self):
@@ -120,10 +139,14 @@
     "{queue:d} requests"
 )
 def make_owner(context, slots, queue):
+    _make_owner(context, _Session(slots, queue))
+
+
+def _make_owner(context, session):
     clk = clock.MonotonicClock()
     http = _Http()
     owner = owner_lib.Owner(
-        _Session(slots, queue),
+        session,
         http,
         None,
         clk,
@@ -294,3 +317,50 @@
 @then("its slot counts as taken for {run_ms:d} ms from the first byte on")
 def check_counted(context, run_ms):
     assert context.counted_ms >= run_ms, context.counted_ms
+
+
+@given("an owner of {targets:d} targets that hedges a share of {share:g}")
+def make_hedging_owner(context, targets, share):
+    _make_owner(context, _Session(3, 300, targets, share))
+
+
+@when("{count:d} requests are sent, every {every:d}th attempt of which is slow")
+def send_some_slow(context, count, every):
+    async def client(bench):
+        for _ in range(count // 4):
+            await bench.call()
+
+    async def scene(bench, calls):
+        bench.http.run_ms = 3.0
+        for _ in range(30):
+            await bench.call()
+        bench.http.slow_every = every
+        bench.http.slow_ms = SLOW_MS
+        bench.http.sent = 0
+        bench.elapsed_ms.clear()
+        bench.ended.clear()
+        for _ in range(4):
+            calls.start_soon(client, bench)
+
+    _play(context, scene)
+
+
+@then("fewer than {count:d} of them took as long as a slow attempt")
+def check_tail(context, count):
+    slow = [ms for ms in context.bench.elapsed_ms if ms >= SLOW_MS]
+    assert len(slow) < count, len(slow)
+
+
+@then("at least {count:d} of them took as long as a slow attempt")
+def check_no_hedge(context, count):
+    slow = [ms for ms in context.bench.elapsed_ms if ms >= SLOW_MS]
+    assert len(slow) >= count, len(slow)
+
+
+@then("all were answered, with at most {extra:d} attempts more than requests")
+def check_budget(context, extra):
+    bench = context.bench
+    assert len(bench.answered()) == len(bench.ended), bench.ended
+    assert bench.http.sent - len(bench.ended) <= extra, bench.http.sent
+    taken = [o.candidate.slots.in_flight for o in bench.owner.owned.values()]
+    assert not any(taken), taken
--- a/src/cardamomkeel/backend_servers/client.py
+++ b/src/cardamomkeel/backend_servers/client.py
@@ -31,9 +31,30 @@
     message: str
 
 
-def always() -> bool:
+class Guard(typing.Protocol):
+    """Follows one request on its way to the other side."""
+
+    def may_send(self) -> bool:
+        """Tells, right before the first byte, whether to send at all."""
+        ...
+
+    def note_over(self) -> None:
+        """Notes that the other side has ended it, though it gave no answer."""
+        ...
+
+
+class NoGuard:
     """Allows every request."""
-    return True
+
+    def may_send(self) -> bool:
+        """Allows it."""
+        return True
+
+    def note_over(self) -> None:
+        """Notes nothing."""
+
+
+NO_GUARD = NoGuard()
 
 
 class Client(typing.Protocol):
@@ -45,7 +66,7 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
-        may_send: typing.Callable[[], bool] = always,
+        guard: Guard = NO_GUARD,
     ) -> result.Result[messages.Answer, SendFailure]:
         """Sends a request and returns its whole answer.
 
@@ -54,8 +75,8 @@
             req: The request.
             headers: The headers to send; those of the request do not count.
             deadline: When to give up, on the local clock.
-            may_send: Asked once a connection is there, right before the
-                first byte; nothing is sent where it says no.
+            guard: Asked once a connection is there, right before the first
+                byte; nothing is sent where it says no.
         """
         ...
 
--- a/src/cardamomkeel/backend_servers/httpx_client.py
+++ b/src/cardamomkeel/backend_servers/httpx_client.py
@@ -1,7 +1,5 @@
 """Sends requests by httpx."""
 
-import typing
-
 import anyio
 import httpx
 from returns import result
@@ -37,11 +35,11 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
-        may_send: typing.Callable[[], bool] = client.always,
+        guard: client.Guard = client.NO_GUARD,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         """Sends a request and returns its whole answer."""
         left = deadline - self._clock.now()
-        if left <= 0 or not may_send():
+        if left <= 0 or not guard.may_send():
             return _failed(client.FailureKind.NOT_SENT, "no time is left")
         address = self._reach.get(address, address)
         try:
--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -1,8 +1,8 @@
 """Sends requests over a connection pool of this project's own."""
 
 import asyncio
-import typing
 
+import anyio
 from returns import result
 
 from cardamomkeel import clock
@@ -40,7 +40,7 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
-        may_send: typing.Callable[[], bool] = client.always,
+        guard: client.Guard = client.NO_GUARD,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         """Sends a request and returns its whole answer."""
         if deadline <= self._clock.now():
@@ -58,10 +58,10 @@
             return _not_sent("no connection was opened in time")
         except OSError as exc:
             return _not_sent(repr(exc))
-        if not may_send():
+        if not guard.may_send():
             pool.give_back(conn)
             return _not_sent("the lease ran out before it was sent")
-        return await self._exchange(pool, conn, req, data, deadline)
+        return await self._exchange(pool, conn, req, data, deadline, guard)
 
     async def _exchange(
         self,
@@ -70,6 +70,7 @@
         req: messages.Request,
         data: bytes,
         deadline: clock.Millis,
+        guard: client.Guard,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         started = self._clock.now()
         answer = conn.request(data, req.method == "HEAD")
@@ -79,10 +80,10 @@
         except pool_connection.ProtocolError as exc:
             return _failed(client.FailureKind.BROKEN, str(exc))
         except TimeoutError as exc:
-            await self._give_up(conn)
+            await self._give_up(conn, guard)
             return _failed(client.FailureKind.TIMED_OUT, str(exc))
         except asyncio.CancelledError:
-            await self._give_up(conn)
+            await self._give_up(conn, guard)
             raise
         finally:
             for timer in timers:
@@ -134,11 +135,15 @@
         if idempotent:
             conn.time_out("the connection is silent")
 
-    async def _give_up(self, conn: pool_connection.Connection) -> None:
+    async def _give_up(
+        self, conn: pool_connection.Connection, guard: client.Guard
+    ) -> None:
         """Cancels a request; the other side may have seen it by the end."""
         closing = asyncio.ensure_future(conn.close_and_wait(CANCEL_MS))
         try:
-            await asyncio.shield(closing)
+            with anyio.CancelScope(shield=True):
+                if await asyncio.shield(closing):
+                    guard.note_over()
         except asyncio.CancelledError:
             conn.close()
             raise
--- /dev/null
+++ b/src/cardamomkeel/policy/hedging.py
@@ -0,0 +1,60 @@
+"""When an idempotent request is sent a second time."""
+
+import bisect
+import collections
+import dataclasses
+
+from cardamomkeel import clock
+from cardamomkeel.policy import budget
+
+WINDOW = 256
+LEAST_SAMPLES = 64
+QUANTILE = 0.95
+LEAST_DELAY_MS = 2.0
+
+
+@dataclasses.dataclass
+class Latencies:
+    """The latencies of the newest answers, in order of time and of size."""
+
+    _newest: collections.deque[clock.Millis] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    _ordered: list[clock.Millis] = dataclasses.field(default_factory=list)
+
+    def note(self, latency_ms: clock.Millis) -> None:
+        """Takes one answer into account."""
+        self._newest.append(latency_ms)
+        bisect.insort(self._ordered, latency_ms)
+        if len(self._newest) > WINDOW:
+            oldest = self._newest.popleft()
+            del self._ordered[bisect.bisect_left(self._ordered, oldest)]
+
+    def quantile(self, share: float) -> clock.Millis | None:
+        """Returns a quantile, or None where too little is known."""
+        if len(self._ordered) < LEAST_SAMPLES:
+            return None
+        return self._ordered[int(share * len(self._ordered))]
+
+
+@dataclasses.dataclass
+class Hedging:
+    """Decides on the second attempts of one service.
+
+    Attributes:
+        budget: How many second attempts are allowed.
+    """
+
+    budget: budget.ShareBudget
+    _latencies: Latencies = dataclasses.field(default_factory=Latencies)
+
+    def note(self, latency_ms: clock.Millis) -> None:
+        """Takes one answer into account."""
+        self._latencies.note(latency_ms)
+
+    def delay_ms(self) -> clock.Millis | None:
+        """Returns how long to wait for the first attempt, None for ever."""
+        if self.budget.share == 0.0:
+            return None
+        usual_ms = self._latencies.quantile(QUANTILE)
+        return None if usual_ms is None else max(usual_ms, LEAST_DELAY_MS)
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -24,12 +24,16 @@
         started: When it was given.
         until: When the target has ended it for certain.
         falls: How often the target had fallen to cold start by then.
+        is_sent: Whether a byte of it may have left.
+        is_over: Whether the target has ended it for certain.
         is_held: Whether only the end of the request is awaited.
     """
 
     started: clock.Millis
     until: clock.Millis
     falls: int
+    is_sent: bool = False
+    is_over: bool = False
     is_held: bool = False
 
 
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -4,6 +4,7 @@
 import random
 
 import anyio
+import anyio.abc
 import loguru
 from returns import result
 
@@ -12,7 +13,9 @@
 from cardamomkeel.backend_servers import client as client_lib
 from cardamomkeel.control import client as control_client
 from cardamomkeel.control import signal
+from cardamomkeel.policy import budget
 from cardamomkeel.policy import choose
+from cardamomkeel.policy import hedging
 from cardamomkeel.policy import slots as slots_lib
 from cardamomkeel.policy import waiting
 from cardamomkeel.routing import messages
@@ -44,6 +47,33 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class _Guard:
+    """Checks the lease right before the first byte of a request.
+
+    A connection may have taken long to open: the lease may be over, and the
+    target counts the allowed time from the first byte on.
+    """
+
+    session: session_lib.Session
+    clk: clock.Clock
+    work: slots_lib.Work
+    allowed_ms: clock.Millis
+
+    def may_send(self) -> bool:
+        """Tells whether this entry still owns the target."""
+        if not self.session.is_fresh():
+            return False
+        self.work.is_sent = True
+        bound_ms = slots_lib.bound_work(self.allowed_ms)
+        self.work.until = self.clk.now() + bound_ms
+        return True
+
+    def note_over(self) -> None:
+        """Notes that the target has seen the end of the connection."""
+        self.work.is_over = True
+
+
 @dataclasses.dataclass(frozen=True)
 class _Grant:
     """A slot that was taken for a request."""
@@ -62,6 +92,48 @@
     granted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
+_LOST = messages.not_run("the lease ran out", "send it to another entry")
+
+
+@dataclasses.dataclass(eq=False)
+class _Race:
+    """The attempts at one request, of which the first answer counts.
+
+    Attributes:
+        running: How many attempts run.
+        ended: How the request ended.
+        done: Set once it has ended.
+        scopes: Cancel the attempts.
+        is_over: Whether no attempt is wanted any more.
+    """
+
+    running: int = 1
+    ended: messages.Ended | None = None
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    scopes: list[anyio.CancelScope] = dataclasses.field(default_factory=list)
+    is_over: bool = False
+    _failed: messages.Ended | None = None
+
+    def win(self, ended: messages.Ended) -> None:
+        """Takes the answer of an attempt."""
+        self.running -= 1
+        if self.ended is None:
+            self.ended = ended
+            self.done.set()
+
+    def lose(self, ended: messages.Ended | None) -> None:
+        """Takes the failure of an attempt; None for a cancelled one."""
+        self.running -= 1
+        # What may have run counts more than what certainly did not.
+        if self._failed is None or (
+            ended is not None and ended.outcome is not messages.Outcome.NOT_RUN
+        ):
+            self._failed = ended
+        if self.running == 0 and self.ended is None:
+            self.ended = self._failed or _LOST
+            self.done.set()
+
+
 class Owner:
     """Gives work to the targets that this entry owns, and to no others.
 
@@ -86,6 +158,8 @@
         self._metrics = metrics
         self._freed = signal.Signal()
         self._ends_changed = signal.Signal()
+        self._hedges: dict[str, hedging.Hedging] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._queues: dict[str, waiting.Queue[_Waiter]] = {}
         self._to_release: list[Owned] = []
         self._has_release = signal.Signal()
@@ -151,6 +225,7 @@
     async def run(self) -> None:
         """Hands targets over, and serves the queues as work ends."""
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             tasks.start_soon(self._run_releases)
             tasks.start_soon(self._run_ends)
 
@@ -269,7 +344,7 @@
         # Nothing is awaited between this check and the send: a process that
         # was frozen finds its lease over.
         if grant is not None and self._session.is_fresh():
-            return await self._send(grant, req)
+            return await self._send_hedged(grant, req)
         if grant is not None:
             grant.owned.candidate.slots.give_back(grant.work)
         return messages.not_run(
@@ -366,6 +441,85 @@
             and self._clock.now() < req.deadline
         )
 
+    def _hedging(self, name: str) -> hedging.Hedging:
+        service = self._session.view.get_service(name)
+        share = 0.0 if service is None else service.hedge_share
+        known = self._hedges.get(name)
+        if known is None:
+            known = hedging.Hedging(budget.ShareBudget(share))
+            self._hedges[name] = known
+        known.budget.share = share
+        return known
+
+    async def _send_hedged(
+        self, grant: _Grant, req: messages.Request
+    ) -> messages.Ended:
+        """Sends a request, and once more where the answer is late."""
+        hedges = self._hedging(req.service)
+        delay_ms = hedges.delay_ms()
+        may_hedge = req.idempotent and req.depth == 0
+        if not may_hedge or delay_ms is None or self._tasks is None:
+            return await self._send(grant, req)
+        hedges.budget.earn()
+        race = _Race()
+        self._tasks.start_soon(self._run_in_race, race, grant, req)
+        try:
+            with anyio.move_on_after(clock.seconds(delay_ms)):
+                await race.done.wait()
+            second = None if race.ended else self._take_hedge(grant, req)
+            if second is not None:
+                race.running += 1
+                self._tasks.start_soon(self._run_in_race, race, second, req)
+            await race.done.wait()
+        finally:
+            race.is_over = True
+            for scope in race.scopes:
+                scope.cancel()
+        return race.ended
+
+    def _take_hedge(
+        self, first: _Grant, req: messages.Request
+    ) -> _Grant | None:
+        """Takes a slot for a second attempt, if one is to spare."""
+        if len(self._queue(req.service)) or not self._session.is_fresh():
+            return None
+        excluded = frozenset([first.owned.record.address])
+        chosen = self._choose(req.service, excluded)
+        if chosen is None or self._allowed_ms(req) <= 0:
+            return None
+        if not self._hedging(req.service).budget.take():
+            return None
+        self._metrics.count(
+            "hedges",
+            "Requests sent a second time for a late answer.",
+            service=req.service,
+        )
+        work = chosen.candidate.slots.take(
+            self._clock.now(), self._allowed_ms(req)
+        )
+        return _Grant(chosen, work)
+
+    async def _run_in_race(
+        self, race: _Race, grant: _Grant, req: messages.Request
+    ) -> None:
+        """Makes one attempt; a failure counts only if no other one runs."""
+        if race.is_over or not self._session.is_fresh():
+            grant.owned.candidate.slots.give_back(grant.work)
+            race.lose(_LOST)
+            return
+        ended = None
+        with anyio.CancelScope() as scope:
+            race.scopes.append(scope)
+            try:
+                ended = await self._send(grant, req)
+            except Exception:
+                logger.exception("an attempt failed")
+                ended = messages.FAILED
+        if ended is not None and ended.sign is messages.Sign.SUCCESS:
+            race.win(ended)
+        else:
+            race.lose(ended)
+
     async def _send(
         self, grant: _Grant, req: messages.Request
     ) -> messages.Ended:
@@ -380,7 +534,7 @@
                 req,
                 self._headers(req, allowed_ms),
                 started + allowed_ms,
-                lambda: self._confirm(work, allowed_ms),
+                _Guard(self._session, self._clock, work, allowed_ms),
             )
         finally:
             self._end(slots, work, sent)
@@ -392,16 +546,6 @@
         self._serve(owned.record.service)
         return ended
 
-    def _confirm(self, work: slots_lib.Work, allowed_ms: clock.Millis) -> bool:
-        """Tells, right before the first byte, whether to send at all.
-
-        A connection may have taken long to open: the lease may be over, and
-        the target counts the allowed time from now.
-        """
-        now = self._clock.now()
-        work.until = now + slots_lib.bound_work(allowed_ms)
-        return self._session.is_fresh()
-
     def _end(
         self,
         slots: slots_lib.Slots,
@@ -409,12 +553,12 @@
         sent: result.Result[messages.Answer, client_lib.SendFailure] | None,
     ) -> None:
         """Frees the slot of a request once it has ended for certain."""
-        if isinstance(sent, result.Success):
+        if isinstance(sent, result.Success) or work.is_over:
             slots.give_back(work)
             return
         self._ends_changed.notify()
         kind = None if sent is None else sent.failure().kind
-        if kind is client_lib.FailureKind.NOT_SENT:
+        if kind is client_lib.FailureKind.NOT_SENT or not work.is_sent:
             slots.give_back(work)
         elif kind is client_lib.FailureKind.BROKEN:
             slots.hold(work, self._clock.now() + slots_lib.TRANSIT_MS)
@@ -439,6 +583,7 @@
         succeeded = ended.sign is messages.Sign.SUCCESS
         owned.candidate.health.note(latency_ms, not succeeded, now)
         if succeeded:
+            self._hedging(owned.record.service).note(latency_ms)
             owned.candidate.slots.note_success(work)
         elif ended.sign is not messages.Sign.SERVER_ERROR:
             owned.candidate.slots.make_cold()
