--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -8,6 +8,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel import http_headers
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.settings import services
@@ -19,18 +20,12 @@
 KEY = re.compile(rb"^[\x21-\x7e]{1,200}$")
 WHOLE_NUMBER = re.compile(rb"^[0-9]{1,9}$")
 
-# Headers that belong to one connection, or that the entry writes itself.
-DROPPED_HEADERS = frozenset(
+# Headers that the entry writes itself.
+OWN_HEADERS = frozenset(
     [
-        b"connection",
         b"content-length",
+        b"expect",
         b"host",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
         messages.DEADLINE,
         messages.DEPTH,
         messages.EXCLUDE,
@@ -56,13 +51,15 @@
 
 
 def split_path(scope: Scope, prefix: str) -> tuple[str, str]:
-    """Returns the service and the path that a request names."""
-    rest = scope["path"][len(prefix) :]
-    service, _, path = rest.partition("/")
-    raw = scope.get("raw_path") or scope["path"].encode()
-    tail = raw.decode("latin-1").partition(prefix + service)[2]
-    path = tail.partition("?")[0] or "/" + path
-    query = scope.get("query_string", b"").decode("latin-1")
+    """Returns the service and the path that a request names.
+
+    Both are taken as they came: what is encoded stays encoded, so that the
+    service is the one that the caller wrote and nothing else.
+    """
+    raw = scope["raw_path"].decode("ascii")
+    service, slash, path = raw[len(prefix) :].partition("/")
+    path = slash + path or "/"
+    query = scope["query_string"].decode("ascii")
     return service, f"{path}?{query}" if query else path
 
 
@@ -165,11 +162,7 @@
             service=name,
             method=scope["method"],
             path=path,
-            headers=[
-                (header, value)
-                for header, value in scope["headers"]
-                if header.lower() not in DROPPED_HEADERS
-            ],
+            headers=http_headers.keep_end_to_end(scope["headers"], OWN_HEADERS),
             body=body,
             deadline=now + allowed_ms,
             depth=depth.unwrap(),
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -6,7 +6,9 @@
 from returns import result
 
 from cardamomkeel import clock
+from cardamomkeel import http_headers
 from cardamomkeel.callers import answers
+from cardamomkeel.callers import http1
 from cardamomkeel.callers import requests
 from cardamomkeel.entries import forward
 from cardamomkeel.routing import messages
@@ -42,7 +44,7 @@
             ended = messages.not_run(error.message, error.remedy)
         else:
             ended = await self._dispatch(scope, body.unwrap())
-        await answers.send_ended(send, ended, forwarded=True)
+        await answers.send_ended(send, ended, scope["method"], forwarded=True)
 
     async def _dispatch(
         self, scope: requests.Scope, body: bytes
@@ -55,12 +57,15 @@
                     "send it again",
                 )
             excluded = requests.get_header(scope, messages.EXCLUDE).decode()
+            scope[http1.CANCELLABLE] = req.idempotent
             return await self.owner.dispatch(
                 req, frozenset(excluded.split(","))
             )
         except Exception:
             logger.exception("a forwarded request failed")
             return messages.FAILED
+        finally:
+            scope[http1.CANCELLABLE] = False
 
     def _make_request(
         self, scope: requests.Scope, body: bytes
@@ -72,13 +77,16 @@
             service=service,
             method=scope["method"],
             path=path,
-            headers=[
-                (name, value)
-                for name, value in scope["headers"]
-                if name.lower() not in requests.DROPPED_HEADERS
-            ],
+            headers=http_headers.keep_end_to_end(
+                scope["headers"], requests.OWN_HEADERS
+            ),
             body=body,
             deadline=self.clk.now() + left,
             depth=depth,
+            idempotent=self._is_idempotent(service, scope["method"]),
             session=int(requests.get_header(scope, messages.SESSION) or b"0"),
         )
+
+    def _is_idempotent(self, name: str, method: str) -> bool:
+        service = self.owner.get_service(name)
+        return service is not None and requests.is_idempotent(service, method)
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -87,12 +87,17 @@
         self._rows.move_to_end(key)
         self.version = index
 
-    def delete(self, key: str, index: int) -> None:
-        """Deletes a row at a log index."""
+    def get_deleted(self, key: str) -> control_pb2.Record | None:
+        """Returns what is kept of a deleted row, or None."""
+        record = self._rows.get(key)
+        return record if record is not None and record.deleted else None
+
+    def delete(self, key: str, index: int, **kept) -> None:
+        """Deletes a row at a log index; keywords name what is kept of it."""
         if self.get(key) is None:
             return
         self._rows[key] = control_pb2.Record(
-            key=key, version=index, deleted=True
+            key=key, version=index, deleted=True, **kept
         )
         self._rows.move_to_end(key)
         self.version = index
@@ -141,7 +146,10 @@
         )
 
     def load(self, state: control_pb2.State) -> None:
-        """Replaces all rows by those of a message."""
+        """Replaces all rows by those of a message, which stays as it is."""
+        copied = control_pb2.State()
+        copied.CopyFrom(state)
+        state = copied
         self.log_ms = state.log_ms
         self.revision = state.revision
         self.version = state.version
