--- /dev/null
+++ b/features/announcements.feature
@@ -0,0 +1,52 @@
+@fixture.small
+Feature: Announcements of backend servers, and who they are told of
+
+  Scenario: Callers are told of near entries first, and spread over equals
+    Then a caller in vannes is told of the entry in vannes first
+    And callers in no data centre are spread over all entries
+
+  Scenario: A backend server that is silent is forgotten, and known again
+    When a backend server of keepsake announces itself no more
+    Then it is forgotten within 20 s
+    When it announces itself again
+    Then it is known within 10 s
+
+  Scenario: An address can't be announced for two services
+    When an address of dossier is announced for creneau
+    Then the announcement is refused with status 409
+
+  Scenario: A service that is not in the settings is refused
+    When an address of dossier is announced for unknown
+    Then the announcement is refused with status 404
+
+  Scenario Outline: An announcement that is malformed is refused
+    When an announcement says "<field>" is "<value>"
+    Then the announcement is refused with status 400
+
+    Examples:
+      | field   | value         |
+      | slots   | -1            |
+      | slots   | 1000000       |
+      | state   | happy         |
+      | address | example.com   |
+      | more    | anything      |
+
+  Scenario: A backend server that lies about its slots gets no more for it
+    When the backend servers of dossier claim to have 100 slots
+    And 40 callers each look up a path of their own in dossier
+    Then no backend server ran more than it can bear
+
+  Scenario: A backend server that announces that it leaves gets no new work
+    Given 6 callers that send lookups and bookings through all entries
+    When the backend servers of dossier in rennes leave
+    Then they got no new work later than 5000 ms after they said so
+    And every call was answered
+
+  Scenario: All backend servers restart at once
+    When all backend servers restart at once
+    Then all new instances are known within 10 s
+
+  Scenario: The announcements find the new owner where the old one is killed
+    When the process of entry-1 is killed
+    Then all targets have an owner that runs within 10 s
+    And 20 s later no target is forgotten
--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -4,21 +4,21 @@
   Scenario: An entry that is cut off from control says not run
     Given 6 callers that send lookups and bookings through all entries
     When entry-1 is cut off from control
-    And 5 s pass
+    And 5 s have passed
     And a lookup is sent to dossier
     Then it ended as "not-run" with status 503
     And the message names the addresses of the other entries
     And entry-1 was given no work that it passed on after 5 s
     And entry-1 refuses to name addresses, but tells those of the others
     And entry-1 refuses announcements
-    When all faults end
+    When the relays pass all bytes again
     Then entry-1 answers again within 6 s
     And what was told to be not run did not run
 
   @fixture.small
   Scenario: The control group has lost its majority
     When two control VMs are killed
-    And 5 s pass
+    And 5 s have passed
     And a lookup is sent to dossier
     Then it ended as "not-run" with status 503
     When the control VMs are started again
--- a/features/measuring.feature
+++ b/features/measuring.feature
@@ -9,7 +9,7 @@
   @fixture.many_targets
   Scenario: A smaller budget is kept once it is in force
     When the budget is set to 8 messages and 6000 bytes a second
-    And 6 s pass
+    And 6 s have passed
     And all announcements of 12 s are counted
     Then they were at most 8 messages and 6000 bytes a second
     And each target is known and owned
--- /dev/null
+++ b/features/steps/announcements.py
@@ -0,0 +1,197 @@
+"""Steps about announcements of backend servers."""
+
+import collections
+import time
+
+from behave import then
+from behave import when
+import httpx
+
+from bench import deployment as deployment_lib
+
+ASKED = 60
+
+
+def _list_targets(context):
+    rows = context.deployment.operate("/v1/show", {})["records"]
+    return {r["target"]["address"]: r["target"] for r in rows if "target" in r}
+
+
+def _ask_addresses(context, data_centre):
+    address = next(iter(context.deployment.callers_addresses.values()))
+    got = httpx.get(
+        f"http://{address}/v1/addresses",
+        params={"service": "dossier", "data_centre": data_centre},
+        trust_env=False,
+    )
+    return got.json()["addresses"]
+
+
+@then("a caller in {data_centre} is told of the entry in {same} first")
+def check_near(context, data_centre, same):
+    deployment = context.deployment
+    near = {
+        deployment.callers_addresses[name]
+        for name in deployment.entries
+        if deployment.entry_data_centre(name) == same
+    }
+    for _ in range(ASKED):
+        assert _ask_addresses(context, data_centre)[0] in near
+
+
+@then("callers in no data centre are spread over all entries")
+def check_spread(context):
+    firsts = collections.Counter(
+        _ask_addresses(context, "")[0] for _ in range(ASKED)
+    )
+    assert set(firsts) == set(context.deployment.callers_addresses.values())
+
+
+@when("a backend server of {service} announces itself no more")
+def end_announcing(context, service):
+    context.silent = context.deployment.server_addresses[service][0]
+    where = {"address": context.silent}
+    context.deployment.ask_servers("/set", {"where": where, "announce": False})
+
+
+@then("it is forgotten within {seconds:d} s")
+def check_forgotten(context, seconds):
+    deployment_lib.wait_for(
+        lambda: context.silent not in _list_targets(context),
+        seconds,
+        "it is forgotten",
+    )
+
+
+@when("it announces itself again")
+def begin_announcing(context):
+    where = {"address": context.silent}
+    context.deployment.ask_servers("/set", {"where": where, "announce": True})
+
+
+@then("it is known within {seconds:d} s")
+def check_known(context, seconds):
+    deployment_lib.wait_for(
+        lambda: context.silent in _list_targets(context),
+        seconds,
+        "it is known",
+    )
+
+
+def _announce(context, **changed):
+    servers = context.deployment.ask_servers("/servers")
+    server = next(s for s in servers if s["service"] == "dossier")
+    names = ("service", "address", "data_centre", "slots", "instance", "state")
+    said = {name: server[name] for name in names} | changed
+    address = next(iter(context.deployment.callers_addresses.values()))
+    context.reply = httpx.post(
+        f"http://{address}/v1/announce", json=said, trust_env=False
+    )
+
+
+@when("an address of dossier is announced for {service}")
+def announce_for(context, service):
+    _announce(context, service=service)
+
+
+@when('an announcement says "{field}" is "{value}"')
+def announce_malformed(context, field, value):
+    said = int(value) if value.lstrip("-").isdigit() else value
+    _announce(context, **{field: said})
+
+
+@then("the announcement is refused with status {status:d}")
+def check_refused(context, status):
+    assert context.reply.status_code == status, context.reply.text
+    assert context.reply.json()["remedy"], context.reply.text
+
+
+@when("the backend servers of {service} claim to have {slots:d} slots")
+def claim_slots(context, service, slots):
+    context.deployment.ask_servers(
+        "/set",
+        {
+            "where": {"service": service},
+            "announced_slots": slots,
+            "instance": "claims-more",
+        },
+    )
+    deployment_lib.wait_for(
+        lambda: all(
+            target["slots"] == slots
+            for target in _list_targets(context).values()
+            if target["service"] == service
+        ),
+        10,
+        "the claim is known",
+    )
+
+
+@when("the backend servers of {service} in {data_centre} leave")
+def leave(context, service, data_centre):
+    where = {"service": service, "data_centre": data_centre}
+    context.out_at = time.time()
+    context.left = context.deployment.ask_servers(
+        "/set", {"where": where, "state": "leaving"}
+    )
+    time.sleep(7)
+
+
+@then("they got no new work later than {limit:d} ms after they said so")
+def check_left(context, limit):
+    after = [
+        run["started"] - context.out_at
+        for run in context.deployment.record()
+        if run["address"] in context.left
+    ]
+    assert min(after) < 0, "they had work before"
+    assert max(after) <= limit / 1000, max(after)
+    print(f"last new work {1000 * max(after):.0f} ms after")
+
+
+@when("all backend servers restart at once")
+def restart_all_servers(context):
+    changes = {"instance": "restarted", "cold_runs": 10, "state": "ready"}
+    context.deployment.ask_servers("/set", changes)
+
+
+@then("all new instances are known within {seconds:d} s")
+def check_instances(context, seconds):
+    deployment_lib.wait_for(
+        lambda: (
+            [t["instance"] for t in _list_targets(context).values()]
+            == ["restarted"] * 9
+        ),
+        seconds,
+        "all new instances are known",
+    )
+
+
+@when("the process of {name} is killed")
+def kill_entry(context, name):
+    context.killed = name
+    context.deployment.entries[name].kill()
+
+
+@then("all targets have an owner that runs within {seconds:d} s")
+def check_owners(context, seconds):
+    deployment = context.deployment
+
+    def are_owned():
+        owned = [
+            deployment.dump_entry(name)["owned"]
+            for name in deployment.entries
+            if name != context.killed
+        ]
+        return sum(map(len, owned)) == 9
+
+    deployment_lib.wait_for(are_owned, seconds, "all have an owner")
+
+
+@then("{seconds:d} s later no target is forgotten")
+def check_kept(context, seconds):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        targets = _list_targets(context)
+        assert len(targets) == 9, sorted(targets)
+        time.sleep(0.5)
--- a/features/steps/freshness.py
+++ b/features/steps/freshness.py
@@ -56,7 +56,7 @@
     assert got.status_code == 503, got.text
 
 
-@when("all faults end")
+@when("the relays pass all bytes again")
 def heal(context):
     context.deployment.relays.heal()
 
--- a/features/steps/take_out.py
+++ b/features/steps/take_out.py
@@ -90,12 +90,12 @@
     _bring_back(context, data_centre)
 
 
-@when("{name} is frozen")
+@when("the process of {name} is frozen")
 def freeze(context, name):
     context.deployment.entries[name].freeze()
 
 
-@when("{name} runs again")
+@when("the process of {name} runs again")
 def thaw(context, name):
     context.deployment.entries[name].thaw()
 
@@ -106,13 +106,13 @@
         context.deployment.relays.inject("silence", name, control)
 
 
-@when("the control leader is killed")
+@when("the VM that leads control is killed")
 def kill_leader(context):
     deployment = context.deployment
     deployment.controls[deployment.leader()].kill()
 
 
-@when("{seconds:d} s pass")
+@when("{seconds:d} s have passed")
 def let_pass(context, seconds):
     context.passed_s = seconds
     time.sleep(seconds)
--- a/features/take_out.feature
+++ b/features/take_out.feature
@@ -11,11 +11,11 @@
   @fixture.small
   Scenario: The entry that owns the targets is frozen at that moment
     Given 6 callers that send lookups and bookings through all entries
-    When entry-1 is frozen
+    When the process of entry-1 is frozen
     And brest is taken out
-    And 6 s pass
-    And entry-1 runs again
-    And 2 s pass
+    And 6 s have passed
+    And the process of entry-1 runs again
+    And 2 s have passed
     Then brest got no new work later than 5000 ms after it was taken out
 
   @fixture.small_relayed
@@ -23,15 +23,15 @@
     Given 6 callers that send lookups and bookings through all entries
     When entry-1 is cut off from control
     And brest is taken out
-    And 7 s pass
+    And 7 s have passed
     Then brest got no new work later than 5000 ms after it was taken out
 
   @fixture.small
   Scenario: The control leader is killed at that moment
     Given 6 callers that send lookups and bookings through all entries
-    When the control leader is killed
+    When the VM that leads control is killed
     And brest is taken out
-    And 7 s pass
+    And 7 s have passed
     Then brest got no new work later than 5000 ms after it was taken out
 
   @fixture.small
