--- a/features/announcements.feature
+++ b/features/announcements.feature
@@ -47,6 +47,6 @@
     Then all new instances are known within 10 s
 
   Scenario: The announcements find the new owner where the old one is killed
-    When the process of entry-1 is killed
+    When a kill ends the entry entry-1
     Then all targets have an owner that runs within 10 s
     And 20 s later no target is forgotten
--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -17,7 +17,7 @@
 
   @fixture.small
   Scenario: The control group has lost its majority
-    When two control VMs are killed
+    When a kill ends two control VMs
     And 5 s have passed
     And a lookup is sent to dossier
     Then it ended as "not-run" with status 503
--- a/features/steps/announcements.py
+++ b/features/steps/announcements.py
@@ -167,7 +167,7 @@
     )
 
 
-@when("the process of {name} is killed")
+@when("a kill ends the entry {name}")
 def kill_entry(context, name):
     context.killed = name
     context.deployment.entries[name].kill()
--- a/features/steps/freshness.py
+++ b/features/steps/freshness.py
@@ -81,7 +81,7 @@
     assert not told & ran, told & ran
 
 
-@when("two control VMs are killed")
+@when("a kill ends two control VMs")
 def kill_two(context):
     for name in list(context.deployment.controls)[:2]:
         context.deployment.controls[name].kill()
--- a/features/steps/take_out.py
+++ b/features/steps/take_out.py
@@ -90,12 +90,12 @@
     _bring_back(context, data_centre)
 
 
-@when("the process of {name} is frozen")
+@when("a freeze of {name} begins")
 def freeze(context, name):
     context.deployment.entries[name].freeze()
 
 
-@when("the process of {name} runs again")
+@when("a freeze of {name} ends")
 def thaw(context, name):
     context.deployment.entries[name].thaw()
 
@@ -106,7 +106,7 @@
         context.deployment.relays.inject("silence", name, control)
 
 
-@when("the VM that leads control is killed")
+@when("a kill ends the VM that leads control")
 def kill_leader(context):
     deployment = context.deployment
     deployment.controls[deployment.leader()].kill()
--- a/features/take_out.feature
+++ b/features/take_out.feature
@@ -11,10 +11,10 @@
   @fixture.small
   Scenario: The entry that owns the targets is frozen at that moment
     Given 6 callers that send lookups and bookings through all entries
-    When the process of entry-1 is frozen
+    When a freeze of entry-1 begins
     And brest is taken out
     And 6 s have passed
-    And the process of entry-1 runs again
+    And a freeze of entry-1 ends
     And 2 s have passed
     Then brest got no new work later than 5000 ms after it was taken out
 
@@ -29,7 +29,7 @@
   @fixture.small
   Scenario: The control leader is killed at that moment
     Given 6 callers that send lookups and bookings through all entries
-    When the VM that leads control is killed
+    When a kill ends the VM that leads control
     And brest is taken out
     And 7 s have passed
     Then brest got no new work later than 5000 ms after it was taken out
--- a/src/cardamomkeel/callers/addresses.py
+++ b/src/cardamomkeel/callers/addresses.py
@@ -1,5 +1,6 @@
 """Which entries callers of a service should connect to."""
 
+import dataclasses
 import random
 
 from cardamomkeel.routing import messages
@@ -7,6 +8,7 @@
 from cardamomkeel.wire import control_pb2
 
 MAX_ADDRESSES = 6
+REMEDY = "send it to another entry, with the same key where it has one"
 
 
 def get_addresses(
@@ -52,19 +54,20 @@
     return not entry.leaving and not view.is_data_centre_out(entry.data_centre)
 
 
-def refuse_stale(others: list[str]) -> messages.Ended:
+def refuse_stale(others: list[str], may_have_run: bool) -> messages.Ended:
     """Returns the end of a request at an entry that is not fresh.
 
     Args:
         others: Addresses of other entries, as this one last knew them.
+        may_have_run: Whether the request may have been sent before.
     """
-    return messages.not_run(
-        "this entry can't confirm its settings", tell_others(others)
-    )
+    ended = messages.not_fresh(may_have_run)
+    error = dataclasses.replace(ended.error, remedy=tell_others(others))
+    return dataclasses.replace(ended, error=error)
 
 
 def tell_others(others: list[str]) -> str:
     """Returns what to do where an entry is not fresh."""
     if not others:
-        return "send it to another entry"
-    return "send it to another entry: " + ", ".join(others)
+        return REMEDY
+    return f"{REMEDY}: " + ", ".join(others)
--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -51,7 +51,7 @@
             logger.info("a caller left before its request was whole")
 
     async def _serve(self, scope, receive, send) -> None:
-        path = scope["path"]
+        path = scope["raw_path"].decode("ascii")
         if path.startswith(requests.PREFIX):
             await self._call(scope, receive, send)
         elif path == "/v1/addresses":
@@ -71,7 +71,9 @@
         named = [(decisions_lib.REQUEST_ID, request_id.encode())]
         if not self.session.is_fresh():
             service, _ = requests.split_path(scope, requests.PREFIX)
-            ended = addresses.refuse_stale(self._list_others())
+            ended = addresses.refuse_stale(
+                self._list_others(), requests.may_be_repeat(scope)
+            )
             self.decisions.note(request_id, service, ended, started)
             await answers.send_ended(send, ended, scope["method"], more=named)
             return
--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -29,6 +29,8 @@
         messages.DEADLINE,
         messages.DEPTH,
         messages.EXCLUDE,
+        messages.SESSION,
+        messages.ATTEMPT,
     ]
 )
 
@@ -49,13 +51,15 @@
 
 
 def split_path(scope: Scope, prefix: str) -> tuple[str, str]:
-    """Returns the service and the path that a request names."""
-    rest = scope["path"][len(prefix) :]
-    service, _, path = rest.partition("/")
-    raw = scope.get("raw_path") or scope["path"].encode()
-    tail = raw.decode("latin-1").partition(prefix + service)[2]
-    path = tail.partition("?")[0] or "/" + path
-    query = scope.get("query_string", b"").decode("latin-1")
+    """Returns the service and the path that a request names.
+
+    Both are taken as they came: what is encoded stays encoded, so that the
+    service is the one that the caller wrote and nothing else.
+    """
+    raw = scope["raw_path"].decode("ascii")
+    service, slash, path = raw[len(prefix) :].partition("/")
+    path = slash + path or "/"
+    query = scope["query_string"].decode("ascii")
     return service, f"{path}?{query}" if query else path
 
 
@@ -105,6 +109,13 @@
     return service.idempotent or method in ("GET", "HEAD")
 
 
+def may_be_repeat(scope: Scope) -> bool:
+    """Tells whether a request with this key may have been sent before."""
+    if not get_header(scope, messages.IDEMPOTENCY_KEY):
+        return False
+    return get_header(scope, messages.ATTEMPT) != b"1"
+
+
 def make_fingerprint(
     service: str, method: str, path: str, body: bytes
 ) -> bytes:
@@ -158,6 +169,7 @@
             idempotent=is_idempotent(service, scope["method"]),
             key=key.unwrap(),
             fingerprint=make_fingerprint(name, scope["method"], path, body),
+            is_first=get_header(scope, messages.ATTEMPT) == b"1",
         )
     )
 
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -220,7 +220,7 @@
     operators = operators_app.OperatorsApp(
         secret, entry.metrics, entry.dump, entry.explain.handlers()
     )
-    entries = entries_app.EntriesApp(entry.owner, entry.clk)
+    entries = entries_app.EntriesApp(entry.owner, entry.session, entry.clk)
     count = entry.in_flight.wrap
     cfg = entry.cfg
     return [
--- a/src/cardamomkeel/operators/changes.py
+++ b/src/cardamomkeel/operators/changes.py
@@ -12,7 +12,7 @@
 from cardamomkeel import errors
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.operators import app as app_lib
-from cardamomkeel.operators import bodies
+from cardamomkeel.operators import validation
 from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
@@ -21,6 +21,8 @@
 COMMIT_TIMEOUT_MS = 5000.0
 PROGRESS_PAUSE_MS = 50.0
 
+_validate = validation.validate
+
 
 class Apply(process.Strict):
     """A new settings text."""
@@ -78,7 +80,7 @@
 
     async def apply(self, body: app_lib.Body) -> result.Result:
         """Replaces the settings text."""
-        asked = bodies.validate(Apply, body)
+        asked = validation.validate(Apply, body)
         if not isinstance(asked, result.Success):
             return asked
         change = asked.unwrap()
@@ -94,7 +96,7 @@
 
     async def take_out(self, body: app_lib.Body) -> result.Result:
         """Takes a data centre or a backend server out of service."""
-        asked = bodies.validate(Out, body)
+        asked = validation.validate(Out, body)
         if not isinstance(asked, result.Success):
             return asked
         out = asked.unwrap()
@@ -107,7 +109,7 @@
 
     async def bring_back(self, body: app_lib.Body) -> result.Result:
         """Brings a data centre or a backend server back into service."""
-        asked = bodies.validate(Out, body)
+        asked = validation.validate(Out, body)
         if not isinstance(asked, result.Success):
             return asked
         fields = asked.unwrap().model_dump(exclude={"force"})
@@ -118,7 +120,7 @@
 
     async def wait(self, body: app_lib.Body) -> result.Result:
         """Waits until a version is in force everywhere."""
-        asked = bodies.validate(Wait, body)
+        asked = validation.validate(Wait, body)
         if not isinstance(asked, result.Success):
             return asked
         wait = asked.unwrap()
--- a/src/cardamomkeel/operators/explain.py
+++ b/src/cardamomkeel/operators/explain.py
@@ -8,7 +8,7 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.operators import app as app_lib
-from cardamomkeel.operators import bodies
+from cardamomkeel.operators import validation
 from cardamomkeel.policy import outs
 from cardamomkeel.routing import decisions as decisions_lib
 from cardamomkeel.routing import owner as owner_lib
@@ -112,7 +112,7 @@
 
     async def explain(self, body: app_lib.Body) -> result.Result:
         """Explains a request or a target."""
-        asked = bodies.validate(Asked, body)
+        asked = validation.validate(Asked, body)
         if not isinstance(asked, result.Success):
             return asked
         if asked.unwrap().target:
--- a/src/cardamomkeel/operators/bodies.py
+++ b/src/cardamomkeel/operators/validation.py
@@ -1,4 +1,4 @@
-"""Checks the bodies of operators' calls."""
+"""Checks of what operators' calls carry."""
 
 import typing
 
@@ -6,14 +6,13 @@
 from returns import result
 
 from cardamomkeel import errors
-
-Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
+from cardamomkeel.operators import app as app_lib
 
 
 def validate(
-    model: type[Model], body: dict[str, typing.Any]
-) -> result.Result[Model, errors.Error]:
-    """Returns a body as a model."""
+    model: type[pydantic.BaseModel], body: app_lib.Body
+) -> result.Result[typing.Any, errors.Error]:
+    """Returns the body as a model, or the first thing wrong with it."""
     try:
         return result.Success(model.model_validate(body))
     except pydantic.ValidationError as exc:
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -275,6 +275,7 @@
         return messages.not_run(
             f"no slot for {req.service} before the deadline",
             "send it again, or allow a later deadline",
+            messages.Sign.FULL,
         )
 
     def _refuse(
@@ -283,7 +284,9 @@
         """Refuses what could only wait in vain."""
         if queue.is_full():
             return messages.not_run(
-                f"the queue of {req.service} is full", "send it again later"
+                f"the queue of {req.service} is full",
+                "send it again later",
+                messages.Sign.FULL,
             )
         candidates = [owned.candidate for owned in self._usable(req.service)]
         slots = sum(candidate.slots.limit for candidate in candidates)
@@ -298,6 +301,7 @@
             f"{req.service} has a wait of {wait_ms:.0f} ms and answers in "
             f"{latency_ms:.0f} ms; {max(left, 0):.0f} ms are left",
             "send it again, or allow a later deadline",
+            messages.Sign.FULL,
         )
 
     def _grant(self, waiter: _Waiter, queue: waiting.Queue[_Waiter]) -> None:
