--- a/src/cardamomkeel/callers/addresses.py
+++ b/src/cardamomkeel/callers/addresses.py
@@ -1,6 +1,5 @@
 """Which entries callers of a service should connect to."""
 
-import dataclasses
 import random
 
 from cardamomkeel.routing import messages
@@ -8,7 +7,6 @@
 from cardamomkeel.wire import control_pb2
 
 MAX_ADDRESSES = 6
-REMEDY = "send it to another entry, with the same key where it has one"
 
 
 def get_addresses(
@@ -61,13 +59,11 @@
         others: Addresses of other entries, as this one last knew them.
         may_have_run: Whether the request may have been sent before.
     """
-    ended = messages.not_fresh(may_have_run)
-    error = dataclasses.replace(ended.error, remedy=tell_others(others))
-    return dataclasses.replace(ended, error=error)
+    return messages.not_fresh(may_have_run, tell_others(others))
 
 
 def tell_others(others: list[str]) -> str:
     """Returns what to do where an entry is not fresh."""
     if not others:
-        return REMEDY
-    return f"{REMEDY}: " + ", ".join(others)
+        return "send it to another entry"
+    return "send it to another entry: " + ", ".join(others)
--- a/src/cardamomkeel/operators/changes.py
+++ b/src/cardamomkeel/operators/changes.py
@@ -12,7 +12,7 @@
 from cardamomkeel import errors
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.operators import app as app_lib
-from cardamomkeel.operators import validation
+from cardamomkeel.operators import bodies
 from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services
@@ -21,8 +21,6 @@
 COMMIT_TIMEOUT_MS = 5000.0
 PROGRESS_PAUSE_MS = 50.0
 
-_validate = validation.validate
-
 
 class Apply(process.Strict):
     """A new settings text."""
@@ -80,7 +78,7 @@
 
     async def apply(self, body: app_lib.Body) -> result.Result:
         """Replaces the settings text."""
-        asked = validation.validate(Apply, body)
+        asked = bodies.validate(Apply, body)
         if not isinstance(asked, result.Success):
             return asked
         change = asked.unwrap()
@@ -96,7 +94,7 @@
 
     async def take_out(self, body: app_lib.Body) -> result.Result:
         """Takes a data centre or a backend server out of service."""
-        asked = validation.validate(Out, body)
+        asked = bodies.validate(Out, body)
         if not isinstance(asked, result.Success):
             return asked
         out = asked.unwrap()
@@ -109,7 +107,7 @@
 
     async def bring_back(self, body: app_lib.Body) -> result.Result:
         """Brings a data centre or a backend server back into service."""
-        asked = validation.validate(Out, body)
+        asked = bodies.validate(Out, body)
         if not isinstance(asked, result.Success):
             return asked
         fields = asked.unwrap().model_dump(exclude={"force"})
@@ -120,7 +118,7 @@
 
     async def wait(self, body: app_lib.Body) -> result.Result:
         """Waits until a version is in force everywhere."""
-        asked = validation.validate(Wait, body)
+        asked = bodies.validate(Wait, body)
         if not isinstance(asked, result.Success):
             return asked
         wait = asked.unwrap()
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -220,6 +220,9 @@
     _print(_call(at, secret_file, "/dump", {}))
 
 
+resolutions.add_commands(app, _call, _print, At, SecretFile)
+
+
 @app.command()
 def entries(at: At, secret_file: SecretFile) -> None:
     """Lists the entries."""
@@ -257,9 +260,6 @@
     print(page.render(), end="")
 
 
-resolutions.add_commands(app, _call, _print, At, SecretFile)
-
-
 def main() -> None:
     """Runs the command line."""
     app()
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -151,17 +151,18 @@
 )
 
 
-def not_fresh(may_have_run: bool) -> Ended:
+def not_fresh(
+    may_have_run: bool,
+    remedy: str = "send it to another entry, with the same key if it has one",
+) -> Ended:
     """Returns the end of a request at an entry whose lease ran out.
 
     Args:
         may_have_run: Whether the request may have been sent before, so that
             only its claim could tell whether it ran.
+        remedy: What the caller can do.
     """
-    ended = not_run(
-        "this entry can't confirm its settings",
-        "send it to another entry, with the same key where it has one",
-    )
+    ended = not_run("this entry can't confirm its settings", remedy)
     if may_have_run:
         return dataclasses.replace(ended, outcome=Outcome.UNKNOWN)
     return ended
