--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -11,10 +11,13 @@
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.routing import messages
 
-# A request that may run once goes over a connection heard of this lately.
+# A request that may run only once, and a retry, go over connections that
+# were heard from this lately.
 PROVEN_MS = 250.0
-# A connection without any answer for so long is taken for silent.
-SILENT_MS = 1000.0
+# A connection without any answer for so long is taken for silent. Other
+# entries get more time: they find out about their own connections first.
+SILENT_MS = 500.0
+SILENT_ENTRY_MS = 1000.0
 # A connection that was opened this lately can't have gone silent yet.
 NEW_MS = 50.0
 # How long the other side may take to close a cancelled request.
@@ -27,8 +30,14 @@
 class PoolClient:
     """A client that keeps connections open, and opens them ahead of need."""
 
-    def __init__(self, reach: dict[str, str], clk: clock.Clock):
+    def __init__(
+        self,
+        reach: dict[str, str],
+        clk: clock.Clock,
+        silent_ms: clock.Millis = SILENT_MS,
+    ):
         self._reach = reach
+        self._silent_ms = silent_ms
         self._clock = clk
         self._pools: dict[str, pool_address.AddressPool] = {}
         self._expire_at = clk.now() + EXPIRE_EVERY_MS
@@ -48,7 +57,7 @@
             return _not_sent("the path or a header can't be passed on")
         pool = self._pool(self._reach.get(address, address))
         heard_after = float("-inf")
-        if not req.idempotent:
+        if req.is_retry or not req.idempotent:
             heard_after = self._clock.now() - PROVEN_MS
         try:
             conn = await pool.borrow(deadline, heard_after)
@@ -74,7 +83,9 @@
         except pool_connection.ProtocolError as exc:
             return _failed(client.FailureKind.BROKEN, str(exc))
         except TimeoutError as exc:
-            await self._give_up(conn)
+            if await self._give_up(conn):
+                # The connection works: it is the other side that is slow.
+                pool.note_latency(self._clock.now() - started)
             return _failed(client.FailureKind.TIMED_OUT, str(exc))
         except asyncio.CancelledError:
             await self._give_up(conn)
@@ -101,7 +112,7 @@
         if now + late_ms < deadline:
             delay_s = clock.seconds(late_ms)
             timers.append(loop.call_later(delay_s, _replace, pool, conn, now))
-        silent_ms = max(late_ms, SILENT_MS)
+        silent_ms = max(late_ms, self._silent_ms)
         # On a new connection a missing answer is the other side's own.
         is_new = now - conn.opened_at < NEW_MS
         if not is_new and now + silent_ms < deadline:
@@ -129,11 +140,11 @@
         if idempotent:
             conn.time_out("the connection is silent")
 
-    async def _give_up(self, conn: pool_connection.Connection) -> None:
-        """Cancels a request; the other side may have seen it by the end."""
+    async def _give_up(self, conn: pool_connection.Connection) -> bool:
+        """Cancels a request; returns whether the other side has seen it."""
         closing = asyncio.ensure_future(conn.close_and_wait(CANCEL_MS))
         try:
-            await asyncio.shield(closing)
+            return await asyncio.shield(closing)
         except asyncio.CancelledError:
             conn.close()
             raise
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -61,6 +61,9 @@
             list(cfg.control.values()), cfg.reach, self.clk
         )
         self.http = pool.PoolClient(cfg.reach, self.clk)
+        self.entries_http = pool.PoolClient(
+            cfg.reach, self.clk, pool.SILENT_ENTRY_MS
+        )
         self.session = session_lib.Session(
             cfg, self.control, self.clk, self._follow
         )
@@ -76,7 +79,7 @@
             cfg.data_centre,
             self.session,
             self.owner,
-            forward.Forwarder(self.http, self.clk),
+            forward.Forwarder(self.entries_http, self.clk),
             claims_lib.Claims(self.session, self.control, self.clk, tasks),
             self.control,
             self.clk,
@@ -150,6 +153,7 @@
         logger.info("runs", callers=cfg.callers_address)
         await stop.wait()
         await entry.http.close()
+        await entry.entries_http.close()
         entry.control.close()
         tasks.cancel_scope.cancel()
 
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -63,6 +63,7 @@
             body=body,
             deadline=self.clk.now() + left,
             depth=depth,
+            is_retry=bool(requests.get_header(scope, messages.EXCLUDE)),
             idempotent=self._is_idempotent(service, scope["method"]),
         )
 
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -61,6 +61,7 @@
         idempotent: Whether it may run more than once.
         key: The idempotency key; empty for none.
         fingerprint: A hash of service, method, path and body.
+        is_retry: Whether an attempt at it has failed before.
     """
 
     service: str
@@ -73,6 +74,7 @@
     idempotent: bool = True
     key: str = ""
     fingerprint: bytes = b""
+    is_retry: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
