--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -146,7 +146,7 @@
         tasks.start_soon(entry.owner.run)
         tasks.start_soon(entry.announcements.run)
         callers = entry.callers_app()
-        entries = entries_app.EntriesApp(entry.owner, entry.clk)
+        entries = entries_app.EntriesApp(entry.owner, entry.session, entry.clk)
         tasks.start_soon(http1.serve, callers, cfg.callers_address, stop)
         tasks.start_soon(http1.serve, entries, cfg.entries_address, stop)
         tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
