Use connections again: the parser forgets keep-alive at the end

llhttp's answer to should_keep_alive is no once a message has ended, so each request opened a connection. Seen in a profile (3,300 connects for 3,300 requests), now read at the end of the header, and tested: the scripted server counts the requests of each connection.

--- a/features/steps/pool_answers.py
+++ b/features/steps/pool_answers.py
@@ -61,19 +61,24 @@
 
     Attributes:
         requests: The heads of the requests that came.
+        used: How many of them came on each connection.
     """
 
     def __init__(self, script: list[bytes]):
         self._script = script
         self.requests: list[bytes] = []
+        self.used: list[int] = []
         self.tasks: set[asyncio.Task] = set()
 
     async def handle(self, reader, writer):
         """Serves one connection."""
         self.tasks.add(asyncio.current_task())
+        self.used.append(0)
+        number = len(self.used) - 1
         try:
             while True:
                 self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                self.used[number] += 1
                 answer = self._script.pop(0) if self._script else OK
                 await self._write(writer, answer)
                 if answer.startswith(LATE) or answer == SILENCE:
@@ -143,3 +148,9 @@
 @then("the server got {count:d} requests")
 def check_requests(context, count):
     assert len(context.scripted.requests) == count, context.scripted.requests
+
+
+@then("the connection was used {word} again")
+def check_reuse(context, word):
+    used_again = max(context.scripted.used) > 1
+    assert used_again == (word != "never"), context.scripted.used
--- a/features/whole_answers_pool.feature
+++ b/features/whole_answers_pool.feature
@@ -6,29 +6,30 @@
     Then the first one ended as "<ended>"
     And the other one got its own answer
     And the server got 2 requests
+    And the connection was used <reused> again
 
     Examples: whole answers
-      | answer                    | method | ended  |
-      | whole                     | POST   | 200 ok |
-      | chunked                   | POST   | 200 ok |
-      | interim                   | POST   | 200 ok |
-      | early hints               | POST   | 200 ok |
-      | no content                | POST   | 204    |
-      | not modified              | GET    | 304    |
-      | last                      | POST   | 200 ok |
-      | surplus                   | POST   | 200 ok |
-      | length of a body left out | HEAD   | 200    |
+      | answer                    | method | ended  | reused |
+      | whole                     | POST   | 200 ok | once   |
+      | chunked                   | POST   | 200 ok | once   |
+      | interim                   | POST   | 200 ok | once   |
+      | early hints               | POST   | 200 ok | once   |
+      | no content                | POST   | 204    | once   |
+      | not modified              | GET    | 304    | once   |
+      | last                      | POST   | 200 ok | never  |
+      | surplus                   | POST   | 200 ok | never  |
+      | length of a body left out | HEAD   | 200    | once   |
 
     Examples: no whole answers
-      | answer            | method | ended     |
-      | cut in the body   | POST   | broken    |
-      | cut in a chunk    | POST   | broken    |
-      | cut after a chunk | POST   | broken    |
-      | cut in the header | POST   | broken    |
-      | without a length  | POST   | broken    |
-      | two lengths       | POST   | broken    |
-      | length and chunks | POST   | broken    |
-      | switched protocol | POST   | broken    |
-      | no HTTP           | POST   | broken    |
-      | nothing           | POST   | timed-out |
-      | late              | POST   | timed-out |
+      | answer            | method | ended     | reused |
+      | cut in the body   | POST   | broken    | never  |
+      | cut in a chunk    | POST   | broken    | never  |
+      | cut after a chunk | POST   | broken    | never  |
+      | cut in the header | POST   | broken    | never  |
+      | without a length  | POST   | broken    | never  |
+      | two lengths       | POST   | broken    | never  |
+      | length and chunks | POST   | broken    | never  |
+      | switched protocol | POST   | broken    | never  |
+      | no HTTP           | POST   | broken    | never  |
+      | nothing           | POST   | timed-out | never  |
+      | late              | POST   | timed-out | never  |
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -166,6 +166,8 @@
         if status < 200:
             return
         self._status = status
+        # The parser forgets this at the end of the message.
+        self._keeps_open = self._parser.should_keep_alive()
         if self._is_head:
             self._complete = True
         elif status not in _NO_BODY and not self._has_length():
@@ -203,6 +205,7 @@
         self._complete = False
         self._surplus = False
         self._heard = False
+        self._keeps_open = False
 
     def _has_length(self) -> bool:
         return any(
@@ -215,7 +218,7 @@
             self._status, self._headers, b"".join(self._body)
         )
         waiter, self._answer = self._answer, None
-        if self._surplus or not self._parser.should_keep_alive():
+        if self._surplus or not self._keeps_open:
             self.close()
         elif self._is_head:
             # This parser still expects the body that HEAD leaves out.
