--- a/features/control_repair.feature
+++ b/features/control_repair.feature
@@ -2,21 +2,21 @@
 
   @fixture.small
   Scenario: A second control VM is lost right after the first was repaired
-    Given control-1 is killed and its data folder wiped
-    When control-1 starts again
+    Given control VM control-1 is killed and its data folder wiped
+    When control VM control-1 starts again
     Then control-1 votes under a new id within 15 s
-    When control-2 is killed
+    When control VM control-2 is killed
     Then a change of the settings is accepted within 10 s
     And every entry has it in force within 6 s
 
   @fixture.small
   Scenario: The vote of a lost disk does not come back by init
-    Given control-1 is killed and its data folder wiped
-    And control-3 is killed
+    Given control VM control-1 is killed and its data folder wiped
+    And control VM control-3 is killed
     When init is run again for control-1
-    And control-1 starts again
+    And control VM control-1 starts again
     Then no change of the settings is accepted for 4 s
-    When control-3 starts again
+    When control VM control-3 starts again
     Then control-1 votes under a new id within 15 s
     And a change of the settings is accepted within 10 s
 
@@ -37,7 +37,7 @@
   Scenario: Operators change the control group
     When an operator removes control-4 and adds it
     Then control-4 is expected
-    Given control-3 is killed
+    Given control VM control-3 is killed
     When an operator removes control-2
     Then that is refused since control-3 does not answer
     When an operator removes control-3
--- a/features/steps/control_repair.py
+++ b/features/steps/control_repair.py
@@ -17,19 +17,19 @@
     return context.deployment.controls[name]
 
 
-@given("{name} is killed and its data folder wiped")
+@given("control VM {name} is killed and its data folder wiped")
 def wipe(context, name):
     control_process(context, name).kill()
     shutil.rmtree(context.deployment.folder / f"{name}-data")
 
 
-@given("{name} is killed")
-@when("{name} is killed")
+@given("control VM {name} is killed")
+@when("control VM {name} is killed")
 def kill_control(context, name):
     control_process(context, name).kill()
 
 
-@when("{name} starts again")
+@when("control VM {name} starts again")
 def start_control(context, name):
     control_process(context, name).start()
 
--- a/src/cardamomkeel/backend_servers/httpx_client.py
+++ b/src/cardamomkeel/backend_servers/httpx_client.py
@@ -35,10 +35,11 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
+        guard: client.Guard = client.NO_GUARD,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         """Sends a request and returns its whole answer."""
         left = deadline - self._clock.now()
-        if left <= 0:
+        if left <= 0 or not guard.may_send():
             return _failed(client.FailureKind.NOT_SENT, "no time is left")
         address = self._reach.get(address, address)
         try:
--- a/src/cardamomkeel/routing/router.py
+++ b/src/cardamomkeel/routing/router.py
@@ -138,6 +138,8 @@
             progress.ended = dataclasses.replace(admission.refused, final=True)
             return progress.ended
         excluded = progress.excluded | admission.avoid
+        if progress.places:
+            req = dataclasses.replace(req, is_retry=True)
         ended = messages.not_run(
             f"no entry owns another target of {req.service}",
             "see with `cardamomkeel show` which backend servers are there",
