--- a/features/environment.py
+++ b/features/environment.py
@@ -64,6 +64,15 @@
     yield from _run(context, shape)
 
 
+@behave.fixture
+def sparse_relayed(context):
+    """Three entries, and one target for each service."""
+    small = deployment_lib.make_small(AR_GWENN_SKOUARN)
+    services = dict.fromkeys(small.services, 1)
+    shape = dataclasses.replace(small, services=services)
+    yield from _run(context, shape, relayed=True)
+
+
 @behave.fixture
 def ar_gwenn_skouarn(context):
     yield from _run(context, AR_GWENN_SKOUARN)
@@ -86,6 +95,7 @@
     "fixture.small_relayed": small_relayed,
     "fixture.small_short_keep": small_short_keep,
     "fixture.many_targets": many_targets,
+    "fixture.sparse_relayed": sparse_relayed,
     "fixture.ar_gwenn_skouarn": ar_gwenn_skouarn,
     "fixture.cart_commons": cart_commons,
     "fixture.folder": folder,
--- /dev/null
+++ b/features/slots_queue.feature
@@ -0,0 +1,51 @@
+Feature: Requests that wait for a slot
+
+  Scenario: Every waiting request gets a slot, and none more than there are
+    Given an owner of a target with 3 slots and a queue for 300 requests
+    When 200 requests of 2 ms each arrive at once
+    Then all 200 were answered and at most 3 ran at a time
+    And no request that got no slot was woken
+
+  Scenario: A slot that is held after a timeout comes free by itself
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When a request times out after 100 ms while another one waits
+    Then the waiting one is answered within 1000 ms of it
+    And at most 1 ran at a time although the timed-out one ran on
+
+  Scenario: A request that is cancelled while it waits takes no slot with it
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When 20 requests wait and every second one is cancelled
+    Then the other 10 are answered
+
+  Scenario: What can't make its deadline is refused at once
+    Given an owner of a target with 3 slots and a queue for 300 requests
+    And its requests take 50 ms
+    When 30 requests wait and one with a deadline of 100 ms arrives
+    Then it ends as not run in less than 50 ms and is told of the wait
+
+  Scenario: A full queue refuses at once
+    Given an owner of a target with 3 slots and a queue for 5 requests
+    When 20 requests of 50 ms each arrive at once
+    Then 8 were answered and the others ended as not run
+
+  Scenario: A lease that runs out while a connection opens stops the request
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When the lease runs out while a connection opens for a request
+    Then nothing was sent and the request ended as not run
+
+  Scenario: The time of a request counts from its first byte
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    When a request of 1000 ms waits 300 ms for its connection
+    Then its slot counts as taken for 1000 ms from the first byte on
+
+  Scenario: Late idempotent requests are sent again, within the budget
+    Given an owner of 3 targets that hedges a share of 0.05
+    When 400 requests are sent, every 50th attempt of which is slow
+    Then fewer than 4 of them took as long as a slow attempt
+    And all were answered, with at most 30 attempts more than requests
+
+  Scenario: Without a share nothing is sent twice
+    Given an owner of 3 targets that hedges a share of 0
+    When 400 requests are sent, every 50th attempt of which is slow
+    Then at least 8 of them took as long as a slow attempt
+    And all were answered, with at most 0 attempts more than requests
--- a/src/cardamomkeel/backend_servers/client.py
+++ b/src/cardamomkeel/backend_servers/client.py
@@ -31,6 +31,32 @@
     message: str
 
 
+class Guard(typing.Protocol):
+    """Follows one request on its way to the other side."""
+
+    def may_send(self) -> bool:
+        """Tells, right before the first byte, whether to send at all."""
+        ...
+
+    def note_over(self) -> None:
+        """Notes that the other side has ended it, though it gave no answer."""
+        ...
+
+
+class NoGuard:
+    """Allows every request."""
+
+    def may_send(self) -> bool:
+        """Allows it."""
+        return True
+
+    def note_over(self) -> None:
+        """Notes nothing."""
+
+
+NO_GUARD = NoGuard()
+
+
 class Client(typing.Protocol):
     """Sends requests over pooled connections."""
 
@@ -40,6 +66,7 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
+        guard: Guard = NO_GUARD,
     ) -> result.Result[messages.Answer, SendFailure]:
         """Sends a request and returns its whole answer.
 
@@ -48,6 +75,8 @@
             req: The request.
             headers: The headers to send; those of the request do not count.
             deadline: When to give up, on the local clock.
+            guard: Asked once a connection is there, right before the first
+                byte; nothing is sent where it says no.
         """
         ...
 
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -67,6 +67,7 @@
         idempotent: Whether it may run more than once.
         key: The idempotency key; empty for none.
         fingerprint: A hash of service, method, path and body.
+        is_retry: Whether an attempt at it has failed before.
         is_first: Whether the caller says that it never sent the key before.
         session: The session that claimed the run; 0 for none.
     """
@@ -81,6 +82,7 @@
     idempotent: bool = True
     key: str = ""
     fingerprint: bytes = b""
+    is_retry: bool = False
     is_first: bool = False
     session: int = 0
 
