--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import anyio
 import loguru
 from returns import result
 
@@ -51,6 +52,7 @@
         req: messages.Request,
         headers: messages.Headers,
         deadline: clock.Millis,
+        guard: client.Guard = client.NO_GUARD,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         """Sends a request and returns its whole answer."""
         if deadline <= self._clock.now():
@@ -68,7 +70,10 @@
             return _not_sent("no connection was opened in time")
         except OSError as exc:
             return _not_sent(repr(exc))
-        return await self._exchange(pool, conn, req, data, deadline)
+        if not guard.may_send():
+            pool.give_back(conn)
+            return _not_sent("the lease ran out before it was sent")
+        return await self._exchange(pool, conn, req, data, deadline, guard)
 
     async def _exchange(
         self,
@@ -77,6 +82,7 @@
         req: messages.Request,
         data: bytes,
         deadline: clock.Millis,
+        guard: client.Guard,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         started = self._clock.now()
         answer = conn.request(data, req.method == "HEAD")
@@ -86,12 +92,12 @@
         except pool_connection.ProtocolError as exc:
             return _failed(client.FailureKind.BROKEN, str(exc))
         except TimeoutError as exc:
-            if await self._give_up(conn):
+            if await self._give_up(conn, guard):
                 # The connection works: it is the other side that is slow.
                 pool.note_latency(self._clock.now() - started)
             return _failed(client.FailureKind.TIMED_OUT, str(exc))
         except asyncio.CancelledError:
-            await self._give_up(conn)
+            await self._give_up(conn, guard)
             raise
         finally:
             for timer in timers:
@@ -144,11 +150,17 @@
         if idempotent:
             conn.time_out("the connection is silent")
 
-    async def _give_up(self, conn: pool_connection.Connection) -> bool:
+    async def _give_up(
+        self, conn: pool_connection.Connection, guard: client.Guard
+    ) -> bool:
         """Cancels a request; returns whether the other side has seen it."""
         closing = asyncio.ensure_future(conn.close_and_wait(CANCEL_MS))
         try:
-            return await asyncio.shield(closing)
+            with anyio.CancelScope(shield=True):
+                seen = await asyncio.shield(closing)
+            if seen:
+                guard.note_over()
+            return seen
         except asyncio.CancelledError:
             conn.close()
             raise
--- a/src/cardamomkeel/callers/answers.py
+++ b/src/cardamomkeel/callers/answers.py
@@ -76,6 +76,7 @@
     ended: messages.Ended,
     method: str,
     forwarded: bool = False,
+    more: messages.Headers | None = None,
 ) -> None:
     """Sends how a request ended.
 
@@ -84,8 +85,9 @@
         ended: How the request ended.
         method: The method of the request.
         forwarded: Whether the other side is an entry.
+        more: Headers to send besides.
     """
-    headers = _describe(ended)
+    headers = _describe(ended) + (more or [])
     if forwarded:
         headers.append((messages.SIGN, ended.sign.value.encode()))
         headers.append((messages.INSTANCE, ended.instance.encode()))
