--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -2,14 +2,14 @@
 Feature: One owner per target, and its slots, whatever happens to the owner
 
   Scenario Outline: No target is overrun when its owner is <fault>
-    Given every target of dossier is warm
-    When long requests fill every slot of dossier
-    And <faults> owners of dossier are <fault>
-    And dossier is under load until every target has another owner
+    Given every target of creneau is warm
+    When long requests fill every slot of creneau
+    And <faults> owners of creneau are <fault>
+    And creneau is under load until every target has another owner
     And the faults end
-    And dossier is under load for 3 s
+    And creneau is under load for 3 s
     Then no backend server ran more than it can bear
-    And every target of dossier answers again within 20 s
+    And every target of creneau answers again within 20 s
 
     Examples:
       | fault                 | faults |
@@ -19,7 +19,7 @@
       | frozen, the next one cut off from control | 2 |
 
   Scenario: No target is overrun while entries restart one after another
-    Given every target of dossier is warm
-    When every entry is restarted in turn while dossier is under load
+    Given every target of creneau is warm
+    When every entry is restarted in turn while creneau is under load
     Then no backend server ran more than it can bear
-    And every target of dossier answers again within 20 s
+    And every target of creneau answers again within 20 s
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import secrets
 import threading
 import time
 
@@ -12,7 +13,8 @@
 from bench import caller as caller_lib
 from bench import deployment as deployment_lib
 
-LATENCY_MS = 5
+# A request counts as stalled at ten times this.
+LATENCY_MS = 40
 # Outlasts the lease, so that a new owner meets the work of the old one.
 LONG_LATENCY_MS = 6000
 LONG_DEADLINE_MS = 9000
@@ -49,7 +51,13 @@
 
 def _call(address, service, deadline_ms):
     caller = caller_lib.Caller([])
-    return caller.call(service, deadline_ms=deadline_ms, address=address)
+    return caller.call(
+        service,
+        "POST",
+        key=secrets.token_hex(8),
+        deadline_ms=deadline_ms,
+        address=address,
+    )
 
 
 @contextlib.contextmanager
