--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -315,8 +315,6 @@
         if path == "/crash":
             self.crash(self.servers[json.loads(body)["address"]])
             return {}
-        if path == "/announcements":
-            return {"count": self.announcements}
         if path == "/set":
             return self._set(json.loads(body))
         return {"error": f"no {method} {path}"}
