Hand leadership over when a control VM stops

Cause: a control leader that stopped left the others to find out by their election timeout, so entries were without a leader for 1 to 2 s and some lost their leases. Ruled out: claims that wait for a leader (they ran through once one was found). Change: the leader asks the voter with the newest log to stand at once; votes for it are not refused because a leader is live.

--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -58,7 +58,7 @@
             grpc_const.Status.UNAVAILABLE, "the group is being formed"
         )
 
-    Vote = Append = InstallSnapshot = Join = _refuse
+    Vote = Append = InstallSnapshot = Join = Stand = _refuse
 
 
 class Formation:
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -29,6 +29,8 @@
 SWEEP_PERIOD_MS = 30_000.0
 BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
+HAND_OVER_MS = 2000.0
+HAND_OVER_STEP_MS = 10.0
 PEER_PAUSE_MS = 100.0
 
 logger = loguru.logger
@@ -247,6 +249,30 @@
             timeout_ms,
         )
 
+    def stand(self, req: control_pb2.StandRequest) -> bool:
+        """Stands for election in place of a leader that stops."""
+        votes = self.handle(self.replica.handle_stand, req)
+        for vote in votes:
+            self._start(self._ask_vote, vote)
+        return bool(votes)
+
+    async def hand_over(self) -> None:
+        """Has another member lead, so that this one can stop."""
+        req = self.replica.hand_over()
+        if req is None:
+            return
+        await self._call_member(
+            req.to, "Stand", req, self._timings.election_least_ms
+        )
+        until = self._clock.now() + HAND_OVER_MS
+        while self.replica.leader in ("", self.replica.id):
+            left = until - self._clock.now()
+            if left <= 0:
+                logger.warning("no other member leads", asked=req.to)
+                return
+            await anyio.sleep(clock.seconds(HAND_OVER_STEP_MS))
+        logger.info("handed over", leader=self.replica.leader)
+
     def _start_senders(self) -> None:
         if not self.replica.is_leader:
             return
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -48,6 +48,12 @@
             )
         )
 
+    async def Stand(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Stands for election in place of a leader that stops."""
+        req = await stream.recv_message()
+        standing = self._node.stand(req)
+        await stream.send_message(control_pb2.StandReply(standing=standing))
+
     async def Join(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Takes a control VM in as a learner."""
         req = await stream.recv_message()
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -147,6 +147,7 @@
         tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
         logger.info("runs", member=node.replica.id)
         await stop.wait()
+        await node.hand_over()
         server.close()
         control.close()
         tasks.cancel_scope.cancel()
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -224,7 +224,7 @@
         self._reset_election(now)
 
     def _start_campaign(
-        self, now: clock.Millis, pre_vote: bool
+        self, now: clock.Millis, pre_vote: bool, handed_over: bool = False
     ) -> list[control_pb2.VoteRequest]:
         self.leader = ""
         self.role = Role.PRE_CANDIDATE if pre_vote else Role.CANDIDATE
@@ -242,11 +242,46 @@
                 last_index=self.last_index,
                 last_term=self.last_term,
                 pre_vote=pre_vote,
+                handed_over=handed_over,
             )
             for voter in members_lib.voters(self.members)
             if voter != self.id
         ]
 
+    def hand_over(self) -> control_pb2.StandRequest | None:
+        """Returns what asks the member with the newest log to stand.
+
+        Returns:
+            None where this replica does not lead, or no other voter has
+            answered it.
+        """
+        voters = set(members_lib.voters(self.members))
+        others = [
+            (progress.match_index, progress.acked_sent_at, member)
+            for member, progress in self.progress.items()
+            if member in voters and progress.match_index > 0
+        ]
+        if not self.is_leader or not others:
+            return None
+        _, _, member = max(others)
+        return control_pb2.StandRequest(
+            to=member, leader=self.id, term=self.term
+        )
+
+    def handle_stand(
+        self, now: clock.Millis, req: control_pb2.StandRequest
+    ) -> list[control_pb2.VoteRequest]:
+        """Stands for election where the leader that is followed asks for it.
+
+        Returns:
+            The vote requests to send; none where it does not stand.
+        """
+        known = (self.id, self.leader, self.term)
+        if (req.to, req.leader, req.term) != known or not self.is_voter:
+            return []
+        self._reset_election(now)
+        return self._start_campaign(now, pre_vote=False, handed_over=True)
+
     def _win(self, now: clock.Millis) -> list[control_pb2.VoteRequest]:
         if self.role is Role.PRE_CANDIDATE:
             return self._start_campaign(now, pre_vote=False)
@@ -286,7 +321,8 @@
             return "the term is old"
         # A live leader is not disturbed by a member that lost sight of it.
         least = self._timings.election_least_ms
-        if self.is_leader or now < self._heard_at + least:
+        is_live = self.is_leader or now < self._heard_at + least
+        if is_live and not req.handed_over:
             return "a leader is live"
         if (req.last_term, req.last_index) < (self.last_term, self.last_index):
             return "the candidate's log is behind"
--- a/src/cardamomkeel/wire/control_grpc.py
+++ b/src/cardamomkeel/wire/control_grpc.py
@@ -30,6 +30,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.JoinRequest, cardamomkeel.wire.control_pb2.JoinReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Stand(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.StandRequest, cardamomkeel.wire.control_pb2.StandReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Greet(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.GreetRequest, cardamomkeel.wire.control_pb2.GreetReply]') -> None:
         pass
@@ -60,6 +64,12 @@
                 cardamomkeel.wire.control_pb2.JoinRequest,
                 cardamomkeel.wire.control_pb2.JoinReply,
             ),
+            '/cardamomkeel.wire.Replication/Stand': grpclib.const.Handler(
+                self.Stand,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomkeel.wire.control_pb2.StandRequest,
+                cardamomkeel.wire.control_pb2.StandReply,
+            ),
             '/cardamomkeel.wire.Replication/Greet': grpclib.const.Handler(
                 self.Greet,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -96,6 +106,12 @@
             cardamomkeel.wire.control_pb2.JoinRequest,
             cardamomkeel.wire.control_pb2.JoinReply,
         )
+        self.Stand = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomkeel.wire.Replication/Stand',
+            cardamomkeel.wire.control_pb2.StandRequest,
+            cardamomkeel.wire.control_pb2.StandReply,
+        )
         self.Greet = grpclib.client.UnaryUnaryMethod(
             channel,
             '/cardamomkeel.wire.Replication/Greet',
