--- a/features/steps/not_run.py
+++ b/features/steps/not_run.py
@@ -19,6 +19,8 @@
 QUIET_S = 2.0
 # By then what is taken out gets no new work.
 OUT_S = 5.0
+# So much of a message is shown.
+MESSAGE_BYTES = 120
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,6 +192,8 @@
     for asked in context.asked:
         told[asked.got.outcome] = told.get(asked.got.outcome, 0) + 1
     print(told)
+    others = [a.got for a in context.asked if a.got.outcome != outcome]
+    print({(got.outcome, got.body[:MESSAGE_BYTES]) for got in others})
     assert told.get(outcome, 0) >= least, told
 
 
