Prove that an owner that is cut off gives no work after its lease

Red with a lease that never runs out at the entry: runs at the lost targets after their take-over. Green: features/ownership.feature, this scenario.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -18,6 +18,14 @@
       | cut off from control  | 1      |
       | frozen, the next one cut off from control | 2 |
 
+  Scenario: An owner that is cut off gives no work once its lease is over
+    Given every target of creneau is warm
+    When 1 owners of creneau are cut off from control
+    And creneau is under load until every target has another owner
+    Then the lost targets got no work since then
+    When the faults end
+    Then every target of creneau answers again within 20 s
+
   Scenario: No target is overrun while entries restart one after another
     Given every target of creneau is warm
     When every entry is restarted in turn while creneau is under load
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -109,6 +109,7 @@
 @given("every target of {service} is warm")
 def warm_up(context, service):
     deployment = context.deployment
+    context.pool = concurrent.futures.ThreadPoolExecutor(1)
     _set_latency(deployment, LATENCY_MS)
     with load(deployment, service):
         deployment_lib.wait_for(
@@ -194,6 +195,7 @@
         context.take_over_s = deployment_lib.wait_for(
             is_taken_over, TAKE_OVER_S, "every target has another owner"
         )
+        context.taken_over_at = time.time()
         # The new owner has to hold back although its queue is full.
         time.sleep(1)
 
@@ -247,3 +249,14 @@
         deployment_lib.wait_for(
             lambda: wanted <= ran(), seconds, "every target answers"
         )
+
+
+@then("the lost targets got no work since then")
+def check_no_work(context):
+    runs = [
+        run
+        for run in context.deployment.record()
+        if run["address"] in context.lost
+        and run["started"] > context.taken_over_at
+    ]
+    assert not runs, runs
