--- a/features/run.py
+++ b/features/run.py
@@ -41,7 +41,7 @@
         raw = report.read()
     features = json.loads(raw) if raw.strip() else []
     scenarios = [
-        (f"{feature['name']}: {element['name']}", element["status"])
+        (f"{feature['name']}: {element['name']}".strip(), element["status"])
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] != "background"
