Tell an empty answer as no answer on the command line

Cause: a control VM that is ending can send a status without a body, and the command line read every answer as JSON and ended with a traceback. Ruled out: nothing else reads answers there. Before: features/operators_client.feature, 0 passed, 1 failed; after: 1 passed, 0 failed.

--- a/src/cardamomkeel/operators/client.py
+++ b/src/cardamomkeel/operators/client.py
@@ -35,7 +35,15 @@
                 "see that it runs, or name others with --at",
             )
             continue
-        answer = got.json()
+        try:
+            answer = got.json()
+        except ValueError:
+            # A process that is ending may send the status alone.
+            failure = errors.UnavailableError(
+                f"{address} gives no answer but status {got.status_code}",
+                "call again, or name others with --at",
+            )
+            continue
         if got.status_code == 200:
             return result.Success(answer)
         failure = errors.ConflictError(answer["message"], answer["remedy"])
