Count only an earlier owner's work as stuck; begin not-run scenarios healthy

Cause: features/not_run.feature failed (0 of 120 answered while an entry was killed): the scenario before it ends all sessions, so every slot counted as taken for the longest deadline, and requests are now refused at once instead of waiting. Ruled out: a false outcome (the check of the truth passed), and slots held for requests that were given up (counting these as free in time made no difference: 14 unknown, 106 not run). Change: only the work of an earlier owner counts as stuck, and each scenario first waits until lookups are answered through every entry; its checks are as they were.

--- a/features/not_run.feature
+++ b/features/not_run.feature
@@ -3,6 +3,7 @@
 
   Background:
     Given backend servers that take 30 ms
+    And lookups of all services are answered through every entry
 
   Scenario Outline: Requests are sent while <fault>
     When 60 requests of each kind are sent while <fault>
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -137,12 +137,10 @@
     def may_free(self, until: clock.Millis) -> bool:
         """Tells whether a slot can come free before a time.
 
-        Work whose end is awaited, and that of an earlier owner, may take its
-        slots for longer than a request can wait.
+        The work of an earlier owner takes its slots to the end of its time;
+        work given here may end at any moment.
         """
-        stuck = sum(work.is_held and work.until > until for work in self.work)
-        if self._residual_until > until:
-            stuck += self._residual
+        stuck = self._residual if self._residual_until > until else 0
         return self.limit > stuck
 
     def resize(self, slots: int, cold_slots: int) -> None:
