Give each of many callers in a test a client of its own

Cause: one of 200 concurrent lookups got ReadError(EBADF) in the test's own HTTP client, which 200 threads shared: a connection was closed under a thread that read from it. Ruled out: an answer cut by an entry (that is a reset or an incomplete read, never a bad descriptor).

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -31,7 +31,9 @@
         self._entries = entries
         self._data_centre = data_centre
         self._kept: dict[str, tuple[float, list[str]]] = {}
-        self._http = httpx.Client(timeout=timeout_s, trust_env=False)
+        self._http = httpx.Client(
+            timeout=timeout_s, trust_env=False, verify=False
+        )
 
     def addresses(self, service: str) -> list[str]:
         """Returns the addresses to use for a service."""
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -7,17 +7,27 @@
 from behave import then
 from behave import when
 
+from bench import caller as caller_lib
+
 
 @when("{count:d} callers each look up a path of their own in {service}")
 def look_up(context, count, service):
     bodies = [f"caller {number}".encode() for number in range(count)]
 
+    addresses = context.caller.addresses(service)
+
+    # A client of their own each: httpx closes connections under a thread that
+    # reads from them where many threads share one.
     def call(number):
-        return context.caller.call(
-            service, "POST", f"/own/{number}", body=bodies[number]
+        own = caller_lib.Caller(addresses)
+        return own.call(
+            service,
+            "POST",
+            f"/own/{number}",
+            body=bodies[number],
+            address=addresses[0],
         )
 
-    context.caller.addresses(service)
     with concurrent.futures.ThreadPoolExecutor(count) as pool:
         context.answers = list(pool.map(call, range(count)))
     context.bodies = bodies
