--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -17,7 +17,6 @@
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
-from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.settings import page
 from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
@@ -42,11 +41,6 @@
 )
 app.add_typer(member_commands.app, name="member")
 
-At = options.At
-SecretFile = options.SecretFile
-_call = options.call
-_fail = options.fail
-_print = options.show
 
 ChangeId = typing.Annotated[
     str, typer.Option(help="Give the same one to resend a change.")
@@ -61,14 +55,12 @@
     at: list[str], secret_file: pathlib.Path, path: str, body: dict
 ) -> dict:
     """Asks the processes named until one knows the answer."""
-    secret = secret_lib.read_secret(secret_file)
-    if not isinstance(secret, result.Success):
-        _fail(secret.failure())
+    secret = options.read_secret(secret_file)
     for address in at:
-        done = client.call([address], secret.unwrap(), path, body)
+        done = client.call([address], secret, path, body)
         if isinstance(done, result.Success):
             return done.unwrap()
-    return _fail(done.failure())
+    return options.fail(done.failure())
 
 
 def _change(
@@ -77,13 +69,15 @@
     """Has a change accepted, and waits for it where asked to."""
     clk = clock.MonotonicClock()
     sent_at = clk.now()
-    done = _call(at, secret_file, path, body)
-    _print(done)
+    done = options.call(at, secret_file, path, body)
+    options.show(done)
     if not wait:
         return
-    waited = _call(at, secret_file, "/v1/wait", {"version": done["version"]})
+    waited = options.call(
+        at, secret_file, "/v1/wait", {"version": done["version"]}
+    )
     waited["took_ms"] = int(clk.now() - sent_at)
-    _print(waited)
+    options.show(waited)
     if not waited["in_force"]:
         raise typer.Exit(STATUS_NOT_IN_FORCE)
 
@@ -91,7 +85,7 @@
 def _read_text(path: pathlib.Path) -> str:
     checked = reader.read_file(path, services.ServicesText)
     if not isinstance(checked, result.Success):
-        _fail(checked.failure())
+        options.fail(checked.failure())
     return path.read_text(encoding="utf-8")
 
 
@@ -120,22 +114,22 @@
     """Checks settings without applying them; status 1 where wrong."""
     checked = reader.read_file(path, MODELS[of])
     if not isinstance(checked, result.Success):
-        _fail(checked.failure())
+        options.fail(checked.failure())
     print(f"{path} is well-formed")
 
 
 @app.command()
 def show(
-    at: At,
-    secret_file: SecretFile,
+    at: options.At,
+    secret_file: options.SecretFile,
     text: typing.Annotated[
         bool, typer.Option("--text", help="Only the settings text.")
     ] = False,
 ) -> None:
     """Shows the configuration in force and who serves it."""
-    answer = _call(at, secret_file, "/v1/show", {})
+    answer = options.call(at, secret_file, "/v1/show", {})
     if not text:
-        _print(answer)
+        options.show(answer)
         return
     for record in answer.get("records", []):
         if "settings" in record:
@@ -145,8 +139,8 @@
 @app.command()
 def apply(
     path: pathlib.Path,
-    at: At,
-    secret_file: SecretFile,
+    at: options.At,
+    secret_file: options.SecretFile,
     base_revision: typing.Annotated[
         int, typer.Option(help="The revision that the change was made from.")
     ],
@@ -168,7 +162,7 @@
     data_centre: str, server: str, change_id: str, operator: str
 ) -> dict:
     if bool(data_centre) == bool(server):
-        _fail(
+        options.fail(
             errors.SettingsError(
                 "name either a data centre or a backend server",
                 "give one of --data-centre and --server",
@@ -184,8 +178,8 @@
 
 @app.command()
 def take_out(
-    at: At,
-    secret_file: SecretFile,
+    at: options.At,
+    secret_file: options.SecretFile,
     data_centre: str = "",
     server: str = "",
     change_id: ChangeId = "",
@@ -201,8 +195,8 @@
 
 @app.command()
 def bring_back(
-    at: At,
-    secret_file: SecretFile,
+    at: options.At,
+    secret_file: options.SecretFile,
     data_centre: str = "",
     server: str = "",
     change_id: ChangeId = "",
@@ -215,32 +209,34 @@
 
 
 @app.command()
-def dump(at: At, secret_file: SecretFile) -> None:
+def dump(at: options.At, secret_file: options.SecretFile) -> None:
     """Shows the state of one process."""
-    _print(_call(at, secret_file, "/dump", {}))
+    options.show(options.call(at, secret_file, "/dump", {}))
 
 
-resolutions.add_commands(app, _call, _print, At, SecretFile)
+resolutions.add_commands(
+    app, options.call, options.show, options.At, options.SecretFile
+)
 
 
 @app.command()
-def entries(at: At, secret_file: SecretFile) -> None:
+def entries(at: options.At, secret_file: options.SecretFile) -> None:
     """Lists the entries."""
-    rows = listings.list_entries(_call(at, secret_file, "/v1/show", {}))
+    rows = listings.list_entries(options.call(at, secret_file, "/v1/show", {}))
     print(listings.render(listings.ENTRY_COLUMNS, rows))
 
 
 @app.command()
-def targets(at: At, secret_file: SecretFile) -> None:
+def targets(at: options.At, secret_file: options.SecretFile) -> None:
     """Lists the backend servers that have announced themselves."""
-    rows = listings.list_targets(_call(at, secret_file, "/v1/show", {}))
+    rows = listings.list_targets(options.call(at, secret_file, "/v1/show", {}))
     print(listings.render(listings.TARGET_COLUMNS, rows))
 
 
 @app.command()
 def explain(
-    at: At,
-    secret_file: SecretFile,
+    at: options.At,
+    secret_file: options.SecretFile,
     request: RequestId = "",
     target: TargetAddress = "",
     version: Version = 0,
@@ -248,10 +244,10 @@
     """Explains a request, a backend server or a late change."""
     if version:
         body = {"version": version, "timeout_ms": 0}
-        _print(_call(at, secret_file, "/v1/wait", body))
+        options.show(options.call(at, secret_file, "/v1/wait", body))
         return
     body = {"request_id": request, "target": target}
-    _print(_call_any(at, secret_file, "/v1/explain", body))
+    options.show(_call_any(at, secret_file, "/v1/explain", body))
 
 
 @app.command()
--- a/src/cardamomkeel/operators/commandline_options.py
+++ b/src/cardamomkeel/operators/commandline_options.py
@@ -34,14 +34,19 @@
     raise typer.Exit(1)
 
 
+def read_secret(path: pathlib.Path) -> str:
+    """Returns the secret, or ends the command with the error."""
+    secret = secret_lib.read_secret(path)
+    if not isinstance(secret, result.Success):
+        fail(secret.failure())
+    return secret.unwrap()
+
+
 def call(
     at: list[str], secret_file: pathlib.Path, path: str, body: dict
 ) -> dict:
     """Calls a process, or ends the command with the error."""
-    secret = secret_lib.read_secret(secret_file)
-    if not isinstance(secret, result.Success):
-        fail(secret.failure())
-    done = client.call(at, secret.unwrap(), path, body)
+    done = client.call(at, read_secret(secret_file), path, body)
     if not isinstance(done, result.Success):
         fail(done.failure())
     return done.unwrap()
