Give two steps of a scenario the names that are defined

Ruled out: a missing step file; the other scenarios of the file use both steps. The checks are as they were.

--- a/features/control_repair.feature
+++ b/features/control_repair.feature
@@ -42,8 +42,8 @@
     Then that is refused since control-3 does not answer
     When an operator removes control-3
     Then the group has the voters control-1 control-2
-    Given control-3 is killed and its data folder wiped
-    When control-3 starts again
+    Given control VM control-3 is killed and its data folder wiped
+    When control VM control-3 starts again
     Then it says that control-3 is not expected within 10 s
     When an operator adds control-3
     Then control-3 votes under a new id within 15 s
