Draw more kinds of faults, and judge what operators were told

What operators were told was not judged at all.

The bench is split into the run, the kinds and the judge.

--- /dev/null
+++ b/bench/fault_kinds.py
@@ -0,0 +1,313 @@
+"""The faults that happen to a deployment under load, by their names.
+
+Each function begins a fault and returns once it is over.
+"""
+
+import json
+import secrets
+import shutil
+import time
+import typing
+
+from bench import caller as caller_lib
+from bench import deployment as deployment_lib
+from bench import fault_judge
+from bench import fault_run
+
+LOOKUPS = "dossier"
+BOOKINGS = "keepsake"
+# Longer than a lease of 3 s, so that a frozen process loses it.
+FREEZE_S = 5.0
+SILENCE_S = 3.0
+LONG_CUT_S = 15.0
+# How long what is out stays out once it must get no work.
+OUT_FOR_S = 2.0
+COLD_RUNS = 10
+CRASH_ATTEMPTS = 8
+MANY_CHANGES = 100
+
+
+def kill_entry(run: fault_run.Run) -> None:
+    """Kills an entry and starts it again."""
+    process = run.pick(run.deployment.entries)
+    process.kill()
+    time.sleep(1)
+    process.start()
+
+
+def freeze_entry(run: fault_run.Run) -> None:
+    """Freezes an entry for longer than its lease."""
+    process = run.pick(run.deployment.entries)
+    process.freeze()
+    time.sleep(FREEZE_S)
+    process.thaw()
+
+
+def kill_leader(run: fault_run.Run) -> None:
+    """Kills the control VM that leads and starts it again."""
+    name = run.deployment.leader() or "control-1"
+    process = run.deployment.controls[name]
+    process.kill()
+    time.sleep(1)
+    process.start()
+
+
+def freeze_leader(run: fault_run.Run) -> None:
+    """Freezes the control VM that leads."""
+    name = run.deployment.leader() or "control-1"
+    process = run.deployment.controls[name]
+    process.freeze()
+    time.sleep(FREEZE_S)
+    process.thaw()
+
+
+def lose_disk(run: fault_run.Run) -> None:
+    """Kills a control VM and starts it with an empty disk."""
+    process = run.pick(run.deployment.controls)
+    process.kill()
+    shutil.rmtree(run.deployment.folder / f"{process.name}-data")
+    process.start()
+
+
+def cut_off_control(run: fault_run.Run) -> None:
+    """Cuts a control VM off silently."""
+    process = run.pick(run.deployment.controls)
+    run.relays.isolate(process.name, "silence")
+    time.sleep(FREEZE_S)
+    run.relays.heal()
+
+
+def cut_off_entry(run: fault_run.Run) -> None:
+    """Cuts an entry off from all control VMs silently."""
+    process = run.pick(run.deployment.entries)
+    for control in run.deployment.controls:
+        run.relays.inject("silence", process.name, control)
+    time.sleep(FREEZE_S)
+    run.relays.heal()
+
+
+def silence_connections(run: fault_run.Run) -> None:
+    """Makes all open connections go silent; new ones work."""
+    run.relays.inject("silence_open", "*", "*")
+    time.sleep(SILENCE_S)
+
+
+def reset_connections(run: fault_run.Run) -> None:
+    """Resets all open connections."""
+    run.relays.inject("reset", "*", "*")
+
+
+def take_out_data_centre(run: fault_run.Run) -> None:
+    """Takes a data centre out and brings it back."""
+    gone = run.rng.choice(run.deployment.shape.data_centres)
+    try:
+        done = run.deployment.take("/v1/take-out", gone)
+    except TimeoutError:
+        return
+    if "revision" not in done:
+        return
+    since = time.time()
+    time.sleep(fault_judge.OUT_WITHIN_S + OUT_FOR_S)
+    servers = run.deployment.ask_servers("/servers")
+    addresses = frozenset(
+        s["address"] for s in servers if s["data_centre"] == gone
+    )
+    run.outs.append(fault_run.Out(gone, addresses, since, time.time()))
+    run.deployment.take("/v1/bring-back", gone)
+
+
+def make_cold(run: fault_run.Run) -> None:
+    """Lets backend servers start anew without warning."""
+    addresses = [a for s in run.deployment.server_addresses.values() for a in s]
+    for address in run.rng.sample(addresses, 3):
+        run.deployment.ask_servers("/crash", {"address": address})
+        time.sleep(0.3)
+
+
+def fall_cold(run: fault_run.Run) -> None:
+    """Lets backend servers fall into cold start without any sign of it."""
+    addresses = [a for s in run.deployment.server_addresses.values() for a in s]
+    for address in run.rng.sample(addresses, 3):
+        run.falls[address] = run.falls.get(address, 0) + 1
+        run.set_server(address, cold_runs=COLD_RUNS)
+        time.sleep(0.3)
+
+
+def slow_down(run: fault_run.Run) -> None:
+    """Makes one backend server much slower for a while."""
+    address = run.pick_server(LOOKUPS)
+    run.set_server(address, latency_ms=300)
+    time.sleep(SILENCE_S)
+    run.set_server(address, latency_ms=5)
+
+
+def fail_fast(run: fault_run.Run) -> None:
+    """Makes one backend server fail every request at once for a while."""
+    address = run.pick_server(LOOKUPS)
+    run.set_server(address, fail_fast=True)
+    time.sleep(SILENCE_S)
+    run.set_server(address, fail_fast=False)
+
+
+def shed_load(run: fault_run.Run) -> None:
+    """Makes one backend server refuse every request for a while."""
+    address = run.pick_server(BOOKINGS)
+    run.set_server(address, shed=True)
+    time.sleep(SILENCE_S)
+    run.set_server(address, shed=False)
+
+
+def drain(run: fault_run.Run) -> None:
+    """Lets a backend server announce that it drains, then serve again."""
+    address = run.pick_server(BOOKINGS)
+    before = run.deployment.ask_servers("/announcements")["count"]
+    run.set_server(address, state="draining")
+    # Accepted once an entry has answered the announcement.
+    deployment_lib.wait_for(
+        lambda: _is_known_to_drain(run, address),
+        fault_run.HEAL_WITHIN_S,
+        f"an announcement after {before} is accepted",
+    )
+    since = time.time()
+    time.sleep(fault_judge.OUT_WITHIN_S + OUT_FOR_S)
+    out = fault_run.Out(address, frozenset([address]), since, time.time())
+    run.outs.append(out)
+    run.set_server(address, state="ready")
+
+
+def _is_known_to_drain(run: fault_run.Run, address: str) -> bool:
+    shown = run.deployment.operate("/v1/show", {})
+    return any(
+        record["target"].get("state") == "draining"
+        for record in shown["records"]
+        if record.get("target", {}).get("address") == address
+    )
+
+
+def crash_by_request(run: fault_run.Run) -> None:
+    """Sends a request again and again that crashes what runs it."""
+    path = f"/crash/{run.rng.getrandbits(48):x}"
+    run.crashing.append(path)
+    entries = list(run.deployment.callers_addresses.values())
+    caller = caller_lib.Caller(entries, "", fault_run.CALLER_TIMEOUT_S)
+    for number in range(CRASH_ATTEMPTS):
+        caller.call(
+            LOOKUPS,
+            path=path,
+            deadline_ms=fault_run.DEADLINE_MS,
+            address=entries[number % len(entries)],
+        )
+        time.sleep(fault_run.ATTEMPT_PAUSE_S)
+
+
+def _make_text(run: fault_run.Run, queue: int) -> str:
+    text = json.loads(run.deployment.shape.text)
+    text["services"][LOOKUPS]["queue"] = queue
+    return json.dumps(text)
+
+
+def _apply(run: fault_run.Run, text: str, base: int, change_id: str) -> dict:
+    """Applies a text; an operator who gets no answer knows nothing."""
+    try:
+        done = run.deployment.apply(text, base, change_id)
+    except TimeoutError:
+        return {}
+    if "revision" in done:
+        accepted = fault_run.Accepted(int(done["revision"]), text)
+        run.accepted.append(accepted)
+    return done
+
+
+def race_operators(run: fault_run.Run) -> None:
+    """Lets two operators apply different texts, and send them again."""
+    base, _ = fault_judge.show_settings(run.deployment)
+    results = []
+    for queue in (63, 65):
+        text = _make_text(run, queue)
+        change_id = secrets.token_hex(8)
+        first = _apply(run, text, base, change_id)
+        again = _apply(run, text, base, change_id)
+        if "revision" in first and first["revision"] != again.get("revision"):
+            run.broken.append(f"{first}, sent again: {again}")
+        results.append(first)
+    accepted = [done for done in results if "revision" in done]
+    if len(accepted) > 1:
+        run.broken.append(f"both operators won: {accepted}")
+
+
+def change_often(run: fault_run.Run) -> None:
+    """Restarts a control VM and an entry after many changes."""
+    for number in range(MANY_CHANGES):
+        base, _ = fault_judge.show_settings(run.deployment)
+        text = _make_text(run, 50 + number % 20)
+        _apply(run, text, base, secrets.token_hex(8))
+    for group in (run.deployment.controls, run.deployment.entries):
+        process = run.pick(group)
+        process.kill()
+        process.start()
+
+
+def cut_off_control_long(run: fault_run.Run) -> None:
+    """Cuts a control VM off for long, while the settings change."""
+    process = run.pick(run.deployment.controls)
+    run.relays.isolate(process.name, "silence")
+    until = time.monotonic() + LONG_CUT_S
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        base, _ = fault_judge.show_settings(run.deployment)
+        text = _make_text(run, 30 + number % 20)
+        _apply(run, text, base, secrets.token_hex(8))
+        time.sleep(0.5)
+    run.relays.heal()
+
+
+def lose_second_control(run: fault_run.Run) -> None:
+    """Loses a disk, and another control VM right after the repair."""
+    first, second = run.rng.sample(sorted(run.deployment.controls), 2)
+    process = run.deployment.controls[first]
+    process.kill()
+    shutil.rmtree(run.deployment.folder / f"{first}-data")
+    process.start()
+    deployment_lib.wait_for(
+        lambda: _votes(run, first), fault_run.HEAL_WITHIN_S, f"{first} votes"
+    )
+    process = run.deployment.controls[second]
+    process.kill()
+    time.sleep(SILENCE_S)
+    process.start()
+
+
+def _votes(run: fault_run.Run, name: str) -> bool:
+    dump = run.deployment.dump_control(name)
+    members = dump.get("members", {}).get("members", [])
+    voters = [member["id"] for member in members if member.get("voter")]
+    return dump.get("member") in voters
+
+
+FAULTS: dict[str, typing.Callable[[fault_run.Run], None]] = {
+    fault.__name__: fault
+    for fault in (
+        kill_entry,
+        freeze_entry,
+        kill_leader,
+        freeze_leader,
+        lose_disk,
+        cut_off_control,
+        cut_off_entry,
+        silence_connections,
+        reset_connections,
+        take_out_data_centre,
+        make_cold,
+        fall_cold,
+        slow_down,
+        fail_fast,
+        shed_load,
+        drain,
+        crash_by_request,
+        race_operators,
+        change_often,
+        cut_off_control_long,
+        lose_second_control,
+    )
+}
--- /dev/null
+++ b/bench/fault_run.py
@@ -0,0 +1,210 @@
+"""A deployment under load, and what its callers and operators were told."""
+
+import concurrent.futures
+import dataclasses
+import random
+import secrets
+import threading
+import time
+import typing
+
+from bench import caller as caller_lib
+from bench import deployment as deployment_lib
+from bench import relay
+
+CALLERS = 6
+DEADLINE_MS = 1500
+CALLER_TIMEOUT_S = 3.0
+HEAL_WITHIN_S = 45.0
+BOOKING_ATTEMPTS = 4
+ATTEMPT_PAUSE_S = 0.2
+CALL_PAUSE_S = 0.02
+BEFORE_S = 1.0
+MOST_PAUSE_S = 2.0
+AFTER_S = 2.0
+
+
+@dataclasses.dataclass
+class Booking:
+    """One booking and what its caller was told, attempt by attempt."""
+
+    key: str
+    body: bytes
+    told: list[caller_lib.Got] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Told:
+    """All that callers were told."""
+
+    bookings: list[Booking] = dataclasses.field(default_factory=list)
+    lookups: list[tuple[str, caller_lib.Got]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Out:
+    """Backend servers that were out of service for certain.
+
+    Attributes:
+        name: What was taken out, or says that it drains.
+        addresses: The backend servers.
+        since: When operators were told that it is accepted.
+        until: When it was brought back.
+    """
+
+    name: str
+    addresses: frozenset[str]
+    since: float
+    until: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """A settings text that an operator was told is accepted."""
+
+    revision: int
+    text: str
+
+
+class Run:
+    """One deployment under load while faults happen to it.
+
+    Attributes:
+        deployment: The deployment.
+        relays: Its relays.
+        rng: Draws the faults.
+        told: What callers were told.
+        steps: The faults so far, for the report.
+        outs: What was out of service, and when.
+        accepted: The settings texts that were accepted.
+        falls: How often each backend server fell into cold start without
+            any sign of it.
+        crashing: Paths of requests that crash what runs them.
+        broken: What the faults themselves saw broken.
+    """
+
+    def __init__(
+        self,
+        deployment: deployment_lib.Deployment,
+        relays: relay.Relays,
+        seed: int,
+    ):
+        self.deployment = deployment
+        self.relays = relays
+        self.rng = random.Random(seed)
+        self.told = Told()
+        self.steps: list[str] = []
+        self.outs: list[Out] = []
+        self.accepted: list[Accepted] = []
+        self.falls: dict[str, int] = {}
+        self.crashing: list[str] = []
+        self.broken: list[str] = []
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+
+    def _run_caller(self, number: int) -> None:
+        rng = random.Random(number)
+        data_centres = self.deployment.shape.data_centres
+        caller = caller_lib.Caller(
+            list(self.deployment.callers_addresses.values()),
+            data_centres[number % len(data_centres)],
+            CALLER_TIMEOUT_S,
+        )
+        while not self._stop.is_set():
+            if rng.random() < 0.5:
+                self._look_up(caller, rng)
+            else:
+                self._book(caller, rng)
+            time.sleep(CALL_PAUSE_S)
+
+    def _call(self, caller, rng, **job) -> caller_lib.Got | None:
+        try:
+            addresses = caller.addresses(job["service"])
+        except LookupError:
+            time.sleep(ATTEMPT_PAUSE_S)
+            return None
+        return caller.call(
+            address=rng.choice(addresses), deadline_ms=DEADLINE_MS, **job
+        )
+
+    def _look_up(self, caller, rng) -> None:
+        path = f"/own/{rng.getrandbits(48):x}"
+        got = self._call(caller, rng, service="dossier", path=path)
+        if got is not None:
+            with self._lock:
+                self.told.lookups.append((path, got))
+
+    def _book(self, caller, rng) -> None:
+        key = secrets.token_hex(8)
+        booking = Booking(key, b'{"key": "%s"}' % key.encode())
+        with self._lock:
+            self.told.bookings.append(booking)
+        service = rng.choice(["keepsake", "creneau"])
+        for _ in range(BOOKING_ATTEMPTS):
+            got = self._call(
+                caller,
+                rng,
+                service=service,
+                method="POST",
+                path="/book",
+                key=key,
+                body=booking.body,
+            )
+            if got is not None:
+                booking.told.append(got)
+                if got.outcome == "answered":
+                    return
+            time.sleep(ATTEMPT_PAUSE_S)
+
+    def run(self, faults: list[typing.Callable[["Run"], None]]) -> None:
+        """Keeps callers calling while faults happen one on the other."""
+        workers = CALLERS + len(faults)
+        with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+            callers = [
+                pool.submit(self._run_caller, number)
+                for number in range(CALLERS)
+            ]
+            time.sleep(BEFORE_S)
+            jobs = []
+            for fault in faults:
+                pause = self.rng.uniform(0, MOST_PAUSE_S)
+                self.steps.append(f"{fault.__name__} after {pause:.1f} s")
+                time.sleep(pause)
+                jobs.append(pool.submit(fault, self))
+            try:
+                for job in jobs:
+                    job.result()
+                time.sleep(AFTER_S)
+            finally:
+                self._stop.set()
+            self.relays.heal()
+            for caller in callers:
+                caller.result()
+
+    def pick(self, processes: dict) -> deployment_lib.Process:
+        """Returns any process of a group."""
+        return processes[self.rng.choice(sorted(processes))]
+
+    def pick_server(self, service: str) -> str:
+        """Returns the address of any backend server of a service."""
+        return self.rng.choice(self.deployment.server_addresses[service])
+
+    def set_server(self, address: str, **values: typing.Any) -> None:
+        """Changes how one backend server behaves."""
+        where = {"where": {"address": address}}
+        self.deployment.ask_servers("/set", where | values)
+
+    def wait_healed(self) -> None:
+        """Waits until every entry answers a lookup again."""
+        entries = self.deployment.callers_addresses
+
+        def healed() -> bool:
+            caller = caller_lib.Caller(list(entries.values()), "", 3.0)
+            return all(
+                caller.call("dossier", address=address).outcome == "answered"
+                for address in entries.values()
+            )
+
+        deployment_lib.wait_for(healed, HEAL_WITHIN_S, "all entries answer")
--- a/features/steps/together.py
+++ b/features/steps/together.py
@@ -6,10 +6,10 @@
 from bench import faults as faults_lib
 
 
-@when("{count:d} faults of seed {seed:d} happen under load")
-def happen(context, count, seed):
+@when("{names} happen under load, drawn by seed {seed:d}")
+def happen(context, names, seed):
     seed = int(context.config.userdata.get("seed", seed))
-    context.broken, run = faults_lib.run_seed(seed, count)
+    context.broken, run = faults_lib.run_seed(seed, names.split(","))
     print(f"seed {seed}: {'; '.join(run.steps)}")
     assert run.told.bookings and run.told.lookups
 
