Split the owner into modules with one job each

Behaviour is unchanged; the parts are targets (what is owned), queueing (slots and waiters), attempts (one request to one target), races (second attempts), handover, and classify; owner puts them together.

--- a/src/cardamomkeel/backend_servers/announcements.py
+++ b/src/cardamomkeel/backend_servers/announcements.py
@@ -14,6 +14,7 @@
 from cardamomkeel.policy import measuring
 from cardamomkeel.routing import owner as owner_lib
 from cardamomkeel.routing import session as session_lib
+from cardamomkeel.routing import targets as targets_lib
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
@@ -180,7 +181,7 @@
             every_ms=self._budget.period_ms(said.service),
         )
 
-    def _limit_ms(self, owned: owner_lib.Owned) -> clock.Millis:
+    def _limit_ms(self, owned: targets_lib.Owned) -> clock.Millis:
         """Returns after how long without an announcement a target is gone."""
         period_ms = self._budget.period_ms(owned.record.service)
         return MISSED_ANNOUNCEMENTS * period_ms
--- a/src/cardamomkeel/operators/explain.py
+++ b/src/cardamomkeel/operators/explain.py
@@ -13,6 +13,7 @@
 from cardamomkeel.routing import decisions as decisions_lib
 from cardamomkeel.routing import owner as owner_lib
 from cardamomkeel.routing import session as session_lib
+from cardamomkeel.routing import targets as targets_lib
 from cardamomkeel.settings import process
 
 
@@ -33,7 +34,7 @@
 
     session: session_lib.Session
     target: typing.Any
-    owned: owner_lib.Owned | None
+    owned: targets_lib.Owned | None
     now: clock.Millis
 
     @property
--- /dev/null
+++ b/src/cardamomkeel/routing/attempts.py
@@ -0,0 +1,148 @@
+"""Sends a request to the target whose slot it has, and learns from it."""
+
+import collections.abc
+import dataclasses
+
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.backend_servers import client as client_lib
+from cardamomkeel.policy import slots as slots_lib
+from cardamomkeel.routing import classify
+from cardamomkeel.routing import messages
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.routing import targets as targets_lib
+
+
+@dataclasses.dataclass(frozen=True)
+class _Guard:
+    """Checks the lease right before the first byte of a request.
+
+    A connection may have taken long to open: the lease may be over, and the
+    target counts the allowed time from the first byte on.
+    """
+
+    session: session_lib.Session
+    clk: clock.Clock
+    work: slots_lib.Work
+    allowed_ms: clock.Millis
+
+    def may_send(self) -> bool:
+        """Tells whether this entry still owns the target."""
+        if not self.session.is_fresh():
+            return False
+        self.work.is_sent = True
+        bound_ms = slots_lib.bound_work(self.allowed_ms)
+        self.work.until = self.clk.now() + bound_ms
+        return True
+
+    def note_over(self) -> None:
+        """Notes that the target has seen the end of the connection."""
+        self.work.is_over = True
+
+
+class Attempts:
+    """Makes one attempt at a time at a request.
+
+    Attributes:
+        on_success: Called with the service and the latency of each success.
+        on_end: Called with the service once a slot may have come free.
+    """
+
+    def __init__(
+        self,
+        session: session_lib.Session,
+        targets: targets_lib.Targets,
+        http: client_lib.Client,
+        clk: clock.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._session = session
+        self._targets = targets
+        self._http = http
+        self._clock = clk
+        self._metrics = metrics
+        self.on_success: collections.abc.Callable[[str, clock.Millis], None]
+        self.on_end: collections.abc.Callable[[str], None]
+
+    async def send(
+        self, grant: targets_lib.Grant, req: messages.Request
+    ) -> messages.Ended:
+        """Sends a request and frees its slot once it has ended."""
+        owned, work = grant.owned, grant.work
+        started = self._clock.now()
+        allowed_ms = self._targets.allowed_ms(req)
+        sent = None
+        try:
+            sent = await self._http.send(
+                owned.record.address,
+                req,
+                _make_headers(req, allowed_ms),
+                started + allowed_ms,
+                _Guard(self._session, self._clock, work, allowed_ms),
+            )
+        finally:
+            self._end(owned.candidate.slots, work, sent)
+        ended = classify.classify(sent, owned.record)
+        self._learn(owned, ended, work)
+        self._targets.freed.notify()
+        if owned.candidate.health.is_failing():
+            self._targets.ends_changed.notify()
+        self.on_end(owned.record.service)
+        return ended
+
+    def _end(
+        self,
+        slots: slots_lib.Slots,
+        work: slots_lib.Work,
+        sent: result.Result[messages.Answer, client_lib.SendFailure] | None,
+    ) -> None:
+        """Frees the slot of a request once it has ended for certain."""
+        if isinstance(sent, result.Success) or work.is_over:
+            slots.give_back(work)
+            return
+        self._targets.ends_changed.notify()
+        kind = None if sent is None else sent.failure().kind
+        if kind is client_lib.FailureKind.NOT_SENT or not work.is_sent:
+            slots.give_back(work)
+        elif kind is client_lib.FailureKind.BROKEN:
+            slots.hold(work, self._clock.now() + slots_lib.TRANSIT_MS)
+        else:
+            # The other side may not notice that the connection was closed.
+            slots.hold(work, work.until)
+
+    def _learn(
+        self,
+        owned: targets_lib.Owned,
+        ended: messages.Ended,
+        work: slots_lib.Work,
+    ) -> None:
+        now = self._clock.now()
+        latency_ms = now - work.started
+        timed_out = ended.sign is messages.Sign.TIMED_OUT
+        if timed_out and not owned.candidate.health.shows_timeout(latency_ms):
+            return
+        succeeded = ended.sign is messages.Sign.SUCCESS
+        owned.candidate.health.note(latency_ms, not succeeded, now)
+        if succeeded:
+            self.on_success(owned.record.service, latency_ms)
+            owned.candidate.slots.note_success(work)
+        elif ended.sign is not messages.Sign.SERVER_ERROR:
+            owned.candidate.slots.make_cold()
+        self._metrics.count(
+            "attempts",
+            "Requests given to targets, by what they showed.",
+            service=owned.record.service,
+            sign=ended.sign.value,
+        )
+
+
+def _make_headers(
+    req: messages.Request, allowed_ms: clock.Millis
+) -> messages.Headers:
+    return [
+        *req.headers,
+        (messages.DEADLINE, b"%d" % max(1, int(allowed_ms))),
+        (messages.DEPTH, b"%d" % (req.depth + 1)),
+    ]
--- /dev/null
+++ b/src/cardamomkeel/routing/queueing.py
@@ -0,0 +1,163 @@
+"""Gives slots to requests, and lets those wait that get none at once."""
+
+import dataclasses
+
+import anyio
+
+from cardamomkeel import clock
+from cardamomkeel.policy import waiting
+from cardamomkeel.routing import messages
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.routing import targets as targets_lib
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiter:
+    """A request that has no slot yet."""
+
+    req: messages.Request
+    excluded: frozenset[str]
+    grant: targets_lib.Grant | None = None
+    granted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+_Queue = waiting.Queue[_Waiter]
+
+
+class Queues:
+    """The requests that wait for a slot, by service."""
+
+    def __init__(
+        self,
+        session: session_lib.Session,
+        targets: targets_lib.Targets,
+        clk: clock.Clock,
+    ):
+        self._session = session
+        self._targets = targets
+        self._clock = clk
+        self._queues: dict[str, _Queue] = {}
+
+    def has_waiting(self, service: str) -> bool:
+        """Tells whether a request of a service waits."""
+        return len(self._queue(service)) > 0
+
+    def _queue(self, name: str) -> _Queue:
+        service = self._session.view.get_service(name)
+        queue = self._queues.setdefault(name, waiting.Queue(0))
+        queue.limit = 0 if service is None else service.queue
+        return queue
+
+    async def take(
+        self, req: messages.Request, excluded: frozenset[str]
+    ) -> targets_lib.Grant | messages.Ended | None:
+        """Takes a slot, at once or after a wait.
+
+        Returns:
+            The slot; how the request ended where it could only wait in vain;
+            None where none came free before the deadline.
+        """
+        queue = self._queue(req.service)
+        waiter = _Waiter(req, excluded)
+        if self._session.view.get_service(req.service) is not None:
+            self._grant(waiter, queue)
+        if waiter.grant is not None:
+            return waiter.grant
+        refused = self._refuse(req, queue)
+        if refused is not None:
+            return refused
+        await self._wait(waiter, queue)
+        return waiter.grant
+
+    def _refuse(
+        self, req: messages.Request, queue: _Queue
+    ) -> messages.Ended | None:
+        """Refuses what could only wait in vain."""
+        if queue.is_full():
+            return messages.not_run(
+                f"the queue of {req.service} is full",
+                "send it again later",
+                messages.Sign.FULL,
+            )
+        candidates = [
+            owned.candidate for owned in self._targets.usable(req.service)
+        ]
+        if not any(c.slots.may_free(req.deadline) for c in candidates):
+            return messages.not_run(
+                f"no slot of {req.service} comes free here in time",
+                "send it again later, or to another entry",
+                messages.Sign.FULL,
+            )
+        slots = sum(candidate.slots.limit for candidate in candidates)
+        now = self._clock.now()
+        recent = [c.health.recent_latency(now) for c in candidates]
+        latency_ms = min(filter(None, recent), default=0.0)
+        before = queue.count_before(req.deadline)
+        wait_ms = waiting.estimate_wait(before, slots, latency_ms)
+        left = req.deadline - self._clock.now()
+        if wait_ms + latency_ms <= left:
+            return None
+        return messages.not_run(
+            f"{req.service} has a wait of {wait_ms:.0f} ms and answers in "
+            f"{latency_ms:.0f} ms; {max(left, 0):.0f} ms are left",
+            "send it again, or allow a later deadline",
+            messages.Sign.FULL,
+        )
+
+    def _grant(self, waiter: _Waiter, queue: _Queue) -> None:
+        """Takes a slot for a request where one is free."""
+        if not self._session.is_fresh():
+            return
+        req = waiter.req
+        chosen = self._targets.choose(req.service, waiter.excluded)
+        if chosen is None:
+            return
+        health = chosen.candidate.health
+        allowed_ms = self._targets.allowed_ms(req)
+        # What can't be answered in time would only take a slot.
+        if allowed_ms < health.recent_latency(self._clock.now()):
+            return
+        waiter.grant = self._targets.take(chosen, allowed_ms)
+        queue.remove(waiter)
+        waiter.granted.set()
+
+    def serve(self, service: str) -> None:
+        """Gives free slots to those that wait, and wakes only these."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return
+        for waiter in queue.items():
+            if not self._targets.has_free(service):
+                return
+            self._grant(waiter, queue)
+
+    def serve_all(self) -> None:
+        """Gives free slots of all services to those that wait."""
+        for service in self._queues:
+            self.serve(service)
+
+    async def _wait(self, waiter: _Waiter, queue: _Queue) -> None:
+        """Waits for a slot until the deadline."""
+        req = waiter.req
+        queue.add(waiter, req.deadline)
+        try:
+            while waiter.grant is None and self._may_wait(req):
+                until = min(req.deadline, self._session.lease_until)
+                pause_ms = until - self._clock.now()
+                with anyio.move_on_after(clock.seconds(max(0.0, pause_ms))):
+                    await waiter.granted.wait()
+                    return
+        except BaseException:
+            if waiter.grant is not None:
+                waiter.grant.give_back()
+                self.serve(req.service)
+            raise
+        finally:
+            queue.remove(waiter)
+
+    def _may_wait(self, req: messages.Request) -> bool:
+        return (
+            self._session.is_fresh()
+            and self._targets.has_usable(req.service)
+            and self._clock.now() < req.deadline
+        )
--- /dev/null
+++ b/src/cardamomkeel/routing/targets.py
@@ -0,0 +1,166 @@
+"""The targets that this entry owns: their slots, health and limits."""
+
+import collections.abc
+import dataclasses
+import random
+
+from cardamomkeel import clock
+from cardamomkeel.control import signal
+from cardamomkeel.policy import choose
+from cardamomkeel.policy import slots as slots_lib
+from cardamomkeel.routing import messages
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.wire import control_pb2
+
+
+@dataclasses.dataclass
+class Owned:
+    """One target that this entry owns.
+
+    Attributes:
+        record: What the control group says of it.
+        candidate: Its slots and health.
+        seen_at: When it last announced itself, or became owned.
+        leaving: Whether it is being handed over.
+    """
+
+    record: control_pb2.TargetRecord
+    candidate: choose.Candidate
+    seen_at: clock.Millis
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """A slot that was taken for a request."""
+
+    owned: Owned
+    work: slots_lib.Work
+
+    def give_back(self) -> None:
+        """Frees the slot."""
+        self.owned.candidate.slots.give_back(self.work)
+
+
+class Targets:
+    """Follows what this entry owns, and chooses among it.
+
+    Attributes:
+        owned: The targets, by address.
+        freed: Notified when work has ended.
+        ends_changed: Notified when a slot may come free by time alone.
+    """
+
+    def __init__(
+        self,
+        session: session_lib.Session,
+        clk: clock.Clock,
+        rng: random.Random,
+    ):
+        self._session = session
+        self._clock = clk
+        self._rng = rng
+        self.owned: dict[str, Owned] = {}
+        self.freed = signal.Signal()
+        self.ends_changed = signal.Signal()
+
+    def follow(self) -> list[Owned]:
+        """Takes over what the view says; returns what is to be handed over."""
+        view = self._session.view
+        mine = {
+            address: target
+            for address, target in view.targets.items()
+            if target.owner == self._session.id and self._session.id
+        }
+        for gone in set(self.owned) - set(mine):
+            del self.owned[gone]
+        return [
+            owned
+            for address, target in mine.items()
+            if (owned := self._follow_target(address, target)) is not None
+        ]
+
+    def _follow_target(
+        self, address: str, target: control_pb2.TargetRecord
+    ) -> Owned | None:
+        """Takes over a record; returns the target where it begins to leave."""
+        owned = self.owned.get(address)
+        if owned is None or owned.record.epoch != target.epoch:
+            owned = self._make_owned(target)
+            self.owned[address] = owned
+        slots = owned.candidate.slots
+        slots.announced_cold = target.state == "cold"
+        if owned.record.instance != target.instance or slots.announced_cold:
+            slots.make_cold()
+        owned.record = target
+        self._apply_limits(owned)
+        if not target.next_owner or owned.leaving:
+            return None
+        owned.leaving = True
+        return owned
+
+    def _make_owned(self, target: control_pb2.TargetRecord) -> Owned:
+        now = self._clock.now()
+        slots = slots_lib.Slots(slots=target.slots)
+        slots.inherit(target.residual_slots, now + target.residual_ms)
+        candidate = choose.Candidate(target.address, slots, choose.Health())
+        owned = Owned(target, candidate, seen_at=now)
+        self._apply_limits(owned)
+        slots.make_cold()
+        return owned
+
+    def _apply_limits(self, owned: Owned) -> None:
+        service = self._session.view.get_service(owned.record.service)
+        if service is None:
+            return
+        slots = owned.candidate.slots
+        slots.warm_up_requests = service.warm_up_requests
+        slots.resize(
+            min(owned.record.slots or service.slots, service.slots),
+            service.cold_slots,
+        )
+
+    def usable(self, service: str) -> collections.abc.Iterator[Owned]:
+        """Yields the targets of a service that may get new work."""
+        view = self._session.view
+        for owned in self.owned.values():
+            if owned.record.service != service or owned.leaving:
+                continue
+            if not view.is_out(owned.record):
+                yield owned
+
+    def has_usable(self, service: str) -> bool:
+        """Tells whether this entry owns a usable target of a service."""
+        return any(True for _ in self.usable(service))
+
+    def has_free(self, service: str) -> bool:
+        """Tells whether a usable target of a service has a free slot."""
+        now = self._clock.now()
+        return any(o.candidate.free(now) for o in self.usable(service))
+
+    def choose(self, service: str, excluded: frozenset[str]) -> Owned | None:
+        """Returns the best target with a free slot, or None."""
+        candidates = [owned.candidate for owned in self.usable(service)]
+        chosen = choose.choose(
+            candidates, excluded, self._clock.now(), self._rng
+        )
+        return None if chosen is None else self.owned[chosen.address]
+
+    def take(self, owned: Owned, allowed_ms: clock.Millis) -> Grant:
+        """Takes a slot of a target for a request."""
+        now = self._clock.now()
+        return Grant(owned, owned.candidate.slots.take(now, allowed_ms))
+
+    def allowed_ms(self, req: messages.Request) -> clock.Millis:
+        """Returns how long a request may run from now on."""
+        left = req.deadline - self._clock.now()
+        service = self._session.view.get_service(req.service)
+        if service is None:
+            return left
+        return min(left, service.longest_deadline_ms)
+
+    def next_change(self) -> clock.Millis:
+        """Returns how long until a slot comes free by time alone."""
+        now = self._clock.now()
+        ends = [o.candidate.next_change(now) for o in self.owned.values()]
+        return min(ends, default=float("inf")) - now
