Take three more signs of a fall into cold start

Ruled out: going cold at any unused connection that ends (a server that closes unused connections early would never get warm), and after each quiet second (a service with little work would stay at its cold limit).

Change: the end of the last connection of a target by the target itself is a sign; a target without an answer for a second gets one request until the next answer; an answer may say Cardamomkeel-State: cold.

--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -20,6 +20,7 @@
 import httpx
 
 NOT_RUN_HEADER = "Cardamomkeel-Not-Run"
+STATE_HEADER = "Cardamomkeel-State"
 ANNOUNCE_RETRY_S = 0.2
 
 
@@ -50,6 +51,7 @@
         shed: Whether every request gets the documented shed answer.
         silent: Whether open connections get no answer any more.
         cut: Whether answers end in the middle.
+        tells_state: Whether its answers say whether it is cold.
         announced_slots: The slots it claims to have; 0 for the true number.
     """
 
@@ -67,6 +69,7 @@
     refuse: bool = False
     state: str = "ready"
     announce: bool = True
+    tells_state: bool = False
     announced_slots: int = 0
     instance: str = dataclasses.field(
         default_factory=lambda: secrets.token_hex(4)
@@ -200,7 +203,10 @@
         size = int(self.headers.get("answer-bytes", "0"))
         answer["padding"] = "x" * size
         run.whole = not server.cut
-        self._write(200, json.dumps(answer).encode(), {})
+        headers = {}
+        if server.tells_state and server.cold_runs:
+            headers[STATE_HEADER] = "cold"
+        self._write(200, json.dumps(answer).encode(), headers)
 
     def _write(self, status: int, body: bytes, headers: dict) -> None:
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
--- a/features/cold_start.feature
+++ b/features/cold_start.feature
@@ -15,3 +15,16 @@
     When one target of dossier crashes under load
     And dossier is under load for 3 s
     Then after its first sign the target ran no more than it can bear
+
+  Scenario: Some that restart while they are idle, and can't announce it
+    Given every target of dossier is warm
+    When the targets of dossier announce nothing
+    And every target of dossier crashes while it is idle
+    And 12 requests for dossier are sent at once through each entry
+    Then no backend server ran more than it can bear
+
+  Scenario: Some that fall back while they are idle, and say so in answers
+    Given every target of dossier is warm
+    When every target of dossier falls back and has no work for 1500 ms
+    And 12 requests for dossier are sent at once through each entry
+    Then no backend server ran more than it can bear
--- a/features/steps/cold_start.py
+++ b/features/steps/cold_start.py
@@ -1,15 +1,18 @@
 """Steps about backend servers in cold start."""
 
+import concurrent.futures
 import time
 
 from behave import then
 from behave import when
 
+from bench import caller as caller_lib
 from bench import deployment as deployment_lib
 from features.steps import ownership
 
 # Requests that were on their way when the connections broke.
 SIGN_S = 0.2
+IDLE_COLD_RUNS = 30
 
 
 def _announce(deployment, service, state):
@@ -98,3 +101,53 @@
 def check_no_more_overruns(context):
     assert context.overruns >= 1, "it never fell over"
     assert _server(context)["overruns"] == context.overruns, _server(context)
+
+
+@when("the targets of {service} announce nothing")
+def announce_nothing(context, service):
+    deployment = context.deployment
+    deployment.ask_servers(
+        "/set", {"where": {"service": service}, "announce": False}
+    )
+    # What is on its way to be announced must not come after the crash.
+    time.sleep(SIGN_S)
+    deployment.ask_servers("/clear")
+
+
+@when("every target of {service} crashes while it is idle")
+def crash_all_idle(context, service):
+    for address in context.deployment.server_addresses[service]:
+        context.deployment.ask_servers("/crash", {"address": address})
+    time.sleep(SIGN_S)
+
+
+@when("every target of {service} falls back and has no work for {ms:d} ms")
+def fall_idle(context, service, ms):
+    deployment = context.deployment
+    deployment.ask_servers("/clear")
+    deployment.ask_servers(
+        "/set",
+        {
+            "where": {"service": service},
+            "cold_runs": IDLE_COLD_RUNS,
+            "tells_state": True,
+        },
+    )
+    time.sleep(ms / 1000)
+
+
+@when("{count:d} requests for {service} are sent at once through each entry")
+def send_burst(context, count, service):
+    deployment = context.deployment
+    addresses = list(deployment.callers_addresses.values()) * count
+    with concurrent.futures.ThreadPoolExecutor(len(addresses)) as pool:
+        list(
+            pool.map(
+                lambda address: caller_lib.Caller([]).call(
+                    service, address=address
+                ),
+                addresses,
+            )
+        )
+    where = {"where": {"service": service}}
+    deployment.ask_servers("/set", where | {"announce": True})
--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -1,6 +1,8 @@
 """Sends requests over a connection pool of this project's own."""
 
 import asyncio
+import collections.abc
+import functools
 
 import anyio
 import loguru
@@ -32,7 +34,12 @@
 
 
 class PoolClient:
-    """A client that keeps connections open, and opens them ahead of need."""
+    """A client that keeps connections open, and opens them ahead of need.
+
+    Attributes:
+        on_all_ended: Called with an address that has ended the last unused
+            connection to it, as one that starts anew does.
+    """
 
     def __init__(
         self,
@@ -44,6 +51,7 @@
         self._silent_ms = silent_ms
         self._clock = clk
         self._pools: dict[str, pool_address.AddressPool] = {}
+        self.on_all_ended: collections.abc.Callable[[str], None] = _ignore
         self._expire_at = clk.now() + EXPIRE_EVERY_MS
 
     async def send(
@@ -60,7 +68,7 @@
         data = encode(address, req, headers)
         if data is None:
             return _not_sent("the path or a header can't be passed on")
-        pool = self._pool(self._reach.get(address, address))
+        pool = self._pool(address)
         heard_after = float("-inf")
         if req.is_retry or not req.idempotent:
             heard_after = self._clock.now() - PROVEN_MS
@@ -172,10 +180,17 @@
             self._expire(now)
         pool = self._pools.get(address)
         if pool is None:
-            pool = pool_address.AddressPool(address, self._clock)
+            pool = pool_address.AddressPool(
+                self._reach.get(address, address),
+                self._clock,
+                functools.partial(self._note_all_ended, address),
+            )
             self._pools[address] = pool
         return pool
 
+    def _note_all_ended(self, address: str) -> None:
+        self.on_all_ended(address)
+
     def _expire(self, now: clock.Millis) -> None:
         for address, pool in list(self._pools.items()):
             pool.expire()
@@ -192,6 +207,10 @@
             pool.close()
 
 
+def _ignore(address: str) -> None:
+    """Is for those who don't ask when all connections have ended."""
+
+
 def _replace(
     pool: pool_address.AddressPool,
     conn: pool_connection.Connection,
--- a/src/cardamomkeel/backend_servers/pool_address.py
+++ b/src/cardamomkeel/backend_servers/pool_address.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from cardamomkeel import clock
 from cardamomkeel.backend_servers import pool_connection
@@ -29,11 +30,17 @@
     may have lost track of all.
     """
 
-    def __init__(self, address: str, clk: clock.Clock):
+    def __init__(
+        self,
+        address: str,
+        clk: clock.Clock,
+        on_all_ended: collections.abc.Callable[[], None],
+    ):
         host, port = address.rsplit(":", 1)
         self._host = host
         self._port = int(port)
         self._clock = clk
+        self._on_all_ended = on_all_ended
         self._idle: collections.deque[pool_connection.Connection] = (
             collections.deque()
         )
@@ -149,6 +156,9 @@
         if conn in self._idle:
             self._idle.remove(conn)
         self._wake()
+        # One that is closed for not being used leaves others open.
+        if conn.was_ended and not self._open:
+            self._on_all_ended()
 
     def _open_ahead(self) -> None:
         spare = len(self._idle) + len(self._tasks)
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -30,6 +30,7 @@
         opened_at: When it was opened.
         heard_at: When the last byte came, or when it was opened.
         closed: Whether it is closed or being closed.
+        was_ended: Whether the other side ended it while it was unused.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self.opened_at = self.heard_at = clk.now()
         self.closed = False
+        self.was_ended = False
         self._begin(is_head=False)
 
     # Called by the users of the connection.
@@ -116,6 +118,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails what has not been answered."""
+        self.was_ended = self._answer is None and not self.closed
         self.closed = True
         self._fail(f"the connection ended: {exc!r}" if exc else "it was closed")
         if not self._lost.done():
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -87,6 +87,7 @@
             rng,
             self.metrics,
         )
+        self.http.on_all_ended = self.owner.note_all_ended
         self.router = router_lib.Router(
             cfg.data_centre,
             self.session,
--- a/src/cardamomkeel/policy/choose.py
+++ b/src/cardamomkeel/policy/choose.py
@@ -19,6 +19,8 @@
 # What is known of a target's latency loses most of its weight in this time.
 FORGET_MS = 1000.0
 LEAST_LATENCY_MS = 0.1
+# A target without an answer for so long may have fallen into cold start.
+LEAST_QUIET_MS = 1000.0
 # A request is stalled once it is this many times as old as usual answers.
 STALL_FACTOR = 10.0
 LEAST_STALL_MS = 100.0
@@ -36,12 +38,14 @@
         failures: Moving average of the share of failed requests.
         failed_in_a_row: How many requests failed since the last answer.
         noted_at: When the last request ended.
+        answered_at: When the last answer came, be it of an error.
     """
 
     latency_ms: clock.Millis = 0.0
     failures: float = 0.0
     failed_in_a_row: int = 0
     noted_at: clock.Millis = float("-inf")
+    answered_at: clock.Millis = float("-inf")
 
     def note(
         self, latency_ms: clock.Millis, failed: bool, now: clock.Millis
@@ -57,10 +61,15 @@
             # It serves again: what it failed before says little now.
             self.failures = min(self.failures, FAILURE_WEIGHT)
         self.failed_in_a_row = 0
+        self.note_answer(now)
         if self.latency_ms == 0.0:
             self.latency_ms = latency_ms
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
 
+    def note_answer(self, now: clock.Millis) -> None:
+        """Notes that the target has answered."""
+        self.answered_at = now
+
     def recent_latency(self, now: clock.Millis) -> clock.Millis:
         """Returns the latency where it is still known, and else 0."""
         return self.latency_ms if now - self.noted_at < FORGET_MS else 0.0
@@ -86,6 +95,11 @@
         usual_ms = STALL_FACTOR * self.latency_ms
         return oldest_ms > max(usual_ms, LEAST_STALL_MS)
 
+    def is_quiet(self, now: clock.Millis) -> bool:
+        """Tells whether the target has not answered for a while."""
+        usual_ms = STALL_FACTOR * self.latency_ms
+        return now - self.answered_at > max(usual_ms, LEAST_QUIET_MS)
+
     def cost(
         self,
         in_flight: int,
@@ -120,8 +134,9 @@
 
     def free(self, now: clock.Millis) -> int:
         """Returns how many more requests it may be given now."""
-        oldest_ms = self.slots.oldest_age(now)
-        return self.slots.free(now, self.health.is_stalled(oldest_ms))
+        is_stalled = self.health.is_stalled(self.slots.oldest_age(now))
+        may_be_cold = is_stalled or self.health.is_quiet(now)
+        return self.slots.free(now, may_be_cold)
 
     def next_change(self, now: clock.Millis) -> clock.Millis:
         """Returns when it may take more without an answer, or infinity."""
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -77,16 +77,16 @@
         """Returns how many slots an earlier owner's work may take."""
         return self._residual if now < self._residual_until else 0
 
-    def free(self, now: clock.Millis, is_stalled: bool = False) -> int:
+    def free(self, now: clock.Millis, may_be_cold: bool = False) -> int:
         """Returns how many more requests may be given now.
 
         Args:
             now: The time.
-            is_stalled: Whether the target seems to be in cold start.
+            may_be_cold: Whether the target may be in cold start.
         """
         self._drop_ended(now)
         limit = self.limit
-        if is_stalled:
+        if may_be_cold:
             limit = min(limit, self.cold_slots)
         return max(0, limit - self.in_flight - self.residual(now))
 
--- a/src/cardamomkeel/routing/attempts.py
+++ b/src/cardamomkeel/routing/attempts.py
@@ -127,6 +127,11 @@
         owned.candidate.health.note(latency_ms, not succeeded, now)
         if succeeded:
             self.on_success(owned.record.service, latency_ms)
+        if ended.answer is not None:
+            owned.candidate.health.note_answer(now)
+        if _says_cold(ended.answer):
+            owned.candidate.slots.make_cold()
+        elif succeeded:
             owned.candidate.slots.note_success(work)
         elif ended.sign is not messages.Sign.SERVER_ERROR:
             owned.candidate.slots.make_cold()
@@ -138,6 +143,11 @@
         )
 
 
+def _says_cold(answer: messages.Answer | None) -> bool:
+    """Tells whether a target says in its answer that it is cold."""
+    return answer is not None and answer.header(messages.STATE) == messages.COLD
+
+
 def _make_headers(
     req: messages.Request, allowed_ms: clock.Millis
 ) -> messages.Headers:
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -17,6 +17,8 @@
 EXCLUDE = b"cardamomkeel-exclude"
 NOT_RUN = b"cardamomkeel-not-run"
 INSTANCE = b"cardamomkeel-instance"
+STATE = b"cardamomkeel-state"
+COLD = b"cold"
 IDEMPOTENCY_KEY = b"idempotency-key"
 SIGN = b"cardamomkeel-sign"
 # The session that claimed a forwarded request.
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -61,6 +61,10 @@
         self._targets.ends_changed.notify()
         self._queues.serve_all()
 
+    def note_all_ended(self, address: str) -> None:
+        """Takes into account that a target has ended its connections."""
+        self._targets.make_cold(address)
+
     async def run(self) -> None:
         """Hands targets over, and serves the queues as work ends."""
         async with anyio.create_task_group() as tasks:
--- a/src/cardamomkeel/routing/targets.py
+++ b/src/cardamomkeel/routing/targets.py
@@ -120,6 +120,12 @@
             service.cold_slots,
         )
 
+    def make_cold(self, address: str) -> None:
+        """Takes a target for fallen into cold start, where it is owned."""
+        owned = self.owned.get(address)
+        if owned is not None:
+            owned.candidate.slots.make_cold()
+
     def usable(self, service: str) -> collections.abc.Iterator[Owned]:
         """Yields the targets of a service that may get new work."""
         view = self._session.view
