Quarantine a request whose probe meets a target that it crashed before

Cause: features/quarantine.feature (sent through all entries at the same time) failed once with 5 crashes, 4 allowed: three copies crashed all three targets, and the probe then crashed one of them again whose new instance was not known yet. That named no new target, so a further probe was let through.

Change: a broken probe is enough once the breaks name two targets, whichever of them the probe broke. The histories now draw the targets from two, where they took a new target for each crash and so could never meet this.

Before: the histories fail with 'crashed too many'. After: 2 scenarios passed.

--- a/features/steps/at_most_once_histories.py
+++ b/features/steps/at_most_once_histories.py
@@ -16,6 +16,7 @@
 LONGEST_HISTORY = 40
 KEY = {"service": "creneau", "key": "key"}
 FINGERPRINT = b"f" * 16
+TARGETS = ("target-0#1", "target-1#1")
 
 
 class Group:
@@ -212,10 +213,12 @@
     """One sending of a crashing request at one entry.
 
     Attributes:
+        target: The target that its entry owns.
         token: Of its probe; empty for none.
         running: Whether a target runs it now.
     """
 
+    target: str
     token: str = ""
     running: bool = False
 
@@ -225,7 +228,9 @@
 
     def __init__(self):
         self.group = Group()
-        self.senders = [Sender() for _ in range(CLAIMERS)]
+        self.senders = [
+            Sender(TARGETS[number % len(TARGETS)]) for number in range(CLAIMERS)
+        ]
         self.crashes = 0
         self.at_first_crash = 0
 
@@ -257,12 +262,24 @@
         self.group.apply(
             report_break=control_pb2.ReportBreak(
                 fingerprint=FINGERPRINT,
-                target=f"target-{self.crashes}#1",
+                target=self._get_target(sender),
                 probe_token=sender.token,
             )
         )
         assert self.crashes <= self.at_first_crash + 1, "crashed too many"
 
+    def _get_target(self, sender: Sender) -> str:
+        """Returns the target that ran it; a probe avoids the broken ones.
+
+        No target is known to be another instance yet.
+        """
+        record = self.group.tables.get(tables_lib.quarantine_key(FINGERPRINT))
+        if record is None or not sender.token:
+            return sender.target
+        broken = record.quarantine.targets
+        others = [target for target in TARGETS if target not in broken]
+        return others[0] if others else sender.target
+
     def change_leader(self, sender: Sender) -> None:
         """Has another node lead."""
         self.group.change_leader()
--- a/src/cardamomkeel/state/commands/quarantine.py
+++ b/src/cardamomkeel/state/commands/quarantine.py
@@ -1,10 +1,10 @@
 """Commands about requests that break the connections of backend servers.
 
 A request whose connection broke is suspect: from then on one entry at a time
-may run it, as a probe. A probe that is answered clears it, a probe that
-breaks the connection of another target puts it into quarantine. Where none of
-these targets was lost or came back as another instance, the network broke
-the connections, and the quarantine ends early.
+may run it, as a probe. A probe that is answered clears it; one that breaks a
+connection puts it into quarantine once it broke those of two targets. Where
+none of these targets was lost or came back as another instance, the network
+broke the connections, and the quarantine ends early.
 """
 
 from cardamomkeel.state import tables as tables_lib
@@ -20,6 +20,8 @@
 BROKEN_PROBES_TO_QUARANTINE = 2
 # By then a crashed backend server has been missed, or has come back.
 CONFIRM_MS = 30 * 1000
+# A broken probe is enough where it and earlier breaks name so many targets.
+TARGETS_TO_QUARANTINE = 2
 MAX_TARGETS_NAMED = 4
 MAX_SUSPECTS = 1000
 
@@ -73,7 +75,7 @@
     row.probe_token = ""
     row.probe_breaks += 1
     enough = row.probe_breaks >= BROKEN_PROBES_TO_QUARANTINE
-    if enough or target not in row.targets:
+    if enough or len({target, *row.targets}) >= TARGETS_TO_QUARANTINE:
         row.active = True
         row.active_since_log_ms = tables.log_ms
 
