Add a command that tells what needs attention

Cause: an operator had to read seven listings and dumps to learn whether a promise was at stake. `cardamomkeel status` gathers the state of all processes and runs one check after another over it; each finding has a level and a remedy, and status 4 means that somebody has to act. Ruled out: a watcher process of its own (one more thing to run and to lose). The step that drains backend servers waits for all of them now, not for any: a second use of it returned before the drain was known.

--- /dev/null
+++ b/features/operators_status.feature
@@ -0,0 +1,23 @@
+@fixture.small
+Feature: One command tells what needs attention
+
+  Scenario: What is wrong is found, and how to mend it is said
+    When the command "status" is run
+    Then it prints "3 control VMs, 3 entries, 9 targets" and ends with status 0
+    When the command "take-out --data-centre rennes --operator maela --wait" is run
+    And the command "status" is run
+    Then it prints "taken out of service by maela" and ends with status 0
+    When the command "bring-back --data-centre rennes --wait" is run
+    And the backend servers of creneau in brest drain
+    And the backend servers of creneau in rennes drain
+    And the command "status" is run
+    Then it prints "has usable targets in vannes alone" and ends with status 0
+    When the backend servers of creneau in vannes drain
+    And the command "status" is run
+    Then it prints "its requests are answered as not run" and ends with status 4
+    When control VM control-3 is killed
+    And the command "status" is run
+    Then it prints "0 more may be lost" and ends with status 4
+    When control VM control-2 is killed
+    And the command "status" is run
+    Then it prints "no majority: " and ends with status 4
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -136,9 +136,11 @@
 
     def is_known():
         rows = deployment.operate("/v1/show", {})["records"]
-        return any(r.get("target", {}).get("state") == "draining" for r in rows)
+        targets = [row["target"] for row in rows if "target" in row]
+        known = {t["address"] for t in targets if t["state"] == "draining"}
+        return known.issuperset(drained)
 
-    deployment_lib.wait_for(is_known, 10, "it drains")
+    deployment_lib.wait_for(is_known, 10, "they drain")
 
 
 @then("no dump, metric or log holds the secret")
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -17,6 +17,7 @@
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
+from cardamomkeel.operators import status_command
 from cardamomkeel.settings import page
 from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
@@ -40,6 +41,7 @@
     help="Changes, checks and explains a running cardamomkeel.",
 )
 app.add_typer(member_commands.app, name="member")
+app.command()(status_command.status)
 
 
 ChangeId = typing.Annotated[
@@ -219,18 +221,24 @@
 )
 
 
+def _print_sorted(
+    columns: tuple[str, ...], rows: list[listings.Record]
+) -> None:
+    print(listings.render(columns, listings.sort(columns, rows)))
+
+
 @app.command()
 def entries(at: options.At, secret_file: options.SecretFile) -> None:
     """Lists the entries."""
     rows = listings.list_entries(options.call(at, secret_file, "/v1/show", {}))
-    print(listings.render(listings.ENTRY_COLUMNS, rows))
+    _print_sorted(listings.ENTRY_COLUMNS, rows)
 
 
 @app.command()
 def targets(at: options.At, secret_file: options.SecretFile) -> None:
     """Lists the backend servers that have announced themselves."""
     rows = listings.list_targets(options.call(at, secret_file, "/v1/show", {}))
-    print(listings.render(listings.TARGET_COLUMNS, rows))
+    _print_sorted(listings.TARGET_COLUMNS, rows)
 
 
 @app.command()
--- /dev/null
+++ b/src/cardamomkeel/operators/findings/registry.py
@@ -0,0 +1,26 @@
+"""All checks, by name."""
+
+from cardamomkeel.operators import fleet as fleet_lib
+from cardamomkeel.operators.findings import base
+from cardamomkeel.operators.findings import control_group
+from cardamomkeel.operators.findings import data_centres
+from cardamomkeel.operators.findings import entries
+from cardamomkeel.operators.findings import open_matters
+from cardamomkeel.operators.findings import services
+from cardamomkeel.operators.findings import targets
+
+CHECKS: dict[str, base.Check] = {
+    "control-group": control_group.find,
+    "entries": entries.find,
+    "services": services.find,
+    "targets": targets.find,
+    "data-centres": data_centres.find,
+    "open-matters": open_matters.find,
+}
+_ORDER = list(base.Level)
+
+
+def find_all(fleet: fleet_lib.Fleet) -> list[base.Finding]:
+    """Returns what all checks find, the gravest first."""
+    found = [finding for check in CHECKS.values() for finding in check(fleet)]
+    return sorted(found, key=lambda f: (_ORDER.index(f.level), f.subject))
--- a/src/cardamomkeel/operators/listings.py
+++ b/src/cardamomkeel/operators/listings.py
@@ -61,10 +61,17 @@
     }
 
 
+def sort(
+    columns: collections.abc.Sequence[str], rows: list[Record]
+) -> list[Record]:
+    """Returns rows sorted by their columns."""
+    return sorted(rows, key=lambda row: [row[name] for name in columns])
+
+
 def render(columns: collections.abc.Sequence[str], rows: list[Record]) -> str:
-    """Returns rows as text in columns, sorted."""
+    """Returns rows as text in columns, in the order given."""
     lines = [tuple(columns)]
-    lines += sorted(tuple(row[name] for name in columns) for row in rows)
+    lines += [tuple(row[name] for name in columns) for row in rows]
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     return "\n".join(
         "  ".join(
