Tell what happened lately in all processes, in order

Cause: after a failure an operator had to read the logs of 20 processes whose wall clocks need not agree. `cardamomkeel history` gathers what control VMs know from the commands they apply (in the order of the log, also after a restart) and what each process has noted, by age. Ruled out: events as replicated rows (a commit and a sync each, most when things fail), a log service.

--- a/features/operators_status.feature
+++ b/features/operators_status.feature
@@ -1,6 +1,6 @@
-@fixture.small
 Feature: One command tells what needs attention
 
+  @fixture.small
   Scenario: What is wrong is found, and how to mend it is said
     When the command "status" is run
     Then it prints "3 control VMs, 3 entries, 9 targets" and ends with status 0
@@ -21,3 +21,17 @@
     When control VM control-2 is killed
     And the command "status" is run
     Then it prints "no majority: " and ends with status 4
+
+  @fixture.small
+  Scenario: What happened is told by all processes, and after a restart
+    When the command "take-out --data-centre rennes --operator maela --wait" is run
+    And the command "bring-back --data-centre rennes --operator yann --wait" is run
+    And entry entry-3 is killed and its targets are owned by others
+    And the command "history" is run
+    Then it prints "taken out of service by maela" before "brought back into service by yann"
+    And it prints "brought back into service by yann" before "lost session"
+    And it prints "lost session" before "is to be owned by entry-"
+    And it prints "joined session=" and ends with status 0
+    When every control VM is killed and started again
+    And the command "history --about rennes" is run
+    Then it prints "taken out of service by maela" before "brought back into service by yann"
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -165,3 +165,38 @@
     got = httpx.get(f"http://{address}/metrics", trust_env=False).text
     missing = [m for m in ON_CALL_METRICS if f"cardamomkeel_{m}" not in got]
     assert not missing, (missing, got)
+
+
+@then('it prints "{earlier}" before "{later}"')
+def check_order(context, earlier, later):
+    said = context.ran.stdout
+    assert earlier in said, said
+    assert later in said.partition(earlier)[2], said
+
+
+@when("entry {name} is killed and its targets are owned by others")
+def kill_entry(context, name):
+    deployment = context.deployment
+    owned = deployment.dump_entry(name)["owned"]
+    deployment.entries[name].kill()
+
+    def is_taken_over():
+        return all(
+            any(
+                address in deployment.dump_entry(other).get("owned", {})
+                for other in deployment.entries
+            )
+            for address in owned
+        )
+
+    deployment_lib.wait_for(is_taken_over, 20, "others own its targets")
+
+
+@when("every control VM is killed and started again")
+def restart_controls(context):
+    deployment = context.deployment
+    for control in deployment.controls.values():
+        control.kill()
+    for control in deployment.controls.values():
+        control.start()
+    deployment.operate("/v1/show", {})
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -19,6 +19,7 @@
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import replica as replica_lib
 from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.state import history as history_lib
 from cardamomkeel.state import machine
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_grpc
@@ -51,6 +52,7 @@
     Attributes:
         replica: The replica of the log.
         tables: The state up to the newest applied entry.
+        history: What the state has gone through since the last snapshot.
         leases: The leases of entries, while this node leads.
         changed: Notified when the state or the role changes.
         confirmed: Notified when another member answers.
@@ -90,6 +92,7 @@
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
         )
+        self.history = history_lib.History(clk)
         self.applied = 0
         self._load_snapshot()
 
@@ -98,6 +101,7 @@
     def _load_snapshot(self) -> None:
         self.tables = tables_lib.Tables()
         self.tables.load(self.replica.snapshot.state)
+        self.history.load(self.tables)
         self.applied = self.replica.snapshot.index
 
     def leader_address(self) -> str:
@@ -126,6 +130,7 @@
         done = None
         if entry.HasField("command"):
             done = machine.apply(self.tables, entry.command, entry.index)
+            self.history.follow(entry.command, done, self.tables, entry.index)
         self.applied = entry.index
         term, pending = self._waiting.pop(entry.index, (0, None))
         if pending is not None:
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -13,6 +13,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel import journal
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import channels
 from cardamomkeel.control import client as client_lib
@@ -23,6 +24,7 @@
 from cardamomkeel.daemons import start
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import changes
+from cardamomkeel.operators import history
 from cardamomkeel.operators import members as members_calls
 from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import secret as secret_lib
@@ -138,7 +140,8 @@
         lambda: dump(cfg, node),
         changes.Changes(control, clk).handlers()
         | resolutions.Resolutions(control).handlers()
-        | members_calls.MemberChanges(control).handlers(),
+        | members_calls.MemberChanges(control).handlers()
+        | history.Histories(cfg.name, journal.RECENT, node.history).handlers(),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(start.wait_for_stop, stop)
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -10,6 +10,7 @@
 import typer
 
 from cardamomkeel import clock
+from cardamomkeel import journal
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import announcements as announcements_lib
 from cardamomkeel.backend_servers import measuring
@@ -25,6 +26,7 @@
 from cardamomkeel.entries import forward
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import explain
+from cardamomkeel.operators import history
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.routing import claims as claims_lib
 from cardamomkeel.routing import decisions as decisions_lib
@@ -221,8 +223,12 @@
     entry: Entry, secret: str
 ) -> list[tuple[typing.Callable, typing.Callable, str]]:
     """Returns how each application is served, and at which address."""
+    told = history.Histories(entry.cfg.name, journal.RECENT)
     operators = operators_app.OperatorsApp(
-        secret, entry.metrics, entry.dump, entry.explain.handlers()
+        secret,
+        entry.metrics,
+        entry.dump,
+        entry.explain.handlers() | told.handlers(),
     )
     entries = entries_app.EntriesApp(entry.owner, entry.session, entry.clk)
     count = entry.in_flight.wrap
--- a/src/cardamomkeel/logs.py
+++ b/src/cardamomkeel/logs.py
@@ -5,6 +5,8 @@
 import loguru
 import orjson
 
+from cardamomkeel import journal
+
 
 def _format(record) -> str:
     line = {
@@ -35,4 +37,5 @@
     loguru.logger.add(
         sys.stderr, format=_format, level=level.upper(), colorize=False
     )
+    loguru.logger.add(journal.RECENT.write, level="INFO", format="{message}")
     loguru.logger.configure(extra={"process_name": process})
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -14,6 +14,7 @@
 from cardamomkeel import errors
 from cardamomkeel.operators import client
 from cardamomkeel.operators import commandline_options as options
+from cardamomkeel.operators import history_command
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
@@ -42,6 +43,7 @@
 )
 app.add_typer(member_commands.app, name="member")
 app.command()(status_command.status)
+app.command()(history_command.history)
 
 
 ChangeId = typing.Annotated[
--- a/src/cardamomkeel/operators/fleet.py
+++ b/src/cardamomkeel/operators/fleet.py
@@ -175,13 +175,17 @@
 Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
 
 
-def _ask_all(
-    addresses: list[str], secret: str, path: str, model: type[Model]
+def ask_all(
+    addresses: list[str],
+    secret: str,
+    path: str,
+    model: type[Model],
+    body: Body | None = None,
 ) -> dict[str, Model | None]:
     """Returns the answer of each process; None for those without one."""
 
     def ask(address: str) -> Model | None:
-        done = client.call([address], secret, path, {})
+        done = client.call([address], secret, path, body or {})
         if not isinstance(done, result.Success):
             return None
         try:
@@ -212,6 +216,14 @@
     return services.ServicesText(services={})
 
 
+def list_entries(
+    addresses: list[str], secret: str
+) -> result.Result[tuple[EntryRow, ...], errors.Error]:
+    """Asks the control group for the entries."""
+    shown = client.call(addresses, secret, "/v1/show", {})
+    return shown.map(lambda show: list_rows(show, "entry", EntryRow))
+
+
 def gather(
     addresses: list[str], secret: str
 ) -> result.Result[Fleet, errors.Error]:
@@ -224,7 +236,7 @@
     Returns:
         The fleet; without rows where no control VM can confirm them.
     """
-    controls = _ask_all(addresses, secret, "/dump", ControlState)
+    controls = ask_all(addresses, secret, "/dump", ControlState)
     if not any(controls.values()):
         return result.Failure(
             errors.UnavailableError(
@@ -238,7 +250,7 @@
     show = shown.unwrap()
     opened = client.call(addresses, secret, "/v1/unknown", {})
     rows = list_rows(show, "entry", EntryRow)
-    states = _ask_all(
+    states = ask_all(
         [row.operators_address for row in rows], secret, "/dump", EntryState
     )
     return result.Success(
