Add a load and experiment tool, and the client library under it

The client keeps address answers and repeats only what is safe. Ruled out: a histogram of our own (hdrhistogram), several plans in one file.

--- /dev/null
+++ b/src/cardamomkeel/client/__init__.py
@@ -0,0 +1,1 @@
+"""A client library for callers: addresses, outcomes and safe repeats."""
--- /dev/null
+++ b/src/cardamomkeel/client/client.py
@@ -0,0 +1,148 @@
+"""Sends calls to entries, and repeats them where that is safe."""
+
+import dataclasses
+
+import anyio
+import httpx
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.client import addresses as addresses_lib
+from cardamomkeel.client import calls
+from cardamomkeel.policy import budget
+from cardamomkeel.routing import messages
+
+MAX_SENDINGS = 4
+RETRY_SHARE = 0.2
+RETRY_PAUSE_MS = 25.0
+
+NOT_RUN = messages.Outcome.NOT_RUN
+UNKNOWN = messages.Outcome.UNKNOWN
+_SAFE_METHODS = frozenset(["GET", "HEAD"])
+
+
+class Client:
+    """Calls services through whichever entries the system names.
+
+    A call that certainly did not run is sent again, through another entry.
+    One whose outcome is unknown is sent again only where it has a key, or
+    has a method that changes nothing. Repeats have a budget, so that many
+    callers don't make an overload worse.
+    """
+
+    def __init__(
+        self, entries: list[str], clk: clock.Clock, data_centre: str = ""
+    ):
+        """Makes a client without connections.
+
+        Args:
+            entries: Callers' addresses of some entries to begin with.
+            clk: The clock.
+            data_centre: Where the caller is; empty for not known.
+        """
+        limits = httpx.Limits(max_connections=None)
+        self._http = httpx.AsyncClient(trust_env=False, limits=limits)
+        self._clock = clk
+        self._addresses = addresses_lib.Addresses(
+            self._http, entries, data_centre, clk
+        )
+        self._retries: dict[str, budget.ShareBudget] = {}
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._http.aclose()
+
+    async def call(self, call: calls.Call) -> calls.Reply:
+        """Brings a call to its end within its deadline."""
+        until = self._clock.now() + call.deadline_ms
+        self._budget(call.service).earn()
+        sendings = 0
+        reply = calls.Reply(NOT_RUN, reason="the deadline is over")
+        may_have_run = False
+        while self._clock.now() < until and sendings < MAX_SENDINGS:
+            if sendings and not self._budget(call.service).take():
+                break
+            sendings += 1
+            reply = await self._send_once(call, until, sendings)
+            if reply.outcome is messages.Outcome.ANSWERED:
+                break
+            may_have_run = may_have_run or reply.outcome is UNKNOWN
+            if not _may_repeat(call, reply):
+                break
+            await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
+        if may_have_run and reply.outcome is NOT_RUN:
+            # Only the last sending certainly did not run.
+            reply = dataclasses.replace(reply, outcome=UNKNOWN)
+        return dataclasses.replace(reply, sendings=sendings)
+
+    def _budget(self, service: str) -> budget.ShareBudget:
+        known = self._retries.get(service)
+        if known is None:
+            known = budget.ShareBudget(RETRY_SHARE)
+            self._retries[service] = known
+        return known
+
+    async def _send_once(
+        self, call: calls.Call, until: clock.Millis, sending: int
+    ) -> calls.Reply:
+        named = await self._addresses.get(call.service)
+        if not isinstance(named, result.Success):
+            return calls.Reply(NOT_RUN, reason=str(named.failure()))
+        address = named.unwrap()[0]
+        reply = await self._exchange(call, address, until, sending)
+        if reply.outcome is not messages.Outcome.ANSWERED:
+            self._addresses.drop(call.service, address)
+        return reply
+
+    async def _exchange(
+        self,
+        call: calls.Call,
+        address: str,
+        until: clock.Millis,
+        sending: int,
+    ) -> calls.Reply:
+        left_ms = max(1.0, until - self._clock.now())
+        try:
+            got = await self._http.request(
+                call.method,
+                f"http://{address}/v1/call/{call.service}{call.path}",
+                content=call.body,
+                headers=_make_headers(call, left_ms, sending),
+                timeout=clock.seconds(left_ms),
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            return calls.Reply(NOT_RUN, reason=f"{address}: {exc!r}")
+        except httpx.HTTPError as exc:
+            return calls.Reply(UNKNOWN, reason=f"{address}: {exc!r}")
+        headers = {name.lower(): value for name, value in got.headers.items()}
+        return calls.Reply(
+            _read_outcome(headers), got.status_code, headers, got.content
+        )
+
+
+def _may_repeat(call: calls.Call, reply: calls.Reply) -> bool:
+    if 400 <= reply.status < 500:
+        # The entry refused what the call says; a repeat says the same.
+        return False
+    if reply.outcome is NOT_RUN:
+        return True
+    return bool(call.key) or call.method in _SAFE_METHODS
+
+
+def _make_headers(
+    call: calls.Call, left_ms: clock.Millis, sending: int
+) -> dict[str, str]:
+    headers = dict(call.headers)
+    headers[messages.DEADLINE.decode()] = str(max(1, int(left_ms)))
+    if call.key:
+        headers[messages.IDEMPOTENCY_KEY.decode()] = call.key
+        headers[messages.ATTEMPT.decode()] = str(sending)
+    return headers
+
+
+def _read_outcome(headers: dict[str, str]) -> messages.Outcome:
+    """Returns the outcome that an answer tells, or that it may have run."""
+    try:
+        return messages.Outcome(headers.get(messages.OUTCOME.decode(), ""))
+    except ValueError:
+        return UNKNOWN
--- /dev/null
+++ b/src/cardamomkeel/experiments/compare.py
@@ -0,0 +1,52 @@
+"""Sets the figures of two runs of one plan beside each other."""
+
+import typing
+
+from returns import result
+
+from cardamomkeel import errors
+from cardamomkeel.experiments import results
+
+COMPARED = ("answered", "not_run", "unknown", "p50_ms", "p99_ms", "p999_ms")
+COLUMNS = ("phase", "service", "figure", "before", "after", "ratio")
+
+Row = dict[str, typing.Any]
+
+
+def compare(
+    before: results.Figures, after: results.Figures
+) -> result.Result[list[Row], errors.Error]:
+    """Returns a row for each figure of both runs."""
+    if before.digest != after.digest:
+        return result.Failure(
+            errors.SettingsError(
+                f"the runs are of two plans: {before.plan} ({before.digest}) "
+                f"and {after.plan} ({after.digest})",
+                "run one plan twice and compare these",
+            )
+        )
+    earlier = {_key(row): row for row in results.list_rows(before)}
+    return result.Success(
+        [
+            _compare_one(earlier[_key(row)], row, figure)
+            for row in results.list_rows(after)
+            if _key(row) in earlier
+            for figure in COMPARED
+        ]
+    )
+
+
+def _key(row: Row) -> tuple[str, str]:
+    return row["phase"], row["service"]
+
+
+def _compare_one(before: Row, after: Row, figure: str) -> Row:
+    ratio = after[figure] / before[figure] if before[figure] else None
+    return {
+        "phase": after["phase"],
+        "service": after["service"],
+        "figure": figure,
+        "before": f"{before[figure]:g}",
+        "after": f"{after[figure]:g}",
+        "ratio": "" if ratio is None else f"{ratio:.2f}",
+    }
--- /dev/null
+++ b/src/cardamomkeel/experiments/recorder.py
@@ -0,0 +1,109 @@
+"""Counts calls and their latencies, by phase and service."""
+
+import dataclasses
+
+from hdrh import histogram
+
+from cardamomkeel import clock
+from cardamomkeel.client import calls
+from cardamomkeel.experiments import results
+from cardamomkeel.routing import messages
+
+LEAST_US = 1
+MOST_US = 600_000_000
+DIGITS = 3
+US_PER_MS = 1000.0
+
+ANSWERED = messages.Outcome.ANSWERED
+NOT_RUN = messages.Outcome.NOT_RUN
+UNKNOWN = messages.Outcome.UNKNOWN
+
+
+def _make_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LEAST_US, MOST_US, DIGITS)
+
+
+def record(into: histogram.HdrHistogram, ms: clock.Millis) -> None:
+    """Adds a time to a histogram that counts microseconds."""
+    us = min(max(LEAST_US, int(ms * US_PER_MS)), MOST_US)
+    into.record_value(us)
+
+
+def get_percentile(of: histogram.HdrHistogram, percent: float) -> float:
+    """Returns the time that a share of all does not exceed, in ms."""
+    return round(of.get_value_at_percentile(percent) / US_PER_MS, 3)
+
+
+@dataclasses.dataclass
+class _Counts:
+    """The calls of one service in one phase."""
+
+    outcomes: dict[messages.Outcome, int] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(messages.Outcome, 0)
+    )
+    repeats: int = 0
+    latencies: histogram.HdrHistogram = dataclasses.field(
+        default_factory=_make_histogram
+    )
+
+
+class Recorder:
+    """Takes the end of every call of a run."""
+
+    def __init__(self):
+        self._phases: dict[str, dict[str, _Counts]] = {}
+        self._late = _make_histogram()
+
+    def begin_phase(self, name: str) -> None:
+        """Makes a phase known, so that phases stay in order."""
+        self._phases.setdefault(name, {})
+
+    def note(
+        self,
+        phase: str,
+        service: str,
+        reply: calls.Reply,
+        elapsed_ms: clock.Millis,
+    ) -> None:
+        """Counts a call in the phase in which it was due."""
+        counts = self._phases[phase].setdefault(service, _Counts())
+        counts.outcomes[reply.outcome] += 1
+        counts.repeats += max(0, reply.sendings - 1)
+        record(counts.latencies, elapsed_ms)
+
+    def note_late(self, late_ms: clock.Millis) -> None:
+        """Counts how late the tool sent a call."""
+        record(self._late, late_ms)
+
+    def late_p99_ms(self) -> float:
+        """Returns how late all but one in a hundred calls were sent."""
+        return get_percentile(self._late, 99.0)
+
+    def list_phases(self) -> list[results.PhaseFigures]:
+        """Returns the figures of all phases."""
+        return [
+            results.PhaseFigures(
+                name=name,
+                calls=[
+                    _summarize(service, counts)
+                    for service, counts in sorted(by_service.items())
+                ],
+            )
+            for name, by_service in self._phases.items()
+        ]
+
+
+def _summarize(service: str, counts: _Counts) -> results.CallFigures:
+    latencies = counts.latencies
+    return results.CallFigures(
+        service=service,
+        sent=sum(counts.outcomes.values()),
+        answered=counts.outcomes[ANSWERED],
+        not_run=counts.outcomes[NOT_RUN],
+        unknown=counts.outcomes[UNKNOWN],
+        repeats=counts.repeats,
+        p50_ms=get_percentile(latencies, 50.0),
+        p99_ms=get_percentile(latencies, 99.0),
+        p999_ms=get_percentile(latencies, 99.9),
+        most_ms=get_percentile(latencies, 100.0),
+    )
--- /dev/null
+++ b/src/cardamomkeel/experiments/run.py
@@ -0,0 +1,127 @@
+"""Runs a plan: calls come at their times, whatever the answers do."""
+
+import datetime
+import os
+import random
+
+import anyio
+import anyio.abc
+import loguru
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.client import calls
+from cardamomkeel.client import client as client_lib
+from cardamomkeel.experiments import operator as operator_lib
+from cardamomkeel.experiments import plan as plan_lib
+from cardamomkeel.experiments import recorder as recorder_lib
+from cardamomkeel.experiments import results
+
+FIRST_PHASE = "start"
+KEY_BITS = 128
+
+logger = loguru.logger
+
+
+class Run:
+    """One run of a plan.
+
+    Latency counts from when a call was due, so that a stall is seen by every
+    call that it delays.
+    """
+
+    def __init__(
+        self,
+        plan: plan_lib.Plan,
+        client: client_lib.Client,
+        operator: operator_lib.Operator | None,
+        clk: clock.Clock,
+    ):
+        self._plan = plan
+        self._client = client
+        self._operator = operator
+        self._clock = clk
+        self._rng = random.Random(plan.seed)
+        self._recorder = recorder_lib.Recorder()
+        self._rate = plan.rate
+        self._phase = FIRST_PHASE
+        self._changes: list[results.ChangeFigures] = []
+
+    async def run(self) -> results.Figures:
+        """Makes all calls and changes, and returns the figures."""
+        load_before = os.getloadavg()[0]
+        started = datetime.datetime.now().astimezone().isoformat()
+        self._recorder.begin_phase(FIRST_PHASE)
+        async with anyio.create_task_group() as tasks:
+            await self._arrive(tasks)
+        return results.Figures(
+            plan=self._plan.name,
+            digest=self._plan.digest(),
+            started=started,
+            cores=os.cpu_count() or 0,
+            load_before=round(load_before, 2),
+            late_p99_ms=self._recorder.late_p99_ms(),
+            phases=self._recorder.list_phases(),
+            changes=self._changes,
+        )
+
+    async def _arrive(self, tasks: anyio.abc.TaskGroup) -> None:
+        began = self._clock.now()
+        changes = list(self._plan.changes)
+        due_ms = 0.0
+        end_ms = self._plan.seconds * clock.MS_PER_SECOND
+        while True:
+            due_ms += self._rng.expovariate(self._rate) * clock.MS_PER_SECOND
+            while changes and due_ms >= changes[0].at_s * clock.MS_PER_SECOND:
+                change = changes.pop(0)
+                due_ms = change.at_s * clock.MS_PER_SECOND
+                await self._sleep_until(began + due_ms)
+                self._begin(change, tasks)
+            if due_ms >= end_ms:
+                return
+            due = began + due_ms
+            await self._sleep_until(due)
+            self._recorder.note_late(self._clock.now() - due)
+            tasks.start_soon(self._call, self._make_call(), due, self._phase)
+
+    async def _sleep_until(self, at: clock.Millis) -> None:
+        left = at - self._clock.now()
+        if left > 0:
+            await anyio.sleep(clock.seconds(left))
+
+    def _begin(
+        self, change: plan_lib.Change, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self._phase = f"{change.at_s:g} s: {change.describe()}"
+        self._recorder.begin_phase(self._phase)
+        if change.rate is not None:
+            self._rate = change.rate
+        else:
+            tasks.start_soon(self._operate, change)
+
+    async def _operate(self, change: plan_lib.Change) -> None:
+        done = await self._operator.make(change)
+        if isinstance(done, result.Success):
+            self._changes.append(done.unwrap())
+        else:
+            logger.error("a change failed", reason=str(done.failure()))
+
+    def _make_call(self) -> calls.Call:
+        mixes = self._plan.calls
+        (mix,) = self._rng.choices(mixes, [mix.share for mix in mixes])
+        key = f"{self._rng.getrandbits(KEY_BITS):032x}" if mix.once else ""
+        return calls.Call(
+            service=mix.service,
+            method=mix.method,
+            path=mix.path,
+            body=b"x" * mix.body_bytes,
+            deadline_ms=mix.deadline_ms,
+            key=key,
+        )
+
+    async def _call(
+        self, call: calls.Call, due: clock.Millis, phase: str
+    ) -> None:
+        reply = await self._client.call(call)
+        elapsed_ms = self._clock.now() - due
+        self._recorder.note(phase, call.service, reply, elapsed_ms)
