--- a/features/replicas.py
+++ b/features/replicas.py
@@ -82,10 +82,10 @@
         self._make(name, member_id, control_pb2.Members())
 
     def _load(self, name: str) -> None:
-        snapshot = self.replicas[name].snapshot
+        replica = self.replicas[name]
         self.tables[name] = tables_lib.Tables()
-        self.tables[name].load(snapshot.state)
-        self.applied[name] = snapshot.index
+        self.tables[name].load(replica.read_state())
+        self.applied[name] = replica.snapshot.index
 
     # The network.
 
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -30,6 +30,8 @@
 SWEEP_PERIOD_MS = 30_000.0
 BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
+# Each node adds up to so many, so that a majority is never busy at once.
+COMPACTION_SPREAD = 500
 HAND_OVER_MS = 2000.0
 HAND_OVER_STEP_MS = 10.0
 PEER_PAUSE_MS = 100.0
@@ -92,6 +94,9 @@
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
         )
+        self._compact_after = ENTRIES_BEFORE_COMPACTION + rng.randrange(
+            COMPACTION_SPREAD
+        )
         self.history = history_lib.History(clk)
         self.applied = 0
         self._load_snapshot()
@@ -100,7 +105,7 @@
 
     def _load_snapshot(self) -> None:
         self.tables = tables_lib.Tables()
-        self.tables.load(self.replica.snapshot.state)
+        self.tables.load(self.replica.read_state())
         self.history.load(self.tables)
         self.applied = self.replica.snapshot.index
 
@@ -139,11 +144,11 @@
 
     def _compact(self) -> None:
         behind = self.applied - self.replica.snapshot.index
-        if behind < ENTRIES_BEFORE_COMPACTION:
+        if behind < self._compact_after:
             return
-        self.replica.compact(
-            control_pb2.Snapshot(index=self.applied, state=self.tables.save())
-        )
+        snapshot = control_pb2.Snapshot(index=self.applied)
+        self.tables.save(snapshot.state)
+        self.replica.compact(snapshot)
         logger.info("compacted the log", index=self.applied)
 
     def _note_role(self) -> None:
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -75,6 +75,24 @@
     folder = pathlib.Path(cfg.data_folder)
     if disk.is_empty(folder):
         formation.create_joining(folder, cfg.name)
+    node = await _make_node(cfg, folder, clk)
+    try:
+        await _serve(cfg, node, clk, secret)
+    except BaseExceptionGroup as group:
+        # Servers that are cancelled may add errors of their own.
+        failed = group.subgroup(storage.StorageFailedError)
+        if failed is None:
+            raise
+        error = _first_error(failed)
+    else:
+        return
+    start.fail(error)
+
+
+async def _make_node(
+    cfg: process.ControlSettings, folder: pathlib.Path, clk: clock.Clock
+) -> node_lib.ControlNode:
+    """Reads the data folder, and forms the group where none has begun."""
     stored = start.unwrap(disk.load(folder))
     if not stored.hard_state.formed:
         forming = formation.Formation(
@@ -82,7 +100,7 @@
         )
         await forming.run()
         stored = start.unwrap(disk.load(folder))
-    node = node_lib.ControlNode(
+    return node_lib.ControlNode(
         stored,
         disk.DiskStorage(folder, stored),
         replica.Timings(
@@ -95,17 +113,6 @@
         clk,
         random.Random(),
     )
-    try:
-        await _serve(cfg, node, clk, secret)
-    except BaseExceptionGroup as group:
-        # Servers that are cancelled may add errors of their own.
-        failed = group.subgroup(storage.StorageFailedError)
-        if failed is None:
-            raise
-        error = _first_error(failed)
-    else:
-        return
-    start.fail(error)
 
 
 def _first_error(group: BaseExceptionGroup) -> errors.Error:
--- a/src/cardamomkeel/replication/disk.py
+++ b/src/cardamomkeel/replication/disk.py
@@ -304,6 +304,14 @@
             self._first = snapshot.index + 1
             self._write_log(entries)
 
+    def read_snapshot(self) -> control_pb2.Snapshot:
+        """Returns the newest snapshot, state included."""
+        read = _read_one(self._folder / SNAPSHOT)
+        if not isinstance(read, result.Success):
+            self._error = read.failure()
+            raise storage.StorageFailedError(self._error)
+        return control_pb2.Snapshot.FromString(read.unwrap())
+
     def sync(self) -> None:
         """Returns once all that was written is on the disk."""
         with self._fail_stop():
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -50,6 +50,13 @@
     sent_at: clock.Millis = float("-inf")
 
 
+def _make_header(snapshot: control_pb2.Snapshot) -> control_pb2.Snapshot:
+    """Returns a snapshot without its state."""
+    return control_pb2.Snapshot(
+        index=snapshot.index, term=snapshot.term, members=snapshot.members
+    )
+
+
 class Replica:
     """The state of one member and its reactions to time and messages.
 
@@ -60,7 +67,8 @@
         leader: The member id of the leader it follows; empty for none.
         members: The membership in force here.
         commit: The index up to which entries are committed.
-        snapshot: The state that precedes the log.
+        snapshot: What precedes the log, without its state, which is large
+            and seldom needed.
         progress: Per other member, while this replica leads.
     """
 
@@ -85,7 +93,7 @@
         self.term = stored.hard_state.term
         self.role = Role.FOLLOWER
         self.leader = ""
-        self.snapshot = stored.snapshot
+        self.snapshot = _make_header(stored.snapshot)
         self.commit = stored.snapshot.index
         self.members = self._find_members()
         self.progress: dict[str, Progress] = {}
@@ -140,7 +148,11 @@
         kept = self.entries(snapshot.index + 1, self.last_index)
         self._storage.save_snapshot(snapshot, kept)
         self._log = kept
-        self.snapshot = snapshot
+        self.snapshot = _make_header(snapshot)
+
+    def read_state(self) -> control_pb2.State:
+        """Returns the state that precedes the log."""
+        return self._storage.read_snapshot().state
 
     def _members_at(self, index: int) -> control_pb2.Members:
         for entry in reversed(self.entries(self.first_index, index)):
@@ -427,7 +439,10 @@
         """Returns the snapshot as a message to one member."""
         self.progress[member].sent_at = now
         return control_pb2.SnapshotRequest(
-            to=member, leader=self.id, term=self.term, snapshot=self.snapshot
+            to=member,
+            leader=self.id,
+            term=self.term,
+            snapshot=self._storage.read_snapshot(),
         )
 
     def make_append_request(
@@ -642,7 +657,7 @@
                 kept = self.entries(snapshot.index + 1, self.last_index)
             self._storage.save_snapshot(snapshot, kept)
             self._log = kept
-            self.snapshot = snapshot
+            self.snapshot = _make_header(snapshot)
             self.commit = snapshot.index
             self.members = self._find_members()
         return control_pb2.SnapshotReply(
--- a/src/cardamomkeel/replication/storage.py
+++ b/src/cardamomkeel/replication/storage.py
@@ -57,6 +57,10 @@
         """Replaces the snapshot and the entries that follow it, and syncs."""
         ...
 
+    def read_snapshot(self) -> control_pb2.Snapshot:
+        """Returns the newest snapshot, state included."""
+        ...
+
     def sync(self) -> None:
         """Returns once all that was written is on the disk."""
         ...
@@ -95,6 +99,10 @@
         self._entries = list(entries)
         self.sync()
 
+    def read_snapshot(self) -> control_pb2.Snapshot:
+        """Returns the newest snapshot, state included."""
+        return self.stored.snapshot
+
     def sync(self) -> None:
         """Makes what was written part of `stored`."""
         self.stored.entries = list(self._entries)
--- a/src/cardamomkeel/state/claims_table.py
+++ b/src/cardamomkeel/state/claims_table.py
@@ -1,6 +1,5 @@
 """The claims of non-idempotent requests, indexed and bounded in size."""
 
-import collections
 import collections.abc
 
 from cardamomkeel.wire import control_pb2
@@ -19,7 +18,9 @@
 class ClaimsTable:
     """Claims by service and key, in the order of their last change.
 
-    A record that was changed has to be put again.
+    Claims are kept as bytes: as messages they would take several times as
+    much memory, and there are many more of them than are ever read. A record
+    that is returned is a copy, so one that was changed has to be put again.
 
     Attributes:
         answer_bytes: The size of all kept answers.
@@ -27,87 +28,103 @@
 
     def __init__(self):
         self.answer_bytes = 0
-        self._claims: dict[Key, control_pb2.ClaimRecord] = {}
-        self._states: dict[Key, int] = {}
-        self._sizes: collections.OrderedDict[Key, int] = (
-            collections.OrderedDict()
-        )
+        self._rows: dict[Key, bytes] = {}
         self._by_state: dict[int, dict[Key, None]] = {
             state: {} for state in control_pb2.ClaimState.values()
         }
+        self._with_answer: dict[Key, None] = {}
         self._running: dict[int, dict[Key, None]] = {}
 
     def __len__(self) -> int:
-        return len(self._claims)
+        return len(self._rows)
 
     def get(self, key: Key) -> control_pb2.ClaimRecord | None:
         """Returns the claim of a key, or None."""
-        return self._claims.get(key)
+        row = self._rows.get(key)
+        return None if row is None else control_pb2.ClaimRecord.FromString(row)
 
-    def values(self) -> collections.abc.Iterable[control_pb2.ClaimRecord]:
-        """Returns all claims, the longest unchanged first."""
-        return self._claims.values()
+    def rows(self) -> collections.abc.Iterable[bytes]:
+        """Returns all claims as bytes, the longest unchanged first."""
+        return self._rows.values()
+
+    def _read(
+        self, keys: collections.abc.Iterable[Key]
+    ) -> collections.abc.Iterator[control_pb2.ClaimRecord]:
+        for key in keys:
+            yield control_pb2.ClaimRecord.FromString(self._rows[key])
 
     def get_by_state(self, state: int) -> list[control_pb2.ClaimRecord]:
         """Returns the claims of one state, the longest unchanged first."""
-        return [self._claims[key] for key in self._by_state[state]]
+        return list(self._read(self._by_state[state]))
 
     def get_changed_before(
         self, state: int, log_ms: int
     ) -> list[control_pb2.ClaimRecord]:
         """Returns the claims of one state not changed since a time."""
+        return self._take_old(self._by_state[state], log_ms)
+
+    def _take_old(
+        self, keys: collections.abc.Iterable[Key], log_ms: int
+    ) -> list[control_pb2.ClaimRecord]:
+        """Returns the first claims of some, up to the first newer one."""
         found = []
-        for key in self._by_state[state]:
-            if self._claims[key].changed_log_ms >= log_ms:
+        for record in self._read(keys):
+            if record.changed_log_ms >= log_ms:
                 break
-            found.append(self._claims[key])
+            found.append(record)
         return found
 
     def get_running(self, session: int) -> list[control_pb2.ClaimRecord]:
         """Returns the claims that the entry of a session runs."""
-        return [self._claims[key] for key in self._running.get(session, {})]
+        return list(self._read(self._running.get(session, {})))
 
     def get_with_answer_before(
         self, log_ms: int
     ) -> list[control_pb2.ClaimRecord]:
         """Returns the claims whose answers were kept before a time."""
-        found = []
-        for key in self._sizes:
-            if self._claims[key].changed_log_ms >= log_ms:
-                break
-            found.append(self._claims[key])
-        return found
+        return self._take_old(self._with_answer, log_ms)
+
+    def load(self, row: bytes) -> None:
+        """Writes a claim that is given as bytes."""
+        self._add(control_pb2.ClaimRecord.FromString(row), row)
 
     def put(self, record: control_pb2.ClaimRecord) -> None:
         """Writes a claim, and drops old answers where there are too many."""
+        self._add(record, record.SerializeToString())
+        while self.answer_bytes > MAX_ANSWER_BYTES:
+            self.drop_answer(next(iter(self._with_answer)))
+
+    def _add(self, record: control_pb2.ClaimRecord, row: bytes) -> None:
         key = (record.service, record.key)
         self.remove(key)
-        self._claims[key] = record
-        self._states[key] = record.state
+        self._rows[key] = row
         self._by_state[record.state][key] = None
         if record.state == control_pb2.CLAIM_RUNNING:
             self._running.setdefault(record.session, {})[key] = None
         size = _size(record)
         if size:
-            self._sizes[key] = size
+            self._with_answer[key] = None
             self.answer_bytes += size
-        while self.answer_bytes > MAX_ANSWER_BYTES:
-            self.drop_answer(next(iter(self._sizes)))
 
     def drop_answer(self, key: Key) -> None:
         """Forgets the answer of a claim, but not that there was one."""
-        record = self._claims[key]
+        record = self.get(key)
+        self.answer_bytes -= _size(record)
+        del self._with_answer[key]
         record.ClearField("answer")
         record.answer_dropped = True
-        self.answer_bytes -= self._sizes.pop(key)
+        self._rows[key] = record.SerializeToString()
 
     def remove(self, key: Key) -> None:
         """Forgets a claim."""
-        record = self._claims.pop(key, None)
+        record = self.get(key)
         if record is None:
             return
-        del self._by_state[self._states.pop(key)][key]
-        self.answer_bytes -= self._sizes.pop(key, 0)
+        del self._rows[key]
+        del self._by_state[record.state][key]
+        if key in self._with_answer:
+            del self._with_answer[key]
+            self.answer_bytes -= _size(record)
         running = self._running.get(record.session, {})
         running.pop(key, None)
         if not running:
@@ -115,7 +132,7 @@
 
     def make_room(self) -> bool:
         """Tells whether one more claim fits; forgets released ones first."""
-        if len(self._claims) < MAX_CLAIMS:
+        if len(self._rows) < MAX_CLAIMS:
             return True
         released = self._by_state[control_pb2.CLAIM_RELEASED]
         if not released:
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -130,20 +130,22 @@
         changed.reverse()
         return False, changed
 
-    def save(self) -> control_pb2.State:
-        """Returns all rows as a message."""
-        return control_pb2.State(
-            log_ms=self.log_ms,
-            revision=self.revision,
-            version=self.version,
-            floor=self.floor,
-            records=list(self._rows.values()),
-            claims=list(self.claims.values()),
-            changes=[
-                control_pb2.ChangeResult(change_id=change_id, result=result)
-                for change_id, result in self.changes.items()
-            ],
-        )
+    def save(self, state: control_pb2.State | None = None) -> control_pb2.State:
+        """Writes all rows to a message, and returns it.
+
+        Args:
+            state: The message to write to, which spares a copy of it.
+        """
+        state = control_pb2.State() if state is None else state
+        state.log_ms = self.log_ms
+        state.revision = self.revision
+        state.version = self.version
+        state.floor = self.floor
+        state.records.extend(self._rows.values())
+        state.claim_rows.extend(self.claims.rows())
+        for change_id, result in self.changes.items():
+            state.changes.add(change_id=change_id, result=result)
+        return state
 
     def load(self, state: control_pb2.State) -> None:
         """Replaces all rows by those of a message, which stays as it is."""
@@ -163,6 +165,8 @@
         self.claims = claims_table.ClaimsTable()
         for claim in state.claims:
             self.claims.put(claim)
+        for row in state.claim_rows:
+            self.claims.load(row)
         self.changes = collections.OrderedDict(
             (change.change_id, change.result) for change in state.changes
         )
