--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -13,6 +13,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel import journal
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import channels
 from cardamomkeel.control import client as client_lib
@@ -23,6 +24,7 @@
 from cardamomkeel.daemons import start
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import changes
+from cardamomkeel.operators import history
 from cardamomkeel.operators import members as members_calls
 from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import secret as secret_lib
@@ -73,6 +75,24 @@
     folder = pathlib.Path(cfg.data_folder)
     if disk.is_empty(folder):
         formation.create_joining(folder, cfg.name)
+    node = await _make_node(cfg, folder, clk)
+    try:
+        await _serve(cfg, node, clk, secret)
+    except BaseExceptionGroup as group:
+        # Servers that are cancelled may add errors of their own.
+        failed = group.subgroup(storage.StorageFailedError)
+        if failed is None:
+            raise
+        error = _first_error(failed)
+    else:
+        return
+    start.fail(error)
+
+
+async def _make_node(
+    cfg: process.ControlSettings, folder: pathlib.Path, clk: clock.Clock
+) -> node_lib.ControlNode:
+    """Reads the data folder, and forms the group where none has begun."""
     stored = start.unwrap(disk.load(folder))
     if not stored.hard_state.formed:
         forming = formation.Formation(
@@ -80,7 +100,7 @@
         )
         await forming.run()
         stored = start.unwrap(disk.load(folder))
-    node = node_lib.ControlNode(
+    return node_lib.ControlNode(
         stored,
         disk.DiskStorage(folder, stored),
         replica.Timings(
@@ -93,17 +113,6 @@
         clk,
         random.Random(),
     )
-    try:
-        await _serve(cfg, node, clk, secret)
-    except BaseExceptionGroup as group:
-        # Servers that are cancelled may add errors of their own.
-        failed = group.subgroup(storage.StorageFailedError)
-        if failed is None:
-            raise
-        error = _first_error(failed)
-    else:
-        return
-    start.fail(error)
 
 
 def _first_error(group: BaseExceptionGroup) -> errors.Error:
@@ -138,7 +147,8 @@
         lambda: dump(cfg, node),
         changes.Changes(control, clk).handlers()
         | resolutions.Resolutions(control).handlers()
-        | members_calls.MemberChanges(control).handlers(),
+        | members_calls.MemberChanges(control).handlers()
+        | history.Histories(cfg.name, journal.RECENT, node.history).handlers(),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(start.wait_for_stop, stop)
