Wait in a test until a data centre is out, not for five seconds

Two scenarios of features/not_run.feature slept for the 5 s in which taking out must be in force before they began; they now go on once every entry follows it. The bound is the same, what is checked afterwards too.

--- a/features/steps/not_run.py
+++ b/features/steps/not_run.py
@@ -9,6 +9,7 @@
 from behave import when
 
 from bench import caller as caller_lib
+from bench import deployment as deployment_lib
 
 LOOKUPS = "dossier"
 BOOKINGS = "creneau"
@@ -94,7 +95,14 @@
     """Takes the targets near the first entry out, so that it forwards."""
     first = context.deployment.shape.data_centres[0]
     context.deployment.take("/v1/take-out", first)
-    time.sleep(OUT_S)
+    deployment_lib.wait_for(
+        lambda: all(
+            f"{first}/" in context.deployment.dump_entry(name).get("outs", [])
+            for name in context.deployment.entries
+        ),
+        OUT_S,
+        f"{first} is out at every entry",
+    )
 
 
 def end_forwarding(context) -> None:
