Keep the session of the claims' bench alive

Cause: the session that it joined never polled, so on a slow machine its lease ran out and a claim was refused (AssertionError). It uses an entry's session now.

--- a/bench/claim_cost.py
+++ b/bench/claim_cost.py
@@ -17,12 +17,16 @@
 from bench import deployment as deployment_lib
 from cardamomkeel import clock
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.settings import process
+from cardamomkeel.settings import reader
 from cardamomkeel.wire import control_pb2
 
 AT_A_TIME = (1, 8, 64)
 CLAIMS = 640
 ANSWER_BYTES = 200
 TIMEOUT_MS = 5000.0
+JOIN_PAUSE_S = 0.01
 
 
 def log_bytes(deployment: deployment_lib.Deployment) -> int:
@@ -31,13 +35,16 @@
     return sum(f.stat().st_size for f in folder.rglob("*") if f.is_file())
 
 
-async def join(control: client_lib.ControlClient) -> int:
-    """Opens a session to claim with."""
-    command = control_pb2.Command(
-        entry_join=control_pb2.EntryJoin(name="bench", nonce="1")
-    )
-    done = await control.propose([command], TIMEOUT_MS)
-    return done.unwrap()[0].session
+def make_session(
+    deployment: deployment_lib.Deployment,
+    control: client_lib.ControlClient,
+    clk: clock.Clock,
+) -> session_lib.Session:
+    """Returns a session to claim with, as an entry would have."""
+    path = deployment.folder / "entry-1.json"
+    cfg = reader.read_file(path, process.EntrySettings).unwrap()
+    cfg = cfg.model_copy(update={"name": "bench"})
+    return session_lib.Session(cfg, control, clk, lambda: None)
 
 
 async def claim_once(
@@ -67,22 +74,28 @@
     deployment: deployment_lib.Deployment, at_a_time: int
 ) -> None:
     """Claims as many at a time as told, and prints what it cost."""
+    clk = clock.MonotonicClock()
     control = client_lib.ControlClient(
-        list(deployment.control_addresses.values()), {}, clock.MonotonicClock()
+        list(deployment.control_addresses.values()), {}, clk
     )
-    session = await join(control)
+    session = make_session(deployment, control, clk)
     latencies: list[float] = []
     before = log_bytes(deployment)
-    started = time.perf_counter()
 
     async def work() -> None:
         for _ in range(CLAIMS // at_a_time):
-            await claim_once(control, session, latencies)
-
-    async with anyio.create_task_group() as tasks:
-        for _ in range(at_a_time):
-            tasks.start_soon(work)
-    elapsed_s = time.perf_counter() - started
+            await claim_once(control, session.id, latencies)
+
+    async with anyio.create_task_group() as keeping:
+        keeping.start_soon(session.run)
+        while not session.is_fresh():
+            await anyio.sleep(JOIN_PAUSE_S)
+        started = time.perf_counter()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(at_a_time):
+                tasks.start_soon(work)
+        elapsed_s = time.perf_counter() - started
+        keeping.cancel_scope.cancel()
     control.close()
     ranked = statistics.quantiles(latencies, n=100)
     figures = {
