--- /dev/null
+++ b/features/steps/settings_rows.py
@@ -0,0 +1,385 @@
+"""Steps of the rows that entries follow of the settings text."""
+
+import difflib
+import json
+import pathlib
+import types
+from unittest import mock
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+from returns import result
+
+from bench import deployment as deployment_lib
+from cardamomkeel.operators import settings_calls
+from cardamomkeel.replication import disk
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.routing import view as view_lib
+from cardamomkeel.settings import edit
+from cardamomkeel.settings import rows
+from cardamomkeel.settings import services as services_lib
+from cardamomkeel.state import machine
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.wire import control_pb2
+
+ROOT = pathlib.Path(__file__).parents[2]
+NAMES = ("dossier", "keep/sake", "cr\u00e9neau")
+STYLES = (
+    '{{"services": {{{0}}}}}',
+    '// {{ "services"\n{{\n  "services": {{{0}}}, // all\n}}\n',
+    "{{/* }} */ 'services': {{ {0} }}, measuring: {{bytes_per_second: 9}}}}",
+)
+SERVICES = (
+    '"{0}": {{}}',
+    '"{0}": {{"slots": {1}}}',
+    '\n    "{0}": {{\n      // {0}\n      "slots": {1}, // }}\n    }}',
+    "'{0}': {{slots: {1}, 'queue': 3,}}",
+)
+
+# Steps of a history: what is done, through which of two control VMs, from
+# which base and with which values.
+STEP = strategies.tuples(
+    strategies.sampled_from(
+        ["apply", "apply", "set", "set", "set", "unset"]
+        + ["resend", "reuse", "out", "restore", "follow"]
+    ),
+    strategies.integers(0, 1),
+    strategies.sampled_from([0, 0, 0, 0, 1, -1]),
+    strategies.lists(strategies.integers(0, 11), min_size=4, max_size=4),
+)
+
+
+def make_text(numbers):
+    """Returns a settings text of some style and some services."""
+    style, *chosen = numbers
+    listed = [
+        SERVICES[number % len(SERVICES)].format(
+            json.dumps(name)[1:-1], number + 1
+        )
+        for name, number in zip(NAMES, chosen, strict=True)
+        if number % 5
+    ]
+    return STYLES[style % len(STYLES)].format(",".join(listed))
+
+
+def check_rows(tables):
+    """Checks that the rows are what the settings text says."""
+    parsed = rows.parse(tables.settings.text, "the text").unwrap()
+    wanted = {row.name: row for row in rows.make_rows(parsed, parsed.services)}
+    assert {row.name: row for row in tables.services()} == wanted
+    (common,) = tables.rows("common")
+    assert common.common.revision == tables.settings.revision
+    assert common.common.measuring == parsed.measuring
+
+
+def follow(view, tables):
+    """Has an entry's view follow, and checks what it shows."""
+    whole, records = tables.changed_since(view.version)
+    view.take(
+        control_pb2.PollReply(
+            version=tables.version, whole=whole, records=records
+        )
+    )
+    assert not any(record.HasField("settings") for record in records)
+    raw = rows.parse(tables.settings.text, "the text").unwrap().services
+    model = services_lib.ServicesText.model_validate({"services": raw})
+    assert view.services == model.services
+    assert view.revision == tables.settings.revision
+
+
+class _History:
+    """Two operators' interfaces over one state, without processes."""
+
+    def __init__(self):
+        self.tables = tables_lib.Tables()
+        self.index = 0
+        self.calls = [settings_calls.SettingsCalls(self) for _ in range(2)]
+        self.view = view_lib.View()
+        self.accepted = []
+
+    async def propose(self, commands, timeout_ms):  # noqa: ARG002
+        results = []
+        for command in commands:
+            self.index += 1
+            # Replicas read what was written, not what was made.
+            read = control_pb2.Command.FromString(command.SerializeToString())
+            results.append(machine.apply(self.tables, read, self.index))
+        return result.Success(results)
+
+    async def read(self, req, timeout_ms):  # noqa: ARG002
+        reply = types.SimpleNamespace(records=self.tables.read(req.key))
+        return result.Success(reply)
+
+    async def run(self, steps):
+        """Runs a history and checks it after each step."""
+        await self.change("/v1/apply", 0, {"text": make_text([0, 1, 1, 1])}, 0)
+        for number, (kind, place, off, values) in enumerate(steps):
+            before = self.tables.settings.revision
+            await getattr(self, kind)(f"change-{number}", place, off, values)
+            assert self.tables.settings.revision >= before
+            check_rows(self.tables)
+        follow(self.view, self.tables)
+
+    async def change(self, path, place, body, off, change_id="change-first"):
+        revision = self.tables.settings.revision
+        asked = body | {
+            "change_id": change_id,
+            "base_revision": max(0, revision + off),
+            "operator": "tests",
+        }
+        text = self.tables.settings.text
+        done = await self.calls[place].handlers()[path](asked)
+        if isinstance(done, result.Success):
+            assert off == 0
+            assert self.tables.settings.revision > revision
+            self.accepted.append((path, asked, done.unwrap()))
+            if path == "/v1/apply":
+                assert self.tables.settings.text == body["text"]
+        else:
+            assert self.tables.settings.text == text
+            assert self.tables.settings.revision == revision
+        return done
+
+    async def apply(self, change_id, place, off, values):
+        body = {"text": make_text(values)}
+        done = await self.change("/v1/apply", place, body, off, change_id)
+        assert isinstance(done, result.Success) == (off == 0), done
+
+    async def set(self, change_id, place, off, values):
+        name = NAMES[values[0] % len(NAMES)]
+        wanted = {"slots": values[1] + 1, "warm_up_requests": values[2] + 1}
+        body = {"service": name, "values": wanted}
+        done = await self.change("/v1/set", place, body, off, change_id)
+        if isinstance(done, result.Success):
+            self.check_set(name, wanted)
+        elif off == 0:
+            assert "not listed" in done.failure().message, done
+
+    def check_set(self, name, wanted):
+        (row,) = [row for row in self.tables.services() if row.name == name]
+        assert json.loads(row.body).items() >= wanted.items()
+
+    async def unset(self, change_id, place, off, values):
+        name = NAMES[values[0] % len(NAMES)]
+        body = {"service": name, "removed": ["slots", "queue"]}
+        done = await self.change("/v1/set", place, body, off, change_id)
+        if off == 0 and isinstance(done, result.Failure):
+            assert "not listed" in done.failure().message, done
+
+    async def resend(self, _id, place, _off, values):
+        path, body, first = self.accepted[values[0] % len(self.accepted)]
+        revision = self.tables.settings.revision
+        again = await self.calls[place].handlers()[path](body)
+        assert again == result.Success(first), again
+        assert self.tables.settings.revision == revision
+
+    async def reuse(self, _id, place, _off, values):
+        _, body, _ = self.accepted[values[0] % len(self.accepted)]
+        other = body | {"text": "// another\n" + make_text(values)}
+        other = {k: v for k, v in other.items() if k in APPLY_FIELDS}
+        done = await self.calls[place].handlers()["/v1/apply"](other)
+        assert "used for another change" in done.failure().message, done
+
+    async def out(self, change_id, _place, _off, _values):
+        out = {"data_centre": "brest", "change_id": change_id, "force": True}
+        await self.propose([control_pb2.Command(take_out=out)], 0)
+
+    async def restore(self, _id, _place, _off, _values):
+        raw = self.tables.save().SerializeToString()
+        self.tables = tables_lib.Tables()
+        self.tables.load(control_pb2.State.FromString(raw))
+
+    async def follow(self, _id, _place, _off, _values):
+        follow(self.view, self.tables)
+
+
+APPLY_FIELDS = {"text", "base_revision", "change_id", "operator"}
+
+
+@then(
+    "in {count:d} histories of changes, resends and restores the rows fit "
+    "the text"
+)
+def check_histories(context, count):  # noqa: ARG001
+    @hypothesis.settings(
+        max_examples=count, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(strategies.lists(STEP, min_size=4, max_size=20))
+    def check(steps):
+        anyio.run(_History().run, steps)
+
+    # Followers that lag get the whole state.
+    with mock.patch.object(tables_lib, "MAX_DELETED_ROWS", 1):
+        check()
+
+
+# One service in a text.
+
+
+@given('the text of "{path}"')
+def read_text(context, path):
+    context.before = (ROOT / path).read_text(encoding="utf-8")
+
+
+@when(
+    "slots={slots:d} queue={queue:d} is set of {service} and {name} unset of "
+    "{other}"
+)
+def edit_text(context, slots, queue, service, name, other):
+    parsed = rows.parse(context.before, "the text").unwrap()
+    values = {"slots": slots, "queue": queue}
+    parsed = edit.change_service(parsed, service, values, []).unwrap()
+    parsed = edit.change_service(parsed, other, {}, [name]).unwrap()
+    context.edited = parsed.text
+
+
+@then("only these lines of it differ:")
+def check_lines(context):
+    lines = difflib.ndiff(
+        context.before.splitlines(), context.edited.splitlines()
+    )
+    found = [f"{x[0]}{x[2:]}" for x in lines if x[0] in "-+"]
+    assert found == context.text.splitlines(), found
+
+
+# Earlier data folders.
+
+
+def _make_earlier(index, revision, text):
+    change = control_pb2.ChangeSettings(
+        base_revision=revision, change_id=f"change-{index}", text=text
+    )
+    command = control_pb2.Command(change_settings=change)
+    return control_pb2.LogEntry(index=index, term=1, command=command)
+
+
+@given("a data folder whose snapshot and log hold settings as one row")
+def make_earlier_folder(context):
+    context.data = context.folder / "data"
+    context.texts = [make_text(n) for n in ([1, 1, 2, 3], [2, 0, 7, 3])]
+    first = members_lib.first_members({"control-1": "-"})
+    disk.create(context.data, "control-1.first", first, formed=True)
+    storage = disk.DiskStorage(context.data, disk.load(context.data).unwrap())
+    target = control_pb2.TargetRecord(address="10.0.0.1:80", service="dossier")
+    settings = control_pb2.SettingsRecord(revision=7, text=context.texts[0])
+    records = [
+        control_pb2.Record(key="settings", version=5, settings=settings),
+        control_pb2.Record(key="target/10.0.0.1:80", version=8, target=target),
+    ]
+    state = control_pb2.State(revision=7, version=8, records=records)
+    snapshot = control_pb2.Snapshot(index=8, term=1, members=first, state=state)
+    storage.save_snapshot(snapshot, [])
+    storage.append([_make_earlier(9, 7, context.texts[1])])
+    storage.sync()
+
+
+@when("it is read")
+def read_folder(context):
+    stored = disk.load(context.data).unwrap()
+    context.tables = tables_lib.Tables()
+    context.tables.load(stored.snapshot.state)
+    check_rows(context.tables)
+    assert context.tables.settings.text == context.texts[0]
+    context.view = view_lib.View()
+    follow(context.view, context.tables)
+    for entry in stored.entries:
+        machine.apply(context.tables, entry.command, entry.index)
+
+
+@then("the rows fit the newest text and a follower of the old snapshot")
+def check_folder(context):
+    assert context.tables.settings.text == context.texts[1]
+    check_rows(context.tables)
+    follow(context.view, context.tables)
+
+
+# Processes.
+
+
+def _set(context, values, change_id):
+    return context.deployment.operate(
+        "/v1/set",
+        {
+            "service": "dossier",
+            "values": values,
+            "base_revision": context.revision,
+            "change_id": change_id,
+            "operator": "tests",
+        },
+    )
+
+
+def _show(context):
+    answer = context.deployment.operate("/v1/show", {}, 30)
+    return next(r["settings"] for r in answer["records"] if "settings" in r)
+
+
+@when(
+    "{count:d} changes of one service each are accepted and {name} is killed "
+    "amid"
+)
+def change_often(context, count, name):
+    context.revision = int(_show(context)["revision"])
+    for number in range(count):
+        context.change_id = f"change-{number}"
+        got = _set(context, {"queue": 100 + number}, context.change_id)
+        assert got["revision"] == context.revision + 1, got
+        context.revision = got["revision"]
+        if number == count // 2:
+            context.deployment.entries[name].kill()
+            context.deployment.entries[name].start()
+    context.accepted = _show(context)["text"]
+    said = json.loads(context.accepted)["services"]["dossier"]
+    assert said["queue"] == 99 + count, said
+
+
+@then(
+    "every entry holds the services of the accepted text within {seconds:d} s"
+)
+def check_entries(context, seconds):
+    deployment = context.deployment
+    wanted = json.loads(context.accepted)["services"]
+    deployment_lib.wait_for(
+        lambda: all(
+            deployment.dump_entry(name).get("services") == wanted
+            for name in deployment.entries
+        ),
+        seconds,
+        "every entry holds the accepted services",
+    )
+
+
+@when("all control VMs are killed and started")
+def restart_controls(context):
+    controls = context.deployment.controls.values()
+    for process in controls:
+        process.kill()
+    for process in controls:
+        process.start()
+
+
+@then("the accepted text is shown within {seconds:d} s")
+def check_text(context, seconds):
+    def is_shown():
+        shown = _show(context)
+        assert shown["text"] == context.accepted
+        return int(shown["revision"]) == context.revision
+
+    deployment_lib.wait_for(is_shown, seconds, "the revision is shown")
+
+
+@when("the change id of the last change is used for another one")
+def reuse_id(context):
+    context.got = _set(context, {"queue": 7}, context.change_id)
+
+
+@then("it is refused, and the message says what the id was used for")
+def check_refused(context):
+    message = context.got["message"]
+    assert context.change_id in message, context.got
+    assert f"revision {context.revision}" in message, context.got
+    assert _show(context)["text"] == context.accepted
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -41,7 +41,7 @@
             hedge_share=hedge_share,
         )
         self.view = view_lib.View()
-        self.view.text = services.ServicesText(services={SERVICE: service})
+        self.view.services[SERVICE] = service
         for number in range(targets):
             address = f"10.0.0.{number + 1}:80"
             self.view.targets[address] = control_pb2.TargetRecord(
--- a/src/cardamomkeel/backend_servers/measuring.py
+++ b/src/cardamomkeel/backend_servers/measuring.py
@@ -34,7 +34,7 @@
     def period_ms(self, service: str) -> int:
         """Returns how often each target of a service may announce itself."""
         view = self._session.view
-        text = view.text.measuring
+        text = view.measuring
         message_bytes = OVERHEAD_BYTES + BODY_BYTES
         in_all = measuring.get_period_ms(
             text.rate(), len(view.targets), message_bytes
@@ -51,7 +51,7 @@
 
         This entry may draw its share: the budget is for all entries.
         """
-        text = self._session.view.text.measuring
+        text = self._session.view.measuring
         entries = max(1, len(self._session.view.entries))
         share = (1 - measuring.ORDINARY_SHARE) / entries
         rates = {
--- a/src/cardamomkeel/control/deadlines.py
+++ b/src/cardamomkeel/control/deadlines.py
@@ -1,11 +1,7 @@
 """The longest deadlines that an entry may have granted lately."""
 
-from returns import result
-
 from cardamomkeel import clock
 from cardamomkeel.policy import slots
-from cardamomkeel.settings import reader
-from cardamomkeel.settings import services
 from cardamomkeel.state.commands import targets
 from cardamomkeel.wire import control_pb2
 
@@ -17,12 +13,15 @@
     granted just before runs up to the longest deadline. A shorter deadline
     therefore counts only after both have passed. The same holds for a new
     leader, which does not know what was in force before.
+
+    Attributes:
+        revision: The revision of the settings that were followed last.
     """
 
     def __init__(self, lease_ms: clock.Millis):
         longest_ms = slots.bound_work(targets.LONGEST_DEADLINE_MS)
         self._window_ms = lease_ms * slots.DRIFT + longest_ms
-        self._text = ""
+        self.revision = 0
         self._longest: dict[str, int] = {}
         # What was in force before, with the time at which it stops to count.
         self._before: list[tuple[clock.Millis, dict[str, int]]] = []
@@ -33,13 +32,15 @@
         self._known_from = now + self._window_ms
         self._before = []
 
-    def follow(self, text: str, now: clock.Millis) -> None:
-        """Takes the settings text in force into account."""
-        if text == self._text:
+    def follow(
+        self, revision: int, longest: dict[str, int], now: clock.Millis
+    ) -> None:
+        """Takes the longest deadlines of the settings in force into account."""
+        self.revision = revision
+        if longest == self._longest:
             return
         self._before.append((now + self._window_ms, self._longest))
-        self._text = text
-        self._longest = _read_longest(text)
+        self._longest = longest
 
     def bounds(self, now: clock.Millis) -> list[control_pb2.WorkBound]:
         """Returns the longest deadline of each service."""
@@ -59,13 +60,3 @@
             for _, before in self._before
         ]
         return max([longest_ms, *earlier])
-
-
-def _read_longest(text: str) -> dict[str, int]:
-    parsed = reader.parse(text, services.ServicesText, "settings in force")
-    if not isinstance(parsed, result.Success):
-        return {}
-    return {
-        name: service.longest_deadline_ms
-        for name, service in parsed.unwrap().services.items()
-    }
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -401,9 +401,10 @@
         now = self._clock.now()
         sessions = self._sessions()
         self.leases.forget_all_but(sessions)
-        settings = self.tables.get(tables_lib.SETTINGS_KEY)
-        if settings is not None:
-            self._deadlines.follow(settings.settings.text, now)
+        revision = self.tables.settings.revision
+        if revision != self._deadlines.revision:
+            longest = self.tables.longest_deadlines()
+            self._deadlines.follow(revision, longest, now)
         commands = []
         expired = self.leases.close_expired(sessions, now)
         if expired:
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -148,12 +148,9 @@
         if not await node.confirm(self._clock.now()):
             return control_pb2.ReadReply(leader_address=node.leader_address())
         tables = node.tables
-        _, rows = tables.changed_since(0)
-        if req.key:
-            rows = [row for row in rows if row.key.startswith(req.key)]
         return control_pb2.ReadReply(
             leader=True,
-            records=rows,
+            records=tables.read(req.key),
             claim=tables.claims.get((req.service, req.claim_key)),
             progress=self._progress(req.version),
             revision=tables.revision,
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -26,6 +26,7 @@
 from cardamomkeel.operators import members as members_calls
 from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import secret as secret_lib
+from cardamomkeel.operators import settings_calls
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members
 from cardamomkeel.replication import replica
@@ -137,6 +138,7 @@
         metrics_lib.Metrics(),
         lambda: dump(cfg, node),
         changes.Changes(control, clk).handlers()
+        | settings_calls.SettingsCalls(control).handlers()
         | resolutions.Resolutions(control).handlers()
         | members_calls.MemberChanges(control).handlers(),
     )
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -148,7 +148,7 @@
             self.in_flight.count,
         )
         owned = list(self.owner.owned.values())
-        for service in self.session.view.text.services:
+        for service in self.session.view.services:
             mine = [o for o in owned if o.record.service == service]
             in_use = sum(o.candidate.slots.in_flight for o in mine)
             limit = sum(o.candidate.slots.limit for o in mine)
@@ -168,6 +168,10 @@
             "lease_left_ms": int(max(0.0, left_ms)),
             "revision": view.revision,
             "version": view.version,
+            "services": {
+                name: service.model_dump(exclude_unset=True)
+                for name, service in view.services.items()
+            },
             "targets": len(view.targets),
             "entries": sorted(e.name for e in view.entries.values()),
             "outs": sorted(view.outs),
--- a/src/cardamomkeel/operators/changes.py
+++ b/src/cardamomkeel/operators/changes.py
@@ -1,7 +1,6 @@
 """What operators ask of a control VM."""
 
 import dataclasses
-import difflib
 
 import anyio
 from google.protobuf import json_format
@@ -13,24 +12,13 @@
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.operators import app as app_lib
 from cardamomkeel.operators import bodies
+from cardamomkeel.operators import commits
 from cardamomkeel.settings import process
-from cardamomkeel.settings import reader
-from cardamomkeel.settings import services
 from cardamomkeel.wire import control_pb2
 
-COMMIT_TIMEOUT_MS = 5000.0
 PROGRESS_PAUSE_MS = 50.0
 
 
-class Apply(process.Strict):
-    """A new settings text."""
-
-    text: str
-    base_revision: int
-    change_id: str = pydantic.Field(min_length=8)
-    operator: str
-
-
 class Out(process.Strict):
     """A data centre, or one backend server, to take out or bring back."""
 
@@ -59,7 +47,6 @@
         """Returns the calls by path."""
         return {
             "/v1/show": self.show,
-            "/v1/apply": self.apply,
             "/v1/take-out": self.take_out,
             "/v1/bring-back": self.bring_back,
             "/v1/wait": self.wait,
@@ -68,7 +55,7 @@
     async def show(self, body: app_lib.Body) -> result.Result:
         """Returns the whole configuration and who serves it."""
         read = await self.control.read(
-            control_pb2.ReadRequest(), COMMIT_TIMEOUT_MS
+            control_pb2.ReadRequest(), commits.COMMIT_TIMEOUT_MS
         )
         return read.map(
             lambda reply: json_format.MessageToDict(
@@ -76,22 +63,6 @@
             )
         )
 
-    async def apply(self, body: app_lib.Body) -> result.Result:
-        """Replaces the settings text."""
-        asked = bodies.validate(Apply, body)
-        if not isinstance(asked, result.Success):
-            return asked
-        change = asked.unwrap()
-        checked = reader.parse(
-            change.text, services.ServicesText, "the new settings text"
-        )
-        if not isinstance(checked, result.Success):
-            return checked
-        command = control_pb2.Command(
-            change_settings=control_pb2.ChangeSettings(**change.model_dump())
-        )
-        return await self._commit(command, change.text)
-
     async def take_out(self, body: app_lib.Body) -> result.Result:
         """Takes a data centre or a backend server out of service."""
         asked = bodies.validate(Out, body)
@@ -127,7 +98,7 @@
         while True:
             read = await self.control.read(
                 control_pb2.ReadRequest(key="-", version=wait.version),
-                COMMIT_TIMEOUT_MS,
+                commits.COMMIT_TIMEOUT_MS,
             )
             if not isinstance(read, result.Success):
                 return read
@@ -146,39 +117,7 @@
             await anyio.sleep(clock.seconds(PROGRESS_PAUSE_MS))
 
     async def _commit(
-        self,
-        command: control_pb2.Command,
-        text: str = "",
-        remedy: str = "see `show`",
+        self, command: control_pb2.Command, remedy: str
     ) -> result.Result[app_lib.Body, errors.Error]:
-        done = await self.control.propose([command], COMMIT_TIMEOUT_MS)
-        if not isinstance(done, result.Success):
-            return done
-        outcome = done.unwrap()[0]
-        if outcome.status == control_pb2.STATUS_CONFLICT:
-            return result.Failure(_conflict(outcome, text))
-        if outcome.status != control_pb2.STATUS_OK:
-            return result.Failure(errors.ConflictError(outcome.message, remedy))
-        return result.Success(
-            {"revision": outcome.revision, "version": outcome.version}
-        )
-
-
-def _conflict(
-    outcome: control_pb2.CommandResult, text: str
-) -> errors.ConflictError:
-    difference = "\n".join(
-        difflib.unified_diff(
-            outcome.text.splitlines(),
-            text.splitlines(),
-            f"revision {outcome.revision} by {outcome.operator}",
-            "your text",
-            lineterm="",
-        )
-    )
-    return errors.ConflictError(
-        f"{outcome.message}\n{difference}",
-        "take revision "
-        f"{outcome.revision} with `show`, make your change in it and apply "
-        "that",
-    )
+        done = await commits.commit(self.control, command)
+        return done.bind(lambda outcome: commits.describe(outcome, remedy))
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -1,26 +1,19 @@
 """The command line of operators."""
 
-import enum
-import getpass
 import pathlib
-import secrets
 import typing
 
-import pydantic
 from returns import result
 import typer
 
-from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.operators import client
 from cardamomkeel.operators import commandline_options as options
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
+from cardamomkeel.operators import settings_commands
 from cardamomkeel.settings import page
-from cardamomkeel.settings import process
-from cardamomkeel.settings import reader
-from cardamomkeel.settings import services
 
 RequestId = typing.Annotated[
     str, typer.Option(help="The cardamomkeel-request-id of an answer.")
@@ -32,8 +25,6 @@
     int, typer.Option(help="The version that a change was accepted as.")
 ]
 
-STATUS_NOT_IN_FORCE = 2
-
 app = typer.Typer(
     no_args_is_help=True,
     add_completion=False,
@@ -42,15 +33,6 @@
 app.add_typer(member_commands.app, name="member")
 
 
-ChangeId = typing.Annotated[
-    str, typer.Option(help="Give the same one to resend a change.")
-]
-Operator = typing.Annotated[str, typer.Option(help="Who makes the change.")]
-WaitOption = typing.Annotated[
-    bool, typer.Option("--wait", help="Return once it is in force everywhere.")
-]
-
-
 def _call_any(
     at: list[str], secret_file: pathlib.Path, path: str, body: dict
 ) -> dict:
@@ -63,99 +45,7 @@
     return options.fail(done.failure())
 
 
-def _change(
-    at: list[str], secret_file: pathlib.Path, path: str, body: dict, wait: bool
-) -> None:
-    """Has a change accepted, and waits for it where asked to."""
-    clk = clock.MonotonicClock()
-    sent_at = clk.now()
-    done = options.call(at, secret_file, path, body)
-    options.show(done)
-    if not wait:
-        return
-    waited = options.call(
-        at, secret_file, "/v1/wait", {"version": done["version"]}
-    )
-    waited["took_ms"] = int(clk.now() - sent_at)
-    options.show(waited)
-    if not waited["in_force"]:
-        raise typer.Exit(STATUS_NOT_IN_FORCE)
-
-
-def _read_text(path: pathlib.Path) -> str:
-    checked = reader.read_file(path, services.ServicesText)
-    if not isinstance(checked, result.Success):
-        options.fail(checked.failure())
-    return path.read_text(encoding="utf-8")
-
-
-class Program(enum.Enum):
-    """Whose settings a file holds."""
-
-    SERVICES = "services"
-    ENTRY = "entry"
-    CONTROL = "control"
-
-
-MODELS: dict[Program, type[pydantic.BaseModel]] = {
-    Program.SERVICES: services.ServicesText,
-    Program.ENTRY: process.EntrySettings,
-    Program.CONTROL: process.ControlSettings,
-}
-
-
-@app.command()
-def check(
-    path: pathlib.Path,
-    of: typing.Annotated[
-        Program, typer.Option(help="Whose settings they are.")
-    ] = Program.SERVICES,
-) -> None:
-    """Checks settings without applying them; status 1 where wrong."""
-    checked = reader.read_file(path, MODELS[of])
-    if not isinstance(checked, result.Success):
-        options.fail(checked.failure())
-    print(f"{path} is well-formed")
-
-
-@app.command()
-def show(
-    at: options.At,
-    secret_file: options.SecretFile,
-    text: typing.Annotated[
-        bool, typer.Option("--text", help="Only the settings text.")
-    ] = False,
-) -> None:
-    """Shows the configuration in force and who serves it."""
-    answer = options.call(at, secret_file, "/v1/show", {})
-    if not text:
-        options.show(answer)
-        return
-    for record in answer.get("records", []):
-        if "settings" in record:
-            print(record["settings"]["text"])
-
-
-@app.command()
-def apply(
-    path: pathlib.Path,
-    at: options.At,
-    secret_file: options.SecretFile,
-    base_revision: typing.Annotated[
-        int, typer.Option(help="The revision that the change was made from.")
-    ],
-    change_id: ChangeId = "",
-    operator: Operator = "",
-    wait: WaitOption = False,
-) -> None:
-    """Replaces the settings text."""
-    body = {
-        "text": _read_text(path),
-        "base_revision": base_revision,
-        "change_id": change_id or secrets.token_hex(8),
-        "operator": operator or getpass.getuser(),
-    }
-    _change(at, secret_file, "/v1/apply", body, wait)
+settings_commands.add_commands(app)
 
 
 def _out_body(
@@ -171,8 +61,7 @@
     return {
         "data_centre": data_centre,
         "address": server,
-        "change_id": change_id or secrets.token_hex(8),
-        "operator": operator or getpass.getuser(),
+        **options.name_change(change_id, operator),
     }
 
 
@@ -182,15 +71,15 @@
     secret_file: options.SecretFile,
     data_centre: str = "",
     server: str = "",
-    change_id: ChangeId = "",
-    operator: Operator = "",
+    change_id: options.ChangeId = "",
+    operator: options.Operator = "",
     force: bool = False,
-    wait: WaitOption = False,
+    wait: options.Wait = False,
 ) -> None:
     """Takes a data centre or a backend server out of service."""
     body = _out_body(data_centre, server, change_id, operator)
     body["force"] = force
-    _change(at, secret_file, "/v1/take-out", body, wait)
+    options.change(at, secret_file, "/v1/take-out", body, wait)
 
 
 @app.command()
@@ -199,13 +88,13 @@
     secret_file: options.SecretFile,
     data_centre: str = "",
     server: str = "",
-    change_id: ChangeId = "",
-    operator: Operator = "",
-    wait: WaitOption = False,
+    change_id: options.ChangeId = "",
+    operator: options.Operator = "",
+    wait: options.Wait = False,
 ) -> None:
     """Brings a data centre or a backend server back into service."""
     body = _out_body(data_centre, server, change_id, operator)
-    _change(at, secret_file, "/v1/bring-back", body, wait)
+    options.change(at, secret_file, "/v1/bring-back", body, wait)
 
 
 @app.command()
--- a/src/cardamomkeel/operators/commandline_options.py
+++ b/src/cardamomkeel/operators/commandline_options.py
@@ -1,13 +1,16 @@
 """Options and output that the commands of operators share."""
 
+import getpass
 import json
 import pathlib
+import secrets
 import sys
 import typing
 
 from returns import result
 import typer
 
+from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.operators import client
 from cardamomkeel.operators import secret as secret_lib
@@ -27,6 +30,17 @@
     ),
 ]
 
+ChangeId = typing.Annotated[
+    str, typer.Option(help="Give the same one to resend a change.")
+]
+Operator = typing.Annotated[str, typer.Option(help="Who makes the change.")]
+Wait = typing.Annotated[
+    bool, typer.Option("--wait", help="Return once it is in force everywhere.")
+]
+
+STATUS_NOT_IN_FORCE = 2
+CHANGE_ID_BYTES = 8
+
 
 def fail(error: errors.Error) -> typing.NoReturn:
     """Ends the command with an error and its remedy."""
@@ -55,3 +69,28 @@
 def show(answer: dict) -> None:
     """Prints an answer."""
     print(json.dumps(answer, indent=2, sort_keys=True))
+
+
+def name_change(change_id: str, operator: str) -> dict[str, str]:
+    """Returns who makes a change, and the id that tells it from others."""
+    return {
+        "change_id": change_id or secrets.token_hex(CHANGE_ID_BYTES),
+        "operator": operator or getpass.getuser(),
+    }
+
+
+def change(
+    at: list[str], secret_file: pathlib.Path, path: str, body: dict, wait: bool
+) -> None:
+    """Has a change accepted, and waits for it where asked to."""
+    clk = clock.MonotonicClock()
+    sent_at = clk.now()
+    done = call(at, secret_file, path, body)
+    show(done)
+    if not wait:
+        return
+    waited = call(at, secret_file, "/v1/wait", {"version": done["version"]})
+    waited["took_ms"] = int(clk.now() - sent_at)
+    show(waited)
+    if not waited["in_force"]:
+        raise typer.Exit(STATUS_NOT_IN_FORCE)
--- /dev/null
+++ b/src/cardamomkeel/operators/settings_commands.py
@@ -0,0 +1,156 @@
+"""The commands of operators about settings."""
+
+import enum
+import pathlib
+import typing
+
+import pydantic
+from returns import result
+import typer
+
+from cardamomkeel import errors
+from cardamomkeel.operators import commandline_options as options
+from cardamomkeel.settings import process
+from cardamomkeel.settings import reader
+from cardamomkeel.settings import services
+
+BaseRevision = typing.Annotated[
+    int, typer.Option(help="The revision that the change was made from.")
+]
+Service = typing.Annotated[str, typer.Argument(help="Name of a service.")]
+
+
+class Program(enum.Enum):
+    """Whose settings a file holds."""
+
+    SERVICES = "services"
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+MODELS: dict[Program, type[pydantic.BaseModel]] = {
+    Program.SERVICES: services.ServicesText,
+    Program.ENTRY: process.EntrySettings,
+    Program.CONTROL: process.ControlSettings,
+}
+
+
+def check(
+    path: pathlib.Path,
+    of: typing.Annotated[
+        Program, typer.Option(help="Whose settings they are.")
+    ] = Program.SERVICES,
+) -> None:
+    """Checks settings without applying them; status 1 where wrong."""
+    checked = reader.read_file(path, MODELS[of])
+    if not isinstance(checked, result.Success):
+        options.fail(checked.failure())
+    print(f"{path} is well-formed")
+
+
+def show(
+    at: options.At,
+    secret_file: options.SecretFile,
+    text: typing.Annotated[
+        bool, typer.Option("--text", help="Only the settings text.")
+    ] = False,
+) -> None:
+    """Shows the configuration in force and who serves it."""
+    answer = options.call(at, secret_file, "/v1/show", {})
+    if not text:
+        options.show(answer)
+        return
+    for record in answer.get("records", []):
+        if "settings" in record:
+            print(record["settings"]["text"], end="")
+
+
+def apply(
+    path: pathlib.Path,
+    at: options.At,
+    secret_file: options.SecretFile,
+    base_revision: BaseRevision,
+    change_id: options.ChangeId = "",
+    operator: options.Operator = "",
+    wait: options.Wait = False,
+) -> None:
+    """Replaces the settings text."""
+    checked = reader.read_file(path, services.ServicesText)
+    if not isinstance(checked, result.Success):
+        options.fail(checked.failure())
+    body = {
+        # As written, the ends of lines included.
+        "text": path.read_bytes().decode("utf-8"),
+        "base_revision": base_revision,
+        **options.name_change(change_id, operator),
+    }
+    options.change(at, secret_file, "/v1/apply", body, wait)
+
+
+def set_values(
+    service: Service,
+    values: typing.Annotated[
+        list[str], typer.Argument(help="Settings, each as name=value.")
+    ],
+    at: options.At,
+    secret_file: options.SecretFile,
+    base_revision: BaseRevision,
+    change_id: options.ChangeId = "",
+    operator: options.Operator = "",
+    wait: options.Wait = False,
+) -> None:
+    """Changes settings of one service; the text around them stays."""
+    body = {
+        "service": service,
+        "values": dict(_read_value(value) for value in values),
+        "base_revision": base_revision,
+        **options.name_change(change_id, operator),
+    }
+    options.change(at, secret_file, "/v1/set", body, wait)
+
+
+def unset(
+    service: Service,
+    names: typing.Annotated[
+        list[str], typer.Argument(help="Names of settings.")
+    ],
+    at: options.At,
+    secret_file: options.SecretFile,
+    base_revision: BaseRevision,
+    change_id: options.ChangeId = "",
+    operator: options.Operator = "",
+    wait: options.Wait = False,
+) -> None:
+    """Leaves settings of one service to their defaults."""
+    body = {
+        "service": service,
+        "removed": names,
+        "base_revision": base_revision,
+        **options.name_change(change_id, operator),
+    }
+    options.change(at, secret_file, "/v1/set", body, wait)
+
+
+def _read_value(said: str) -> tuple[str, typing.Any]:
+    name, equals, value = said.partition("=")
+    try:
+        if equals:
+            return name, reader.load(value)
+    except ValueError:
+        pass
+    return options.fail(
+        errors.SettingsError(
+            f"{said!r} is no setting with a value",
+            "write name=value with a value in JSON, as slots=4, "
+            "idempotent=true or 'depends_on=[\"dossier\"]'",
+        )
+    )
+
+
+def add_commands(app: typer.Typer) -> None:
+    """Adds the commands to the command line."""
+    app.command()(check)
+    app.command()(show)
+    app.command()(apply)
+    app.command(name="set")(set_values)
+    app.command()(unset)
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -1,16 +1,20 @@
 """An entry's copy of the replicated state."""
 
 import dataclasses
+import typing
 
+import loguru
 from returns import result
 
 from cardamomkeel.policy import outs
 from cardamomkeel.settings import reader
-from cardamomkeel.settings import services
-from cardamomkeel.state import tables
+from cardamomkeel.settings import services as services_lib
+from cardamomkeel.state import settings_rows
 from cardamomkeel.wire import control_pb2
 
-EMPTY_TEXT = services.ServicesText(services={})
+NO_MEASURING = "{}"
+
+logger = loguru.logger
 
 
 @dataclasses.dataclass
@@ -20,12 +24,16 @@
     Attributes:
         version: The version of the state that the rows show.
         revision: The revision of the settings text.
-        text: The settings text.
+        services: What the settings text says of each service.
+        measuring: What measuring load may cost.
     """
 
     version: int = 0
     revision: int = 0
-    text: services.ServicesText = EMPTY_TEXT
+    services: dict[str, services_lib.Service] = dataclasses.field(
+        default_factory=dict
+    )
+    measuring: services_lib.Measuring = services_lib.Measuring()
     targets: dict[str, control_pb2.TargetRecord] = dataclasses.field(
         default_factory=dict
     )
@@ -45,6 +53,7 @@
     def take(self, reply: control_pb2.PollReply) -> None:
         """Takes the changed rows of a reply over."""
         if reply.whole:
+            self.services.clear()
             self.targets.clear()
             self.entries.clear()
             self.outs.clear()
@@ -57,8 +66,10 @@
 
     def _take_record(self, record: control_pb2.Record) -> None:
         kind, _, name = record.key.partition("/")
-        if record.key == tables.SETTINGS_KEY:
-            self._take_settings(record.settings)
+        if record.key == settings_rows.COMMON_KEY:
+            self._take_common(record.common)
+        elif kind == "service":
+            self._take_service(name, record)
         elif kind == "target":
             _set(self.targets, name, record.deleted, record.target)
         elif kind == "entry":
@@ -73,22 +84,36 @@
                 record.quarantine,
             )
 
-    def _take_settings(self, settings: control_pb2.SettingsRecord) -> None:
-        parsed = reader.parse(
-            settings.text, services.ServicesText, "settings in force"
+    def _take_common(self, common: control_pb2.CommonSettings) -> None:
+        measuring = reader.parse_json(
+            common.measuring or NO_MEASURING,
+            services_lib.Measuring,
+            "measuring in force",
         )
-        if isinstance(parsed, result.Success):
-            self.text = parsed.unwrap()
-        self.revision = settings.revision
+        self.measuring = _or_before(measuring, self.measuring)
+        self.revision = common.revision
+
+    def _take_service(self, name: str, record: control_pb2.Record) -> None:
+        if record.deleted:
+            self.services.pop(name, None)
+            return
+        service = reader.parse_json(
+            record.service.body,
+            services_lib.Service,
+            f"service {name} in force",
+        )
+        known = _or_before(service, self.services.get(name))
+        if known is not None:
+            self.services[name] = known
 
     def _index_targets(self) -> None:
         self._by_service = {}
         for target in self.targets.values():
             self._by_service.setdefault(target.service, []).append(target)
 
-    def get_service(self, name: str) -> services.Service | None:
+    def get_service(self, name: str) -> services_lib.Service | None:
         """Returns what operators say of a service, or None."""
-        return self.text.services.get(name)
+        return self.services.get(name)
 
     def get_targets_by_service(
         self, service: str
@@ -115,6 +140,14 @@
         return row is not None and row.active
 
 
+def _or_before(parsed: result.Result, before: typing.Any) -> typing.Any:
+    """Returns new settings; those before where this program can't read them."""
+    if isinstance(parsed, result.Success):
+        return parsed.unwrap()
+    logger.error("keeps the settings before", reason=str(parsed.failure()))
+    return before
+
+
 def _set(rows: dict, key, deleted: bool, body) -> None:
     if deleted:
         rows.pop(key, None)
--- /dev/null
+++ b/src/cardamomkeel/settings/rows.py
@@ -0,0 +1,140 @@
+"""The settings text as rows, one a service, and how two texts differ."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import json
+import typing
+
+from returns import result
+
+from cardamomkeel import errors
+from cardamomkeel.settings import reader
+from cardamomkeel.settings import services as services_lib
+from cardamomkeel.wire import control_pb2
+
+SERVICES = "services"
+MEASURING = "measuring"
+
+
+@dataclasses.dataclass(frozen=True)
+class Parsed:
+    """A valid settings text and what it holds.
+
+    Attributes:
+        text: The text.
+        services: What it says of each service, as written.
+        measuring: What it says of measuring, as JSON; empty for nothing.
+        longest_ms: The longest deadline of each service.
+    """
+
+    text: str = ""
+    services: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    measuring: str = ""
+    longest_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Difference:
+    """The rows of a text that differ from those of another.
+
+    Attributes:
+        changed: Rows of services that are new or say something else.
+        removed: Services that are no longer listed.
+        measuring: What the text says of measuring, as JSON.
+    """
+
+    changed: list[control_pb2.ServiceSettings]
+    removed: list[str]
+    measuring: str
+
+
+def hash_text(text: str) -> bytes:
+    """Returns the hash that stands for a settings text."""
+    return hashlib.sha256(text.encode()).digest()
+
+
+def parse(text: str, source: str) -> result.Result[Parsed, errors.Error]:
+    """Reads and checks a whole settings text."""
+    raw = reader.read_raw(text, source)
+    if not isinstance(raw, result.Success):
+        return raw
+    checked = reader.validate(raw.unwrap(), services_lib.ServicesText, source)
+    return checked.map(lambda model: _make_parsed(text, raw.unwrap(), model))
+
+
+def _make_parsed(
+    text: str, raw: typing.Any, model: services_lib.ServicesText
+) -> Parsed:
+    measuring = raw.get(MEASURING)
+    return Parsed(
+        text,
+        raw[SERVICES],
+        "" if measuring is None else _dump(measuring),
+        {
+            name: service.longest_deadline_ms
+            for name, service in model.services.items()
+        },
+    )
+
+
+def _dump(raw: typing.Any) -> str:
+    return json.dumps(raw, sort_keys=True, separators=(",", ":"))
+
+
+def compare(base: Parsed, new: Parsed) -> Difference:
+    """Returns the rows that a new text changes."""
+    return Difference(
+        make_rows(new, _find_changed(base, new)),
+        [name for name in base.services if name not in new.services],
+        new.measuring,
+    )
+
+
+def _find_changed(base: Parsed, new: Parsed) -> collections.abc.Iterable[str]:
+    for name, raw in new.services.items():
+        if name not in base.services or raw != base.services[name]:
+            yield name
+
+
+def make_rows(
+    parsed: Parsed, names: collections.abc.Iterable[str]
+) -> list[control_pb2.ServiceSettings]:
+    """Returns the rows of some services of a text."""
+    return [
+        control_pb2.ServiceSettings(
+            name=name,
+            body=_dump(parsed.services[name]),
+            longest_deadline_ms=parsed.longest_ms[name],
+        )
+        for name in names
+    ]
+
+
+def make_splice(base: str, new: str) -> control_pb2.TextSplice:
+    """Returns the one run of characters in which two texts differ."""
+    start = _count_common(base, new)
+    rest = _count_common(base[start:][::-1], new[start:][::-1])
+    return control_pb2.TextSplice(
+        offset=start,
+        removed=len(base) - start - rest,
+        inserted=new[start : len(new) - rest],
+    )
+
+
+def apply_splice(base: str, splice: control_pb2.TextSplice) -> str:
+    """Returns a text with one run of characters replaced."""
+    end = splice.offset + splice.removed
+    return base[: splice.offset] + splice.inserted + base[end:]
+
+
+def _count_common(first: str, second: str) -> int:
+    """Returns how many characters two texts begin with in common."""
+    low, high = 0, min(len(first), len(second))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if first[low:middle] == second[low:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
--- /dev/null
+++ b/src/cardamomkeel/state/change_results.py
@@ -0,0 +1,109 @@
+"""Results of operators' changes, kept for resends of them."""
+
+import collections
+import collections.abc
+import dataclasses
+import hashlib
+
+from cardamomkeel.wire import control_pb2
+
+MAX_CHANGE_RESULTS = 10_000
+FINGERPRINT_BYTES = 16
+
+OK = control_pb2.STATUS_OK
+REFUSED = control_pb2.STATUS_REFUSED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    """What is kept of the result of a change."""
+
+    revision: int
+    version: int
+    claim: int
+    fingerprint: bytes
+
+
+def make_fingerprint(*parts: str) -> bytes:
+    """Returns what tells one change from another."""
+    digest = hashlib.sha256("\0".join(parts).encode()).digest()
+    return digest[:FINGERPRINT_BYTES]
+
+
+class ChangeResults:
+    """Results of the newest accepted changes, by change id."""
+
+    def __init__(self):
+        self._kept: collections.OrderedDict[str, _Kept] = (
+            collections.OrderedDict()
+        )
+
+    def find(
+        self, change_id: str, fingerprint: bytes
+    ) -> control_pb2.CommandResult | None:
+        """Returns the answer to a change whose id was used before, or None."""
+        kept = self._kept.get(change_id)
+        if kept is None:
+            return None
+        # Results of earlier versions have no fingerprint.
+        if kept.fingerprint and kept.fingerprint != fingerprint:
+            return control_pb2.CommandResult(
+                status=REFUSED,
+                message=(
+                    f"change id {change_id} was used for another change, "
+                    f"accepted as revision {kept.revision}; this one was not "
+                    "made: send it with an id of its own"
+                ),
+            )
+        return _make_result(kept)
+
+    def put(
+        self,
+        change_id: str,
+        fingerprint: bytes,
+        accepted: control_pb2.CommandResult,
+    ) -> None:
+        """Keeps the result of an accepted change."""
+        if not change_id:
+            return
+        self._keep(change_id, accepted, fingerprint[:FINGERPRINT_BYTES])
+
+    def _keep(
+        self,
+        change_id: str,
+        accepted: control_pb2.CommandResult,
+        fingerprint: bytes,
+    ) -> None:
+        self._kept[change_id] = _Kept(
+            accepted.revision, accepted.version, accepted.claim, fingerprint
+        )
+        while len(self._kept) > MAX_CHANGE_RESULTS:
+            self._kept.popitem(last=False)
+
+    def save(self) -> list[control_pb2.ChangeResult]:
+        """Returns all results as messages."""
+        return [
+            control_pb2.ChangeResult(
+                change_id=change_id,
+                result=_make_result(kept),
+                fingerprint=kept.fingerprint,
+            )
+            for change_id, kept in self._kept.items()
+        ]
+
+    def load(
+        self, saved: collections.abc.Iterable[control_pb2.ChangeResult]
+    ) -> None:
+        """Replaces all results by those of messages."""
+        self._kept.clear()
+        for change in saved:
+            self._keep(change.change_id, change.result, change.fingerprint)
+
+
+def _make_result(kept: _Kept) -> control_pb2.CommandResult:
+    return control_pb2.CommandResult(
+        status=OK,
+        revision=kept.revision,
+        version=kept.version,
+        claim=kept.claim,
+    )
--- a/src/cardamomkeel/state/commands/claims.py
+++ b/src/cardamomkeel/state/commands/claims.py
@@ -1,5 +1,6 @@
 """Commands about claims of non-idempotent requests."""
 
+from cardamomkeel.state import change_results
 from cardamomkeel.state import claims_table
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
@@ -133,14 +134,18 @@
     tables: tables_lib.Tables, cmd: control_pb2.Resolve, index: int
 ) -> control_pb2.CommandResult:
     """Lets an operator say how an unknown request ended."""
-    if cmd.change_id in tables.changes:
-        return tables.changes[cmd.change_id]
+    fingerprint = change_results.make_fingerprint(
+        "resolve", cmd.service, cmd.key, str(cmd.state), cmd.fingerprint.hex()
+    )
+    earlier = tables.changes.find(cmd.change_id, fingerprint)
+    if earlier is not None:
+        return earlier
     if cmd.fingerprint:
         done = _lift(tables, cmd, index)
     else:
         done = _resolve_claim(tables, cmd)
     if done.status == OK:
-        tables.remember_change(cmd.change_id, done)
+        tables.changes.put(cmd.change_id, fingerprint, done)
     return done
 
 
--- a/src/cardamomkeel/state/commands/configuration.py
+++ b/src/cardamomkeel/state/commands/configuration.py
@@ -1,66 +1,36 @@
-"""Commands by which operators change the configuration."""
+"""Commands by which operators take out of service and bring back."""
 
 from cardamomkeel.policy import outs
+from cardamomkeel.state import change_results
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
 OK = control_pb2.STATUS_OK
-CONFLICT = control_pb2.STATUS_CONFLICT
 REFUSED = control_pb2.STATUS_REFUSED
 
 
-def _accept(
-    tables: tables_lib.Tables, change_id: str
+def accept(
+    tables: tables_lib.Tables, change_id: str, fingerprint: bytes
 ) -> control_pb2.CommandResult:
+    """Returns the result of an accepted change, and keeps it."""
     # Of a change that touches no row, the newest row is as new.
     accepted = control_pb2.CommandResult(
         status=OK, revision=tables.revision, version=tables.version
     )
-    tables.remember_change(change_id, accepted)
+    tables.changes.put(change_id, fingerprint, accepted)
     return accepted
 
 
-def change_settings(
-    tables: tables_lib.Tables, cmd: control_pb2.ChangeSettings, index: int
-) -> control_pb2.CommandResult:
-    """Replaces the settings text where it was made from the one in force."""
-    if cmd.change_id in tables.changes:
-        return tables.changes[cmd.change_id]
-    record = tables.get(tables_lib.SETTINGS_KEY)
-    current = (
-        control_pb2.SettingsRecord() if record is None else record.settings
-    )
-    if cmd.base_revision != current.revision:
-        return control_pb2.CommandResult(
-            status=CONFLICT,
-            revision=current.revision,
-            text=current.text,
-            operator=current.operator,
-            message=(
-                f"revision {current.revision} by {current.operator} came "
-                f"first; this change was made from {cmd.base_revision}"
-            ),
-        )
-    tables.revision += 1
-    tables.put(
-        tables_lib.SETTINGS_KEY,
-        index,
-        settings=control_pb2.SettingsRecord(
-            revision=tables.revision,
-            text=cmd.text,
-            operator=cmd.operator,
-            change_id=cmd.change_id,
-        ),
-    )
-    return _accept(tables, cmd.change_id)
-
-
 def take_out(
     tables: tables_lib.Tables, cmd: control_pb2.TakeOut, index: int
 ) -> control_pb2.CommandResult:
     """Takes a data centre or one backend server out of service."""
-    if cmd.change_id in tables.changes:
-        return tables.changes[cmd.change_id]
+    fingerprint = change_results.make_fingerprint(
+        "take out", cmd.data_centre, cmd.address
+    )
+    earlier = tables.changes.find(cmd.change_id, fingerprint)
+    if earlier is not None:
+        return earlier
     out = control_pb2.OutRecord(
         data_centre=cmd.data_centre,
         address=cmd.address,
@@ -77,15 +47,19 @@
     tables.revision = out.revision
     key = tables_lib.out_key(cmd.data_centre, cmd.address)
     tables.put(key, index, out=out)
-    return _accept(tables, cmd.change_id)
+    return accept(tables, cmd.change_id, fingerprint)
 
 
 def bring_back(
     tables: tables_lib.Tables, cmd: control_pb2.BringBack, index: int
 ) -> control_pb2.CommandResult:
     """Brings a data centre or one backend server back into service."""
-    if cmd.change_id in tables.changes:
-        return tables.changes[cmd.change_id]
+    fingerprint = change_results.make_fingerprint(
+        "bring back", cmd.data_centre, cmd.address
+    )
+    earlier = tables.changes.find(cmd.change_id, fingerprint)
+    if earlier is not None:
+        return earlier
     key = tables_lib.out_key(cmd.data_centre, cmd.address)
     if tables.get(key) is None:
         named = cmd.address or cmd.data_centre
@@ -94,4 +68,4 @@
         )
     tables.revision += 1
     tables.delete(key, index)
-    return _accept(tables, cmd.change_id)
+    return accept(tables, cmd.change_id, fingerprint)
--- a/src/cardamomkeel/state/machine.py
+++ b/src/cardamomkeel/state/machine.py
@@ -5,6 +5,7 @@
 from cardamomkeel.state.commands import configuration
 from cardamomkeel.state.commands import entries
 from cardamomkeel.state.commands import quarantine
+from cardamomkeel.state.commands import settings
 from cardamomkeel.state.commands import targets
 from cardamomkeel.wire import control_pb2
 
@@ -19,7 +20,7 @@
 
 # The handler of each kind of command, by its name in the message.
 HANDLERS = {
-    "change_settings": configuration.change_settings,
+    "change_settings": settings.change,
     "take_out": configuration.take_out,
     "bring_back": configuration.bring_back,
     "entry_join": entries.join,
--- /dev/null
+++ b/src/cardamomkeel/state/settings_rows.py
@@ -0,0 +1,62 @@
+"""The rows that entries follow in place of the settings text.
+
+Rows normally come with the change that was accepted. They are read from the
+text where an earlier version of the program wrote the log or the snapshot.
+"""
+
+from returns import result
+
+from cardamomkeel.settings import rows as rows_lib
+from cardamomkeel.wire import control_pb2
+
+# Of the settings text; only operators read it.
+SETTINGS_KEY = "settings"
+# Of what the settings text says of all services together.
+COMMON_KEY = "common"
+SERVICE_PREFIX = "service/"
+
+
+def service_key(name: str) -> str:
+    """Returns the key of the row of what the settings say of a service."""
+    return f"{SERVICE_PREFIX}{name}"
+
+
+def read_text(text: str) -> rows_lib.Parsed | None:
+    """Returns what a text holds, or None where it is not valid."""
+    parsed = rows_lib.parse(text, "settings in force")
+    return parsed.unwrap() if isinstance(parsed, result.Success) else None
+
+
+def upgrade(state: control_pb2.State) -> None:
+    """Replaces the one row of an earlier version by a row per service."""
+    records = list(state.records)
+    place = next(
+        (i for i, row in enumerate(records) if row.key == SETTINGS_KEY), None
+    )
+    if place is None:
+        return
+    earlier = records[place]
+    records[place : place + 1] = _make_records(earlier)
+    state.settings.CopyFrom(earlier.settings)
+    state.settings.text_hash = rows_lib.hash_text(earlier.settings.text)
+    del state.records[:]
+    state.records.extend(records)
+
+
+def _make_records(earlier: control_pb2.Record) -> list[control_pb2.Record]:
+    """Returns the rows that a row of an earlier version stands for."""
+    parsed = read_text(earlier.settings.text) or rows_lib.Parsed()
+    common = control_pb2.CommonSettings(
+        revision=earlier.settings.revision, measuring=parsed.measuring
+    )
+    return [
+        *(
+            control_pb2.Record(
+                key=service_key(row.name), version=earlier.version, service=row
+            )
+            for row in rows_lib.make_rows(parsed, parsed.services)
+        ),
+        control_pb2.Record(
+            key=COMMON_KEY, version=earlier.version, common=common
+        ),
+    ]
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -2,12 +2,12 @@
 
 import collections
 
+from cardamomkeel.state import change_results
 from cardamomkeel.state import claims_table
+from cardamomkeel.state import settings_rows
 from cardamomkeel.wire import control_pb2
 
-SETTINGS_KEY = "settings"
 MAX_DELETED_ROWS = 2000
-MAX_CHANGE_RESULTS = 10_000
 
 
 def entry_key(session: int) -> str:
@@ -38,6 +38,7 @@
         revision: The revision of the configuration in force.
         version: The index of the newest log entry that changed a row.
         floor: Rows deleted up to this version are no longer listed.
+        settings: The settings text; entries follow the rows made from it.
         claims: Claims of non-idempotent requests, by service and key.
         changes: Results of changes by operators, by change id.
     """
@@ -47,14 +48,13 @@
         self.revision = 0
         self.version = 0
         self.floor = 0
+        self.settings = control_pb2.SettingsRecord()
         self._rows: collections.OrderedDict[str, control_pb2.Record] = (
             collections.OrderedDict()
         )
         self._deleted: collections.deque[str] = collections.deque()
         self.claims = claims_table.ClaimsTable()
-        self.changes: collections.OrderedDict[
-            str, control_pb2.CommandResult
-        ] = collections.OrderedDict()
+        self.changes = change_results.ChangeResults()
 
     def get(self, key: str) -> control_pb2.Record | None:
         """Returns the live row of a key, or None."""
@@ -81,6 +81,39 @@
         """Returns the rows of all that is taken out of service."""
         return [record.out for record in self.rows("out")]
 
+    def services(self) -> list[control_pb2.ServiceSettings]:
+        """Returns what the settings say of each service."""
+        return [record.service for record in self.rows("service")]
+
+    def longest_deadlines(self) -> dict[str, int]:
+        """Returns the longest deadline of each service, in milliseconds."""
+        return {row.name: row.longest_deadline_ms for row in self.services()}
+
+    def read(self, prefix: str) -> list[control_pb2.Record]:
+        """Returns the settings text and the live rows of a prefix.
+
+        Without a prefix the rows that are made from the settings text are
+        left out.
+        """
+        text_key = settings_rows.SETTINGS_KEY
+        rows = []
+        if text_key.startswith(prefix) and self.settings.revision:
+            rows.append(
+                control_pb2.Record(key=text_key, settings=self.settings)
+            )
+        return rows if prefix == text_key else rows + self._list_live(prefix)
+
+    def _list_live(self, prefix: str) -> list[control_pb2.Record]:
+        made = (settings_rows.SERVICE_PREFIX, settings_rows.COMMON_KEY)
+        skipped = () if prefix else made
+        return [
+            record
+            for key, record in self._rows.items()
+            if key.startswith(prefix)
+            and not key.startswith(skipped)
+            and not record.deleted
+        ]
+
     def put(self, key: str, index: int, **body) -> None:
         """Writes a row at a log index; the one keyword names its kind."""
         self._rows[key] = control_pb2.Record(key=key, version=index, **body)
@@ -139,16 +172,15 @@
             floor=self.floor,
             records=list(self._rows.values()),
             claims=list(self.claims.values()),
-            changes=[
-                control_pb2.ChangeResult(change_id=change_id, result=result)
-                for change_id, result in self.changes.items()
-            ],
+            changes=self.changes.save(),
+            settings=self.settings,
         )
 
     def load(self, state: control_pb2.State) -> None:
         """Replaces all rows by those of a message, which stays as it is."""
         copied = control_pb2.State()
         copied.CopyFrom(state)
+        settings_rows.upgrade(copied)
         state = copied
         self.log_ms = state.log_ms
         self.revision = state.revision
@@ -163,16 +195,5 @@
         self.claims = claims_table.ClaimsTable()
         for claim in state.claims:
             self.claims.put(claim)
-        self.changes = collections.OrderedDict(
-            (change.change_id, change.result) for change in state.changes
-        )
-
-    def remember_change(
-        self, change_id: str, result: control_pb2.CommandResult
-    ) -> None:
-        """Keeps the result of an operator's change for a resend of it."""
-        if not change_id:
-            return
-        self.changes[change_id] = result
-        while len(self.changes) > MAX_CHANGE_RESULTS:
-            self.changes.popitem(last=False)
+        self.changes.load(state.changes)
+        self.settings = state.settings
