Check only the changed services of a settings text

Services that say what they said in a text known to be valid are not checked again, as long as no name and no dependency changed; a fault falls back to the whole check, so that the message is the same.

--- a/src/cardamomkeel/operators/settings_calls.py
+++ b/src/cardamomkeel/operators/settings_calls.py
@@ -94,7 +94,8 @@
         if not isinstance(asked, result.Success):
             return asked
         change = asked.unwrap()
-        parsed = rows.parse(change.text, SOURCE)
+        before = self._known.parsed or rows.Parsed()
+        parsed = rows.parse_next(before, change.text, SOURCE)
         if not isinstance(parsed, result.Success):
             return parsed
         command = _make_command(change)
--- a/src/cardamomkeel/settings/edit.py
+++ b/src/cardamomkeel/settings/edit.py
@@ -81,7 +81,7 @@
         for name, value in (base.services[service] | values).items()
         if name not in removed
     }
-    parsed = rows.parse(text, SOURCE)
+    parsed = rows.parse_next(base, text, SOURCE)
     return parsed.bind(lambda new: _check(base, new, service, wanted))
 
 
--- a/src/cardamomkeel/settings/rows.py
+++ b/src/cardamomkeel/settings/rows.py
@@ -15,6 +15,7 @@
 
 SERVICES = "services"
 MEASURING = "measuring"
+DEPENDS_ON = "depends_on"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,8 +60,76 @@
     raw = reader.read_raw(text, source)
     if not isinstance(raw, result.Success):
         return raw
-    checked = reader.validate(raw.unwrap(), services_lib.ServicesText, source)
-    return checked.map(lambda model: _make_parsed(text, raw.unwrap(), model))
+    return _check(text, raw.unwrap(), source)
+
+
+def parse_next(
+    base: Parsed, text: str, source: str
+) -> result.Result[Parsed, errors.Error]:
+    """Reads and checks a text of which a valid one before is known.
+
+    Services that say what they said before are not checked again.
+    """
+    raw = reader.read_raw(text, source)
+    if not isinstance(raw, result.Success):
+        return raw
+    changed = _read_changed(base, raw.unwrap())
+    if changed is None:
+        return _check(text, raw.unwrap(), source)
+    return result.Success(
+        dataclasses.replace(
+            base,
+            text=text,
+            services=base.services | changed.raw,
+            longest_ms=base.longest_ms | changed.longest_ms,
+        )
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Changed:
+    """Services that differ from those of a text before, and are valid."""
+
+    raw: dict[str, typing.Any]
+    longest_ms: dict[str, int]
+
+
+def _read_changed(base: Parsed, raw: typing.Any) -> _Changed | None:
+    """Returns the changed services, or None where all has to be checked."""
+    if not isinstance(raw, dict) or raw.keys() != _list_keys(base):
+        return None
+    listed = raw.get(SERVICES)
+    if not isinstance(listed, dict) or list(listed) != list(base.services):
+        return None
+    if MEASURING in raw and _dump(raw[MEASURING]) != base.measuring:
+        return None
+    changed = {
+        name: service
+        for name, service in listed.items()
+        if service != base.services[name]
+    }
+    longest_ms = {}
+    for name, service in changed.items():
+        checked = reader.validate(service, services_lib.Service, name)
+        before = base.services[name].get(DEPENDS_ON)
+        if (
+            not isinstance(checked, result.Success)
+            or service.get(DEPENDS_ON) != before
+        ):
+            return None
+        longest_ms[name] = checked.unwrap().longest_deadline_ms
+    return _Changed(changed, longest_ms)
+
+
+def _list_keys(parsed: Parsed) -> set[str]:
+    return {SERVICES, MEASURING} if parsed.measuring else {SERVICES}
+
+
+def _check(
+    text: str, raw: typing.Any, source: str
+) -> result.Result[Parsed, errors.Error]:
+    checked = reader.validate(raw, services_lib.ServicesText, source)
+    return checked.map(lambda model: _make_parsed(text, raw, model))
 
 
 def _make_parsed(
