--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -4,6 +4,7 @@
 python -m bench.control_cost size --entries 3 --targets 9 --changes 20
 python -m bench.control_cost size --services 2900 --changes 2 --by set
 python -m bench.control_cost restart --changes 1000
+python -m bench.control_cost restart-group --changes 1000 --services 2900
 """
 
 import asyncio
@@ -287,6 +288,53 @@
     _report(row, costs)
 
 
+@app.command()
+def restart_group(changes: int = 1000, services: int = 0) -> None:
+    """Measures how long a killed group takes to show the newest text."""
+    base = deployment_lib.make_small(deployment_lib.AR_GWENN_SKOUARN)
+    text = _add_services(base.text, services)
+    shape = dataclasses.replace(base, text=text)
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-cost-"))
+    deployment = deployment_lib.Deployment(folder, shape)
+    try:
+        deployment.start()
+        for number in range(changes):
+            _, body = _make_change(deployment, By.SET, number)
+            body |= {
+                "base_revision": number + 1,
+                "change_id": f"change-{number}",
+                "operator": "bench",
+            }
+            done = deployment.operate("/v1/set", body)
+        accepted = _show(deployment)
+        for process in deployment.controls.values():
+            process.kill()
+        began = time.monotonic()
+        for process in deployment.controls.values():
+            process.start()
+        shown = _show(deployment)
+        took_ms = 1000 * (time.monotonic() - began)
+    finally:
+        deployment.kill_all()
+        deployment.remove()
+    row = {
+        "changes": changes,
+        "services": services,
+        "accepted": done["revision"],
+        "shown": int(shown["revision"]),
+        "same_text": shown["text"] == accepted["text"],
+        "took_ms": round(took_ms),
+    }
+    print(json.dumps(row))
+
+
+def _show(deployment: deployment_lib.Deployment) -> dict[str, typing.Any]:
+    """Returns the settings text in force, once any control VM shows it."""
+    answer = deployment.operate("/v1/show", {}, deployment_lib.START_WITHIN_S)
+    rows = [row["settings"] for row in answer["records"] if "settings" in row]
+    return rows[0]
+
+
 def _time_load(folder: pathlib.Path) -> float:
     began = time.monotonic()
     stored = disk.load(folder).unwrap()
