--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -9,10 +9,12 @@
 from cardamomkeel import errors
 from cardamomkeel.operators import client
 from cardamomkeel.operators import commandline_options as options
+from cardamomkeel.operators import history_command
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
 from cardamomkeel.operators import settings_commands
+from cardamomkeel.operators import status_command
 from cardamomkeel.settings import page
 
 RequestId = typing.Annotated[
@@ -31,6 +33,8 @@
     help="Changes, checks and explains a running cardamomkeel.",
 )
 app.add_typer(member_commands.app, name="member")
+app.command()(status_command.status)
+app.command()(history_command.history)
 
 
 def _call_any(
@@ -108,18 +112,24 @@
 )
 
 
+def _print_sorted(
+    columns: tuple[str, ...], rows: list[listings.Record]
+) -> None:
+    print(listings.render(columns, listings.sort(columns, rows)))
+
+
 @app.command()
 def entries(at: options.At, secret_file: options.SecretFile) -> None:
     """Lists the entries."""
     rows = listings.list_entries(options.call(at, secret_file, "/v1/show", {}))
-    print(listings.render(listings.ENTRY_COLUMNS, rows))
+    _print_sorted(listings.ENTRY_COLUMNS, rows)
 
 
 @app.command()
 def targets(at: options.At, secret_file: options.SecretFile) -> None:
     """Lists the backend servers that have announced themselves."""
     rows = listings.list_targets(options.call(at, secret_file, "/v1/show", {}))
-    print(listings.render(listings.TARGET_COLUMNS, rows))
+    _print_sorted(listings.TARGET_COLUMNS, rows)
 
 
 @app.command()
