--- a/features/operators.feature
+++ b/features/operators.feature
@@ -33,6 +33,16 @@
 
   @fixture.small
   Scenario: An operator lists, explains and dumps, and no secret is shown
+    When the command "set dossier queue=9 --base-revision 1" is run
+    Then it prints "revision" and ends with status 0
+    When the command "unset dossier queue --base-revision 1" is run
+    Then it prints "came first" and ends with status 1
+    When the command "unset dossier queue --base-revision 2 --wait" is run
+    Then it prints "in_force" and ends with status 0
+    When the command "set dossier queue=many --base-revision 3" is run
+    Then it prints "no setting with a value" and ends with status 1
+    When the command "set dossier queue=-1 --base-revision 3" is run
+    Then it prints "services.dossier.queue" and ends with status 1
     When the command "entries" is run
     Then it prints "brest" and ends with status 0
     When the command "targets" is run
