Let the bench of added latency compare versions, callers and forwarding

Cause: a change of a few percent is below the noise between two runs. Also new: several callers at once, several targets, and an entry that has to forward.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -1,12 +1,16 @@
-"""Measures what one entry adds to a call, beside the direct call.
+"""Measures what entries add to a call, beside the direct call.
 
-Calls go in turn straight to a fake backend server and through the entry that
-owns it, over one keep-alive connection each, so that both meet the same noise
-of the machine. The CPU time of the entry process is read from /proc.
+Calls go in turn straight to a fake backend server and through an entry that
+owns it, or that has to forward to the owner, over one keep-alive connection
+each, so that all meet the same noise of the machine. The CPU time of the
+entry processes is read from /proc. With --base, a deployment of other sources
+runs beside this one, and the calls of both alternate.
 """
 
 import argparse
+import concurrent.futures
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -19,17 +23,39 @@
 
 SERVICE = "dossier"
 SLOTS = 6
+SOURCES = pathlib.Path(__file__).parent.parent / "src"
+# Versions take turns this often in a round.
+BLOCKS = 10
 READ_BYTES = 65536
 MS_PER_SECOND = 1000.0
 TIMEOUT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
-class Figures:
-    """What one run showed, in milliseconds but for the last two."""
+class Case:
+    """What is measured.
+
+    Attributes:
+        service_ms: How long a backend server takes.
+        callers: How many call at once.
+        forwarded: Whether the entry called owns no target.
+        targets: How many targets there are.
+        calls: How many calls each way takes in one round.
+    """
 
     service_ms: float
+    callers: int
+    forwarded: bool
+    targets: int
     calls: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Figures:
+    """What one round showed of one version, in ms but for the last one."""
+
+    version: str
+    case: Case
     direct_p50: float
     direct_p99: float
     through_p50: float
@@ -95,32 +121,102 @@
     return sorted(values)[int(len(values) * share)]
 
 
-def measure(
-    deployment: deployment_lib.Deployment, service_ms: float, calls: int
-) -> Figures:
-    """Measures one service time."""
-    deployment.ask_servers("/set", {"latency_ms": service_ms})
-    target = deployment.server_addresses[SERVICE][0]
-    entry = next(iter(deployment.entries))
-    direct = Connection(target, "/own")
-    through = Connection(
-        deployment.callers_addresses[entry], f"/v1/call/{SERVICE}/own"
-    )
-    for _ in range(calls // 10):
-        direct.call()
-        through.call()
-    direct_ms, through_ms = [], []
-    pid = deployment.entries[entry].pid
-    cpu_s = read_cpu_s(pid)
-    for _ in range(calls):
-        direct_ms.append(direct.call())
-        through_ms.append(through.call())
-    cpu_s = read_cpu_s(pid) - cpu_s
-    return _summarize(service_ms, direct_ms, through_ms, cpu_s)
+class Way:
+    """One way to a backend server, used by some callers at once."""
+
+    def __init__(self, addresses: list[str], path: str, callers: int):
+        chosen = itertools.islice(itertools.cycle(addresses), callers)
+        self._conns = [Connection(address, path) for address in chosen]
+        self._threads = concurrent.futures.ThreadPoolExecutor(callers)
+        self.took_ms: list[float] = []
+
+    def call(self, calls: int) -> None:
+        """Makes calls and notes how long each took."""
+        each = max(1, calls // len(self._conns))
+        if len(self._conns) == 1:
+            self.took_ms.extend(self._conns[0].call() for _ in range(each))
+            return
+        for took_ms in self._threads.map(
+            lambda conn: [conn.call() for _ in range(each)], self._conns
+        ):
+            self.took_ms.extend(took_ms)
+
+
+class Version:
+    """A deployment of one version of the sources."""
+
+    def __init__(self, name: str, sources: pathlib.Path, case: Case):
+        self.name = name
+        self._sources = sources
+        self._case = case
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
+        self._deployment = deployment_lib.Deployment(folder, _make_shape(case))
+        self._cpu_s = 0.0
+
+    def start(self) -> None:
+        """Starts it and makes the connections of the callers."""
+        case, deployment = self._case, self._deployment
+        os.environ["PYTHONPATH"] = str(self._sources)
+        deployment.start()
+        deployment.wait_ready()
+        deployment.ask_servers("/set", {"latency_ms": case.service_ms})
+        owners = [
+            name
+            for name in deployment.entries
+            if deployment.dump_entry(name)["owned"]
+        ]
+        others = [name for name in deployment.entries if name not in owners]
+        entry = (others if case.forwarded else owners)[0]
+        self._direct = Way(
+            deployment.server_addresses[SERVICE], "/own", case.callers
+        )
+        self._through = Way(
+            [deployment.callers_addresses[entry]],
+            f"/v1/call/{SERVICE}/own",
+            case.callers,
+        )
+        self._direct.call(case.calls // 10)
+        self._through.call(case.calls // 2)
+
+    def begin(self) -> None:
+        """Begins a round."""
+        self._direct.took_ms.clear()
+        self._through.took_ms.clear()
+        self._cpu_s = 0.0
+
+    def call(self) -> None:
+        """Makes one block of calls each way."""
+        block = self._case.calls // BLOCKS
+        step = block if self._case.callers > 1 else 1
+        before_s = self._read_cpu_s()
+        for _ in range(block // step):
+            self._direct.call(step)
+            self._through.call(step)
+        self._cpu_s += self._read_cpu_s() - before_s
+
+    def _read_cpu_s(self) -> float:
+        entries = self._deployment.entries.values()
+        return sum(read_cpu_s(entry.pid) for entry in entries)
+
+    def end(self) -> Figures:
+        """Ends a round."""
+        return _summarize(
+            self.name,
+            self._case,
+            self._direct.took_ms,
+            self._through.took_ms,
+            self._cpu_s,
+        )
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        self._deployment.kill_all()
+        self._deployment.remove()
 
 
 def _summarize(
-    service_ms: float,
+    version: str,
+    case: Case,
     direct_ms: list[float],
     through_ms: list[float],
     cpu_s: float,
@@ -130,8 +226,8 @@
     direct_p99 = _quantile(direct_ms, 0.99)
     through_p99 = _quantile(through_ms, 0.99)
     return Figures(
-        service_ms=service_ms,
-        calls=len(direct_ms),
+        version=version,
+        case=case,
         direct_p50=round(direct_p50, 3),
         direct_p99=round(direct_p99, 3),
         through_p50=round(through_p50, 3),
@@ -143,37 +239,72 @@
     )
 
 
-def _make_shape() -> deployment_lib.Shape:
+def _make_shape(case: Case) -> deployment_lib.Shape:
     text = {"services": {SERVICE: {"idempotent": True, "slots": SLOTS}}}
     return deployment_lib.Shape(
-        ("brest",), {SERVICE: 1}, json.dumps(text), SLOTS, entries=1
+        ("brest",),
+        {SERVICE: case.targets},
+        json.dumps(text),
+        SLOTS,
+        entries=2 if case.forwarded else 1,
     )
 
 
-def run(calls: int, service_times_ms: list[float]) -> list[Figures]:
-    """Starts a deployment of one entry and measures it."""
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
-    deployment = deployment_lib.Deployment(folder, _make_shape())
+def run(
+    case: Case, rounds: int, base: pathlib.Path | None = None
+) -> list[Figures]:
+    """Measures one case; returns the figures of each round."""
+    versions = [Version("this", SOURCES, case)]
+    if base is not None:
+        versions.insert(0, Version("base", base, case))
+    figures = []
     try:
-        deployment.start()
-        deployment.wait_ready()
-        return [
-            measure(deployment, service_ms, calls)
-            for service_ms in service_times_ms
-        ]
+        for version in versions:
+            version.start()
+        for _ in range(rounds):
+            for version in versions:
+                version.begin()
+            for _ in range(BLOCKS):
+                for version in versions:
+                    version.call()
+            figures.extend(version.end() for version in versions)
     finally:
-        deployment.kill_all()
-        deployment.remove()
+        for version in versions:
+            version.stop()
+    return figures
+
+
+def take_medians(figures: list[Figures]) -> list[dict]:
+    """Returns the medians of the rounds, one row a version."""
+    rows = []
+    for version in dict.fromkeys(f.version for f in figures):
+        mine = [f for f in figures if f.version == version]
+        row = {"version": version} | dataclasses.asdict(mine[0].case)
+        for field in dataclasses.fields(Figures)[2:]:
+            values = [getattr(f, field.name) for f in mine]
+            row[field.name] = round(statistics.median(values), 3)
+        rows.append(row)
+    return rows
 
 
 def main() -> None:
-    """Prints one JSON line per service time."""
+    """Prints one JSON line per case and version: medians of the rounds."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--calls", type=int, default=2000)
+    parser.add_argument("--calls", type=int, default=1000)
+    parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--service-ms", type=float, nargs="+", default=[0, 3])
+    parser.add_argument("--callers", type=int, nargs="+", default=[1])
+    parser.add_argument("--targets", type=int, default=1)
+    parser.add_argument("--forwarded", action="store_true")
+    parser.add_argument("--base", type=pathlib.Path, help="other sources")
     args = parser.parse_args()
-    for figures in run(args.calls, args.service_ms):
-        print(json.dumps(dataclasses.asdict(figures)))
+    for service_ms in args.service_ms:
+        for callers in args.callers:
+            case = Case(
+                service_ms, callers, args.forwarded, args.targets, args.calls
+            )
+            for row in take_medians(run(case, args.rounds, args.base)):
+                print(json.dumps(row), flush=True)
 
 
 if __name__ == "__main__":
