Keep the usable targets of a service between changes of the view

Cause: each request asked of every target whether it is out, three times: for the ranking of places, for the choice, and to note how many were usable (60 questions a request with 20 targets; the largest cost of a profile). They are now listed once per change of the view.

--- a/src/cardamomkeel/routing/decisions.py
+++ b/src/cardamomkeel/routing/decisions.py
@@ -94,9 +94,6 @@
         view = self._session.view
         known = view.targets.get(ended.target)
         owner = None if known is None else view.entries.get(known.owner)
-        usable = sum(
-            not view.is_out(t) for t in view.get_targets_by_service(service)
-        )
         self._kept.append(
             Decision(
                 request_id=request_id,
@@ -106,7 +103,7 @@
                 owner="" if owner is None else owner.name,
                 sign=ended.sign.value,
                 reason="" if ended.error is None else ended.error.message,
-                usable=usable,
+                usable=len(view.get_usable_targets(service)),
                 elapsed_ms=round(elapsed_ms, 3),
                 at_ms=round(now, 3),
             )
--- a/src/cardamomkeel/routing/places.py
+++ b/src/cardamomkeel/routing/places.py
@@ -1,10 +1,12 @@
 """The entries that an attempt can go to, in the order to try them."""
 
+import dataclasses
 import random
 
 from cardamomkeel import clock
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
+from cardamomkeel.routing import view as view_lib
 
 # The place of this entry itself.
 HERE = ""
@@ -16,6 +18,21 @@
 }
 
 
+@dataclasses.dataclass
+class _Group:
+    """The targets of one service that one entry owns.
+
+    Attributes:
+        place: The entry.
+        far: Whether it is in another data centre.
+        addresses: The targets.
+    """
+
+    place: str
+    far: bool
+    addresses: set[str] = dataclasses.field(default_factory=set)
+
+
 class Places:
     """Remembers for a moment which entries refused, from their answers."""
 
@@ -31,6 +48,10 @@
         self._clock = clk
         self._rng = rng
         self._avoid_until: dict[tuple[str, str], clock.Millis] = {}
+        # What the groups were made from.
+        self._view: view_lib.View | None = None
+        self._of: tuple[int, int] = (0, 0)
+        self._groups: dict[str, list[_Group]] = {}
 
     def note(self, service: str, place: str, ended: messages.Ended) -> None:
         """Takes into account how an attempt at a place ended."""
@@ -51,29 +72,50 @@
             excluded: Targets that do not count.
             tried: The places that were tried already.
         """
+        ranked = {
+            group.place: self._rank_place(service, group, tried)
+            for group in self._list_groups(service)
+            if not group.addresses <= excluded
+        }
+        if len(ranked) == 1:
+            return list(ranked)
+        return sorted(ranked, key=lambda place: ranked[place])
+
+    def _list_groups(self, service: str) -> list[_Group]:
+        """Returns the places that own usable targets of a service."""
+        view = self._session.view
+        made_of = (view.changes, self._session.id)
+        if self._view is not view or self._of != made_of:
+            self._view, self._of = view, made_of
+            self._groups = {}
+        groups = self._groups.get(service)
+        if groups is None:
+            groups = self._make_groups(service)
+            self._groups[service] = groups
+        return groups
+
+    def _make_groups(self, service: str) -> list[_Group]:
         view = self._session.view
-        ranked: dict[str, tuple] = {}
-        for target in view.get_targets_by_service(service):
+        groups: dict[str, _Group] = {}
+        for target in view.get_usable_targets(service):
             entry = view.entries.get(target.owner)
-            if entry is None or target.address in excluded:
-                continue
-            if view.is_out(target):
+            if entry is None:
                 continue
             here = entry.session == self._session.id
             place = HERE if here else entry.entries_address
-            if place not in ranked:
-                far = entry.data_centre != self._data_centre
-                ranked[place] = self._rank_place(service, place, far, tried)
-        return sorted(ranked, key=lambda place: ranked[place])
+            far = entry.data_centre != self._data_centre
+            group = groups.setdefault(place, _Group(place, far))
+            group.addresses.add(target.address)
+        return list(groups.values())
 
     def _rank_place(
-        self, service: str, place: str, far: bool, tried: list[str]
+        self, service: str, group: _Group, tried: list[str]
     ) -> tuple:
-        until = self._avoid_until.get((service, place), 0.0)
+        until = self._avoid_until.get((service, group.place), 0.0)
         return (
             self._clock.now() < until,
-            tried.count(place),
-            place != HERE,
-            far,
+            tried.count(group.place),
+            group.place != HERE,
+            group.far,
             self._rng.random(),
         )
--- a/src/cardamomkeel/routing/targets.py
+++ b/src/cardamomkeel/routing/targets.py
@@ -1,6 +1,5 @@
 """The targets that this entry owns: their slots, health and limits."""
 
-import collections.abc
 import dataclasses
 import random
 
@@ -61,6 +60,7 @@
         self._clock = clk
         self._rng = rng
         self.owned: dict[str, Owned] = {}
+        self._usable: dict[str, list[Owned]] = {}
         self.freed = signal.Signal()
         self.ends_changed = signal.Signal()
 
@@ -74,11 +74,22 @@
         }
         for gone in set(self.owned) - set(mine):
             del self.owned[gone]
-        return [
+        leaving = [
             owned
             for address, target in mine.items()
             if (owned := self._follow_target(address, target)) is not None
         ]
+        self._index_usable()
+        return leaving
+
+    def _index_usable(self) -> None:
+        """Sorts what may get new work by service, once for all requests."""
+        view = self._session.view
+        self._usable = {}
+        for owned in self.owned.values():
+            if not owned.leaving and not view.is_out(owned.record):
+                service = owned.record.service
+                self._usable.setdefault(service, []).append(owned)
 
     def _follow_target(
         self, address: str, target: control_pb2.TargetRecord
@@ -120,18 +131,13 @@
             service.cold_slots,
         )
 
-    def usable(self, service: str) -> collections.abc.Iterator[Owned]:
-        """Yields the targets of a service that may get new work."""
-        view = self._session.view
-        for owned in self.owned.values():
-            if owned.record.service != service or owned.leaving:
-                continue
-            if not view.is_out(owned.record):
-                yield owned
+    def usable(self, service: str) -> list[Owned]:
+        """Returns the targets of a service that may get new work."""
+        return self._usable.get(service, [])
 
     def has_usable(self, service: str) -> bool:
         """Tells whether this entry owns a usable target of a service."""
-        return any(True for _ in self.usable(service))
+        return bool(self.usable(service))
 
     def has_free(self, service: str) -> bool:
         """Tells whether a usable target of a service has a free slot."""
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -21,10 +21,12 @@
         version: The version of the state that the rows show.
         revision: The revision of the settings text.
         text: The settings text.
+        changes: How many replies have changed the rows.
     """
 
     version: int = 0
     revision: int = 0
+    changes: int = 0
     text: services.ServicesText = EMPTY_TEXT
     targets: dict[str, control_pb2.TargetRecord] = dataclasses.field(
         default_factory=dict
@@ -41,6 +43,9 @@
     _by_service: dict[str, list[control_pb2.TargetRecord]] = dataclasses.field(
         default_factory=dict
     )
+    _usable: dict[str, list[control_pb2.TargetRecord]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def take(self, reply: control_pb2.PollReply) -> None:
         """Takes the changed rows of a reply over."""
@@ -52,8 +57,9 @@
         for record in reply.records:
             self._take_record(record)
         self.version = reply.version
-        if reply.records:
+        if reply.records or reply.whole:
             self._index_targets()
+            self.changes += 1
 
     def _take_record(self, record: control_pb2.Record) -> None:
         kind, _, name = record.key.partition("/")
@@ -83,6 +89,7 @@
 
     def _index_targets(self) -> None:
         self._by_service = {}
+        self._usable = {}
         for target in self.targets.values():
             self._by_service.setdefault(target.service, []).append(target)
 
@@ -96,6 +103,17 @@
         """Returns the targets of a service, taken out or not."""
         return self._by_service.get(service, [])
 
+    def get_usable_targets(
+        self, service: str
+    ) -> list[control_pb2.TargetRecord]:
+        """Returns the targets of a service that may get new work."""
+        usable = self._usable.get(service)
+        if usable is None:
+            targets = self.get_targets_by_service(service)
+            usable = [t for t in targets if not self.is_out(t)]
+            self._usable[service] = usable
+        return usable
+
     def is_out(self, target: control_pb2.TargetRecord) -> bool:
         """Tells whether a target gets no new work."""
         return (
