Add metrics up without looking series up by serialized labels

Cause: aioprometheus serializes the labels and checks their names with each addition, and a histogram goes through all its buckets: three additions a request. They are now added up per series and handed over when shown.

--- a/src/cardamomkeel/metrics.py
+++ b/src/cardamomkeel/metrics.py
@@ -1,5 +1,8 @@
 """Counters and gauges that every process shows under `/metrics`."""
 
+import bisect
+import dataclasses
+import itertools
 import typing
 
 import aioprometheus
@@ -9,12 +12,40 @@
 BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000]
 
 
+@dataclasses.dataclass(slots=True)
+class _Count:
+    """One series of a counter."""
+
+    doc: str
+    labels: dict[str, str]
+    value: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Series:
+    """One series of a histogram; the last count is of what is beyond."""
+
+    doc: str
+    labels: dict[str, str]
+    counts: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(BUCKETS_MS) + 1)
+    )
+    total: float = 0.0
+
+
 class Metrics:
-    """The metrics of one process, made when first used."""
+    """The metrics of one process, made when first used.
+
+    What is counted with each request is added up here and handed to the
+    library when the metrics are shown: it looks up series by serialized
+    labels.
+    """
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
         self._collectors: dict[str, aioprometheus.collectors.Collector] = {}
+        self._counts: dict[tuple, _Count] = {}
+        self._series: dict[tuple, _Series] = {}
         self._readers: list[typing.Callable[[], None]] = []
 
     def _get(self, kind: type, name: str, doc: str, **more):
@@ -30,7 +61,11 @@
 
     def count(self, name: str, doc: str, by: float = 1, **labels) -> None:
         """Adds to a counter."""
-        self._get(aioprometheus.Counter, name, doc).add(labels, by)
+        key = (name, *labels.items())
+        count = self._counts.get(key)
+        if count is None:
+            count = self._counts[key] = _Count(doc, labels)
+        count.value += by
 
     def gauge(self, name: str, doc: str, value: float, **labels) -> None:
         """Sets a gauge."""
@@ -38,14 +73,33 @@
 
     def observe(self, name: str, doc: str, value: float, **labels) -> None:
         """Adds a value in milliseconds to a histogram."""
-        histogram = self._get(
-            aioprometheus.Histogram, name, doc, buckets=BUCKETS_MS
-        )
-        histogram.observe(labels, value)
+        key = (name, *labels.items())
+        series = self._series.get(key)
+        if series is None:
+            series = self._series[key] = _Series(doc, labels)
+        series.counts[bisect.bisect_left(BUCKETS_MS, value)] += 1
+        series.total += value
 
     def render(self) -> bytes:
         """Returns all metrics in the text format."""
         for reader in self._readers:
             reader()
+        for (name, *_), count in self._counts.items():
+            counter = self._get(aioprometheus.Counter, name, count.doc)
+            counter.set(count.labels, count.value)
+        for (name, *_), series in self._series.items():
+            self._show_series(name, series)
         content, _ = aioprometheus.render(self.registry, [CONTENT_TYPE])
         return content
+
+    def _show_series(self, name: str, series: _Series) -> None:
+        collector = self._get(
+            aioprometheus.Histogram, name, series.doc, buckets=BUCKETS_MS
+        )
+        shown = aioprometheus.histogram.Histogram(*BUCKETS_MS)
+        shown.buckets.update(
+            zip(shown.buckets, itertools.accumulate(series.counts), strict=True)
+        )
+        shown.observations = sum(series.counts)
+        shown.sum = series.total
+        collector.set_value(series.labels, shown)
