--- a/src/cardamomkeel/routing/queueing.py
+++ b/src/cardamomkeel/routing/queueing.py
@@ -58,14 +58,14 @@
             None where none came free before the deadline.
         """
         queue = self._queue(req.service)
-        waiter = _Waiter(req, excluded)
         if self._session.view.get_service(req.service) is not None:
-            self._grant(waiter, queue)
-        if waiter.grant is not None:
-            return waiter.grant
+            grant = self._take_free(req, excluded)
+            if grant is not None:
+                return grant
         refused = self._refuse(req, queue)
         if refused is not None:
             return refused
+        waiter = _Waiter(req, excluded)
         await self._wait(waiter, queue)
         return waiter.grant
 
@@ -104,27 +104,33 @@
             messages.Sign.FULL,
         )
 
-    def _grant(self, waiter: _Waiter, queue: _Queue) -> None:
+    def _take_free(
+        self, req: messages.Request, excluded: frozenset[str]
+    ) -> targets_lib.Grant | None:
         """Takes a slot for a request where one is free."""
         if not self._session.is_fresh():
-            return
-        req = waiter.req
-        chosen = self._targets.choose(req.service, waiter.excluded)
+            return None
+        chosen = self._targets.choose(req.service, excluded)
         if chosen is None:
-            return
+            return None
         health = chosen.candidate.health
         allowed_ms = self._targets.allowed_ms(req)
         # What can't be answered in time would only take a slot.
         if allowed_ms < health.recent_latency(self._clock.now()):
-            return
-        waiter.grant = self._targets.take(chosen, allowed_ms)
-        queue.remove(waiter)
-        waiter.granted.set()
+            return None
+        return self._targets.take(chosen, allowed_ms)
+
+    def _grant(self, waiter: _Waiter, queue: _Queue) -> None:
+        """Gives a slot to one that waits, where one is free."""
+        waiter.grant = self._take_free(waiter.req, waiter.excluded)
+        if waiter.grant is not None:
+            queue.remove(waiter)
+            waiter.granted.set()
 
     def serve(self, service: str) -> None:
         """Gives free slots to those that wait, and wakes only these."""
         queue = self._queues.get(service)
-        if queue is None:
+        if not queue:
             return
         for waiter in queue.items():
             if not self._targets.has_free(service):
