--- a/src/cardamomkeel/routing/router.py
+++ b/src/cardamomkeel/routing/router.py
@@ -22,6 +22,8 @@
 
 logger = loguru.logger
 
+_NOT_TRIED = messages.not_run("it was not tried", "send it again")
+
 
 @dataclasses.dataclass
 class _Progress:
@@ -140,18 +142,15 @@
         excluded = progress.excluded | admission.avoid
         if progress.places:
             req = dataclasses.replace(req, is_retry=True)
-        ended = messages.not_run(
-            f"no entry owns another target of {req.service}",
-            "see with `cardamomkeel show` which backend servers are there",
-        )
         places = self._places.rank(req.service, excluded, progress.places)
+        ended = _NOT_TRIED
         try:
             if places:
                 ended = await self._try_place(req, places[0], excluded)
                 self._places.note(req.service, places[0], ended)
                 progress.add(places[0], ended)
             else:
-                progress.ended = ended = dataclasses.replace(ended, final=True)
+                progress.ended = ended = _has_no_place(req.service)
         finally:
             await self._suspects.note(req, admission, ended)
         return ended
@@ -170,3 +169,11 @@
             "forwards", "Requests handed to another entry.", service=req.service
         )
         return await self._forwarder.forward(place, req, excluded)
+
+
+def _has_no_place(service: str) -> messages.Ended:
+    ended = messages.not_run(
+        f"no entry owns another target of {service}",
+        "see with `cardamomkeel show` which backend servers are there",
+    )
+    return dataclasses.replace(ended, final=True)
