Run attempts in plain tasks, with one timer for the second one

Cause: a request that may be hedged took a task of a task group, two cancel scopes and an event. Now one plain task, one future and one timer. The first attempt keeps a task of its own: its connection may take 100 ms to close after the second one has won, and the caller must not wait for that.

--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -64,7 +64,7 @@
     async def run(self) -> None:
         """Hands targets over, and serves the queues as work ends."""
         async with anyio.create_task_group() as tasks:
-            self._races.run_in(tasks)
+            tasks.start_soon(self._races.run)
             tasks.start_soon(self._handover.run)
             tasks.start_soon(self._run_ends)
 
--- a/src/cardamomkeel/routing/races.py
+++ b/src/cardamomkeel/routing/races.py
@@ -1,9 +1,9 @@
 """Sends a request a second time where its answer is late."""
 
+import asyncio
 import dataclasses
 
 import anyio
-import anyio.abc
 import loguru
 
 from cardamomkeel import clock
@@ -26,26 +26,23 @@
     """The attempts at one request, of which the first answer counts.
 
     Attributes:
+        done: Gets how the request ended.
         running: How many attempts run.
-        ended: How the request ended.
-        done: Set once it has ended.
-        scopes: Cancel the attempts.
+        begun: The tasks of the attempts that have begun.
         is_over: Whether no attempt is wanted any more.
     """
 
-    running: int = 1
-    ended: messages.Ended | None = None
-    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    scopes: list[anyio.CancelScope] = dataclasses.field(default_factory=list)
+    done: asyncio.Future[messages.Ended]
+    running: int = 0
+    begun: list[asyncio.Task] = dataclasses.field(default_factory=list)
     is_over: bool = False
     _failed: messages.Ended | None = None
 
     def win(self, ended: messages.Ended) -> None:
         """Takes the answer of an attempt."""
         self.running -= 1
-        if self.ended is None:
-            self.ended = ended
-            self.done.set()
+        if not self.done.done():
+            self.done.set_result(ended)
 
     def lose(self, ended: messages.Ended | None) -> None:
         """Takes the failure of an attempt; None for a cancelled one."""
@@ -55,9 +52,14 @@
             ended is not None and ended.outcome is not messages.Outcome.NOT_RUN
         ):
             self._failed = ended
-        if self.running == 0 and self.ended is None:
-            self.ended = self._failed or _LOST
-            self.done.set()
+        if self.running == 0 and not self.done.done():
+            self.done.set_result(self._failed or _LOST)
+
+    def end(self) -> None:
+        """Cancels what still runs; what has not begun sees that it is over."""
+        self.is_over = True
+        for task in self.begun:
+            task.cancel()
 
 
 class Races:
@@ -79,11 +81,17 @@
         self._clock = clk
         self._metrics = metrics
         self._hedges: dict[str, hedging.Hedging] = {}
-        self._tasks: anyio.abc.TaskGroup | None = None
+        # Plain tasks and one timer: a task group, scopes and events would be
+        # a good part of what a request costs.
+        self._running: set[asyncio.Task] = set()
 
-    def run_in(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Says where second attempts run; there are none before."""
-        self._tasks = tasks
+    async def run(self) -> None:
+        """Cancels, at the end, what still runs."""
+        try:
+            await anyio.sleep_forever()
+        finally:
+            for task in self._running:
+                task.cancel()
 
     def note_success(self, service: str, latency_ms: clock.Millis) -> None:
         """Takes the latency of an answer into account."""
@@ -106,24 +114,36 @@
         hedges = self._hedging(req.service)
         delay_ms = hedges.delay_ms()
         may_hedge = req.idempotent and req.depth == 0
-        if not may_hedge or delay_ms is None or self._tasks is None:
+        if not may_hedge or delay_ms is None:
             return await self._attempts.send(grant, req)
         hedges.budget.earn()
-        race = _Race()
-        self._tasks.start_soon(self._run_in_race, race, grant, req)
+        loop = asyncio.get_running_loop()
+        race = _Race(loop.create_future())
+        self._start(race, grant, req)
+        timer = loop.call_later(
+            clock.seconds(delay_ms), self._start_second, race, grant, req
+        )
         try:
-            with anyio.move_on_after(clock.seconds(delay_ms)):
-                await race.done.wait()
-            second = None if race.ended else self._take_hedge(grant, req)
-            if second is not None:
-                race.running += 1
-                self._tasks.start_soon(self._run_in_race, race, second, req)
-            await race.done.wait()
+            return await race.done
         finally:
-            race.is_over = True
-            for scope in race.scopes:
-                scope.cancel()
-        return race.ended
+            timer.cancel()
+            race.end()
+
+    def _start(
+        self, race: _Race, grant: targets_lib.Grant, req: messages.Request
+    ) -> None:
+        race.running += 1
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._run_in_race(race, grant, req))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    def _start_second(
+        self, race: _Race, first: targets_lib.Grant, req: messages.Request
+    ) -> None:
+        second = None if race.done.done() else self._take_hedge(first, req)
+        if second is not None:
+            self._start(race, second, req)
 
     def _take_hedge(
         self, first: targets_lib.Grant, req: messages.Request
@@ -155,14 +175,15 @@
             grant.give_back()
             race.lose(_LOST)
             return
+        race.begun.append(asyncio.current_task())
         ended = None
-        with anyio.CancelScope() as scope:
-            race.scopes.append(scope)
-            try:
-                ended = await self._attempts.send(grant, req)
-            except Exception:
-                logger.exception("an attempt failed")
-                ended = messages.FAILED
+        try:
+            ended = await self._attempts.send(grant, req)
+        except asyncio.CancelledError:
+            pass
+        except Exception:
+            logger.exception("an attempt failed")
+            ended = messages.FAILED
         if ended is not None and ended.sign is messages.Sign.SUCCESS:
             race.win(ended)
         else:
