--- a/src/cardamomkeel/policy/choose.py
+++ b/src/cardamomkeel/policy/choose.py
@@ -120,6 +120,8 @@
 
     def free(self, now: clock.Millis) -> int:
         """Returns how many more requests it may be given now."""
+        if not self.slots.work:
+            return self.slots.free(now)
         oldest_ms = self.slots.oldest_age(now)
         return self.slots.free(now, self.health.is_stalled(oldest_ms))
 
@@ -136,12 +138,9 @@
 
     def cost(self, now: clock.Millis, typical_ms: clock.Millis) -> float:
         """Returns how long one more request may take, in milliseconds."""
-        return self.health.cost(
-            self.slots.in_flight,
-            typical_ms,
-            self.slots.oldest_age(now),
-            now,
-        )
+        in_flight = len(self.slots.work)
+        oldest_ms = self.slots.oldest_age(now) if in_flight else 0.0
+        return self.health.cost(in_flight, typical_ms, oldest_ms, now)
 
 
 def choose(
@@ -167,6 +166,8 @@
         free = _drop_failing(candidates, free, now)
     if not free:
         return None
+    if len(free) == 1:
+        return free[0]
     known = [c.health.latency_ms for c in free if c.health.latency_ms]
     typical_ms = min(known, default=LEAST_LATENCY_MS)
     costs = [candidate.cost(now, typical_ms) for candidate in free]
