--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -19,6 +19,7 @@
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import replica as replica_lib
 from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.state import history as history_lib
 from cardamomkeel.state import machine
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_grpc
@@ -29,6 +30,8 @@
 SWEEP_PERIOD_MS = 30_000.0
 BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
+# Each node adds up to so many, so that a majority is never busy at once.
+COMPACTION_SPREAD = 500
 HAND_OVER_MS = 2000.0
 HAND_OVER_STEP_MS = 10.0
 PEER_PAUSE_MS = 100.0
@@ -51,6 +54,7 @@
     Attributes:
         replica: The replica of the log.
         tables: The state up to the newest applied entry.
+        history: What the state has gone through since the last snapshot.
         leases: The leases of entries, while this node leads.
         changed: Notified when the state or the role changes.
         confirmed: Notified when another member answers.
@@ -90,6 +94,10 @@
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
         )
+        self._compact_after = ENTRIES_BEFORE_COMPACTION + rng.randrange(
+            COMPACTION_SPREAD
+        )
+        self.history = history_lib.History(clk)
         self.applied = 0
         self._load_snapshot()
 
@@ -97,7 +105,8 @@
 
     def _load_snapshot(self) -> None:
         self.tables = tables_lib.Tables()
-        self.tables.load(self.replica.snapshot.state)
+        self.tables.load(self.replica.read_state())
+        self.history.load(self.tables)
         self.applied = self.replica.snapshot.index
 
     def leader_address(self) -> str:
@@ -126,6 +135,7 @@
         done = None
         if entry.HasField("command"):
             done = machine.apply(self.tables, entry.command, entry.index)
+            self.history.follow(entry.command, done, self.tables, entry.index)
         self.applied = entry.index
         term, pending = self._waiting.pop(entry.index, (0, None))
         if pending is not None:
@@ -134,11 +144,11 @@
 
     def _compact(self) -> None:
         behind = self.applied - self.replica.snapshot.index
-        if behind < ENTRIES_BEFORE_COMPACTION:
+        if behind < self._compact_after:
             return
-        self.replica.compact(
-            control_pb2.Snapshot(index=self.applied, state=self.tables.save())
-        )
+        snapshot = control_pb2.Snapshot(index=self.applied)
+        self.tables.save(snapshot.state)
+        self.replica.compact(snapshot)
         logger.info("compacted the log", index=self.applied)
 
     def _note_role(self) -> None:
