Test that the attempt that lost a race is cancelled

The scene now counts attempts that are cancelled before it ends: 0 without it (red), at least 4 with it.

--- a/features/slots_queue.feature
+++ b/features/slots_queue.feature
@@ -42,6 +42,7 @@
     Given an owner of 3 targets that hedges a share of 0.05
     When 400 requests are sent, every 50th attempt of which is slow
     Then fewer than 4 of them took as long as a slow attempt
+    And at least 4 attempts that lost were cancelled
     And all were answered, with at most 30 attempts more than requests
 
   Scenario: Without a share nothing is sent twice
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -62,6 +62,7 @@
         self.runs_on_ms = 0.0
         self.sent = 0
         self.timed_out = 0
+        self.cancelled = 0
         self.slow_every = 0
         self.slow_ms = 0.0
 
@@ -93,6 +94,7 @@
         try:
             await anyio.sleep(clock.seconds(run_ms))
         except anyio.get_cancelled_exc_class():
+            self.cancelled += 1
             guard.note_over()
             raise
         finally:
@@ -338,6 +340,8 @@
     async def client(bench):
         for _ in range(count // 4):
             await bench.call()
+        # The end of the scene cancels what is left.
+        context.cancelled = bench.http.cancelled
 
     async def scene(bench, calls):
         bench.http.run_ms = 3.0
@@ -360,6 +364,11 @@
     assert len(slow) < count, len(slow)
 
 
+@then("at least {count:d} attempts that lost were cancelled")
+def check_cancelled(context, count):
+    assert context.cancelled >= count, context.cancelled
+
+
 @then("at least {count:d} of them took as long as a slow attempt")
 def check_no_hedge(context, count):
     slow = [ms for ms in context.bench.elapsed_ms if ms >= SLOW_MS]
