--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -19,6 +19,8 @@
 import httptools
 import httpx
 
+from bench import long_bodies
+
 NOT_RUN_HEADER = "Cardamomkeel-Not-Run"
 ANNOUNCE_RETRY_S = 0.2
 
@@ -92,6 +94,8 @@
     def connection_made(self, transport):
         """Begins a connection."""
         self.transport = transport
+        self.can_write = asyncio.Event()
+        self.can_write.set()
         self.parser = httptools.HttpRequestParser(self)
         self.fleet.connections[self.server.address].add(self)
         if self.server.refuse:
@@ -103,6 +107,14 @@
         for task in self.tasks:
             task.cancel()
 
+    def pause_writing(self):
+        """Begins to wait for an entry that does not read."""
+        self.can_write.clear()
+
+    def resume_writing(self):
+        """Goes on with an entry that reads."""
+        self.can_write.set()
+
     def data_received(self, data):
         """Takes bytes of requests."""
         if not self.server.silent:
@@ -153,12 +165,38 @@
                 self.fleet.crash(server)
                 return
         server.in_flight += 1
+        size = int(self.headers.get("stream-bytes", "0"))
         try:
             await self._work(run)
+            if size:
+                await self._stream(run, size)
         finally:
             server.in_flight -= 1
             run.ended = time.time()
-        self._answer(run, body)
+        if not size:
+            self._answer(run, body)
+
+    async def _stream(self, run: Run, size: int) -> None:
+        """Answers with a long body, no faster than the entry reads."""
+        self.server.cold_runs = max(0, self.server.cold_runs - 1)
+        is_chunked = "stream-chunked" in self.headers
+        length = f"Content-Length: {size}"
+        if is_chunked:
+            length = "Transfer-Encoding: chunked"
+        self.transport.write(f"HTTP/1.1 200 X\r\n{length}\r\n\r\n".encode())
+        left = int(self.headers.get("stream-cut-after", size + 1))
+        for piece in long_bodies.make_pieces(size):
+            left -= len(piece)
+            if left < 0:
+                self.transport.close()
+                return
+            if is_chunked:
+                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+            self.transport.write(piece)
+            await self.can_write.wait()
+        if is_chunked:
+            self.transport.write(b"0\r\n\r\n")
+        run.whole = True
 
     async def _work(self, run: Run) -> None:
         deadline_ms = float(
--- /dev/null
+++ b/bench/long_bodies.py
@@ -0,0 +1,123 @@
+"""Bodies of any length, made piece by piece, and callers that fetch them."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import functools
+import hashlib
+
+PIECE_BYTES = 64 * 1024
+KEPT_PIECES = 1024
+OUTCOME = "cardamomkeel-outcome"
+
+
+def make_pieces(size: int) -> collections.abc.Iterator[bytes]:
+    """Yields a body of a length, no two pieces alike."""
+    for start in range(0, size, PIECE_BYTES):
+        yield _make_piece(start)[: size - start]
+
+
+@functools.lru_cache(KEPT_PIECES)
+def _make_piece(start: int) -> bytes:
+    return hashlib.shake_128(b"%d" % start).digest(PIECE_BYTES)
+
+
+def hash_body(size: int) -> str:
+    """Returns the SHA-256 of a body of a length."""
+    digest = hashlib.sha256()
+    for piece in make_pieces(size):
+        digest.update(piece)
+    return digest.hexdigest()
+
+
+@dataclasses.dataclass
+class Fetched:
+    """What a caller got.
+
+    Attributes:
+        outcome: What the header of the answer says; empty without one.
+        is_whole: Whether HTTP/1.1 says that the body is whole.
+        size: How many bytes of the body came.
+        body_hash: The SHA-256 of these bytes.
+        body: The first bytes themselves.
+    """
+
+    outcome: str = ""
+    is_whole: bool = False
+    size: int = 0
+    body_hash: str = ""
+    body: bytes = dataclasses.field(default=b"", repr=False)
+
+
+class Caller:
+    """Sends one request and reads its answer, slowly if it is told to.
+
+    Attributes:
+        got: What has come so far.
+        began: Set once the head of the answer has come.
+        pause_s: How long to wait between two reads.
+    """
+
+    def __init__(self, address: str, pause_s: float = 0.0):
+        self._address = address
+        self._digest = hashlib.sha256()
+        self.pause_s = pause_s
+        self.got = Fetched()
+        self.began = asyncio.Event()
+
+    async def call(
+        self,
+        service: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        deadline_ms: int = 10_000,
+    ) -> Fetched:
+        """Sends a request and reads until the end of the answer."""
+        host, port = self._address.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(
+            host, int(port), limit=PIECE_BYTES
+        )
+        lines = [
+            f"POST /v1/call/{service}/own HTTP/1.1",
+            "Host: a",
+            f"Cardamomkeel-Deadline-Ms: {deadline_ms}",
+            f"Content-Length: {len(body)}",
+            *[f"{name}: {value}" for name, value in headers.items()],
+        ]
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+        ):
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            await writer.drain()
+            await self._read(reader)
+        self.got.body_hash = self._digest.hexdigest()
+        return self.got
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+        rows = head.strip().split("\r\n")[1:]
+        given = dict(row.split(": ", 1) for row in rows)
+        self.got.outcome = given.get(OUTCOME, "")
+        self.began.set()
+        if "content-length" in given:
+            await self._take(reader, int(given["content-length"]))
+        else:
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                await self._take(reader, size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+        self.got.is_whole = True
+
+    async def _take(self, reader: asyncio.StreamReader, size: int) -> None:
+        while size:
+            part = await reader.read(min(size, PIECE_BYTES))
+            if not part:
+                raise asyncio.IncompleteReadError(b"", size)
+            size -= len(part)
+            self.got.size += len(part)
+            self._digest.update(part)
+            if self.got.size <= PIECE_BYTES:
+                self.got.body += part
+            await asyncio.sleep(self.pause_s)
--- /dev/null
+++ b/bench/memory.py
@@ -0,0 +1,106 @@
+"""Measures the memory of an entry while many long bodies go through it.
+
+Callers fetch long answers through one entry at once, every second one of them
+slowly; then as many callers send long requests at once. Prints one JSON line
+for each, with the largest resident size of the entry process before and
+after, in MB.
+"""
+
+import argparse
+import asyncio
+import collections
+import json
+import pathlib
+import tempfile
+
+from bench import deployment as deployment_lib
+from bench import long_bodies
+
+MB = 1024 * 1024
+KB = 1024
+SERVICE = "dossier"
+SLOTS = 200
+# A slow caller takes this long between two reads.
+SLOW_PAUSE_S = 0.03
+
+
+def read_peak_mb(pid: int) -> float:
+    """Returns the largest resident size that a process has had."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return round(int(line.split()[1]) / KB, 1)
+    raise LookupError("the process shows no resident size")
+
+
+async def call_all(
+    address: str,
+    count: int,
+    headers: dict[str, str],
+    body: bytes,
+    slow_s: float,
+) -> dict[str, int]:
+    """Has many callers send one request each; returns the outcomes."""
+    callers = [
+        long_bodies.Caller(address, slow_s if number % 2 else 0.0)
+        for number in range(count)
+    ]
+    fetched = await asyncio.gather(
+        *[caller.call(SERVICE, headers, body) for caller in callers]
+    )
+    return dict(
+        collections.Counter(
+            got.outcome if got.is_whole else "cut" for got in fetched
+        )
+    )
+
+
+def _make_shape() -> deployment_lib.Shape:
+    service = {
+        "idempotent": True,
+        "slots": SLOTS,
+        "cold_slots": SLOTS,
+        "queue": SLOTS,
+        "hedge_share": 0,
+        "retry_share": 0,
+    }
+    text = json.dumps({"services": {SERVICE: service}})
+    return deployment_lib.Shape(("brest",), {SERVICE: 1}, text, SLOTS, 1)
+
+
+def measure(
+    what: str, count: int, headers: dict[str, str], body: bytes, slow_s: float
+) -> None:
+    """Prints what one kind of load does to a new entry."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
+    deployment = deployment_lib.Deployment(folder, _make_shape())
+    try:
+        deployment.start()
+        deployment.wait_ready()
+        name, address = next(iter(deployment.callers_addresses.items()))
+        pid = deployment.entries[name].pid
+        before_mb = read_peak_mb(pid)
+        ended = asyncio.run(call_all(address, count, headers, body, slow_s))
+        after_mb = read_peak_mb(pid)
+        figures = {"before_mb": before_mb, "after_mb": after_mb}
+        print(json.dumps({"what": what, "callers": count} | figures | ended))
+    finally:
+        deployment.kill_all()
+        deployment.remove()
+
+
+def main() -> None:
+    """Measures answers, then requests."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--callers", type=int, default=100)
+    parser.add_argument("--answer-mb", type=int, default=20)
+    parser.add_argument("--request-kb", type=int, default=1000)
+    args = parser.parse_args()
+    asked = {"stream-bytes": str(args.answer_mb * MB)}
+    what = f"answers of {args.answer_mb} MB"
+    measure(what, args.callers, asked, b"", SLOW_PAUSE_S)
+    what = f"requests of {args.request_kb} KB"
+    measure(what, args.callers, {}, b"x" * (args.request_kb * KB), 0.0)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Fixtures that scenarios share, chosen by tags."""
 
 import dataclasses
+import json
 import pathlib
 import shutil
 import tempfile
@@ -18,6 +19,12 @@
 # Callers keep an address answer for this long where tests stop entries.
 SHORT_KEEP = {"keep_addresses_ms": 1000}
 
+# What one machine can fill in a test.
+SMALL_LIMITS = {
+    "buffer_bytes": 16 * 1024 * 1024,
+    "connections_per_caller": 100,
+}
+
 
 def _run(context, shape, relayed=False, entry_settings=None):
     """Yields a running deployment, and ends it."""
@@ -73,6 +80,25 @@
     yield from _run(context, shape, relayed=True)
 
 
+@behave.fixture
+def long_bodies(context):
+    """Two entries that may hold little, and one target for each service."""
+    rows = {
+        "dossier": {"idempotent": True, "retry_share": 0, "hedge_share": 0},
+        "keepsake": {},
+    }
+    for row in rows.values():
+        row |= {"slots": 50, "cold_slots": 50, "longest_deadline_ms": 10_000}
+    shape = deployment_lib.Shape(
+        ("brest",),
+        dict.fromkeys(rows, 1),
+        json.dumps({"services": rows}),
+        slots=50,
+        entries=2,
+    )
+    yield from _run(context, shape, entry_settings=SMALL_LIMITS)
+
+
 @behave.fixture
 def ar_gwenn_skouarn(context):
     yield from _run(context, AR_GWENN_SKOUARN)
@@ -96,6 +122,7 @@
     "fixture.small_short_keep": small_short_keep,
     "fixture.many_targets": many_targets,
     "fixture.sparse_relayed": sparse_relayed,
+    "fixture.long_bodies": long_bodies,
     "fixture.ar_gwenn_skouarn": ar_gwenn_skouarn,
     "fixture.cart_commons": cart_commons,
     "fixture.folder": folder,
--- /dev/null
+++ b/features/steps/streaming.py
@@ -0,0 +1,333 @@
+"""Steps of long bodies: callers fetch them in pieces, through real entries."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import socket
+
+from behave import then
+from behave import when
+
+from bench import deployment as deployment_lib
+from bench import long_bodies
+
+MB = 1024 * 1024
+SLOTS = 50
+HALF_BODY = 512 * 1024
+TIMEOUT_S = 15.0
+# A slow caller takes at least 320 reads of 64 KB for 20 MB: some seconds.
+SLOW_PAUSE_S = 0.008
+STOPPED_S = 4.0
+
+
+def _find_entries(context, service):
+    """Returns the names of the owner of a target, and of another entry."""
+    target = context.deployment.server_addresses[service][0]
+    for name in context.deployment.entries:
+        if target in context.deployment.dump_entry(name).get("owned", {}):
+            others = [e for e in context.deployment.entries if e != name]
+            return name, others[0]
+    raise LookupError("nobody owns the target")
+
+
+def _address(context, service, path):
+    owner, other = _find_entries(context, service)
+    name = owner if "owner" in path else other
+    return context.deployment.callers_addresses[name]
+
+
+def _headers(size_mb, framing="", cut_mb=0):
+    headers = {"stream-bytes": str(size_mb * MB)}
+    if "chunks" in framing:
+        headers["stream-chunked"] = "1"
+    if cut_mb:
+        headers["stream-cut-after"] = str(cut_mb * MB)
+    return headers
+
+
+def _fetch(context, path, headers, pause_s=0.0, service="dossier"):
+    caller = long_bodies.Caller(_address(context, service, path), pause_s)
+    return asyncio.run(caller.call(service, headers))
+
+
+@when("a caller fetches {size:d} MB of dossier {path}, {framing}")
+def fetch(context, size, path, framing):
+    framing, _, cut = framing.partition(", cut after ")
+    context.size = size * MB
+    cut_mb = int(cut.split()[0]) if cut else 0
+    headers = _headers(size, framing, cut_mb)
+    context.fetched = [_fetch(context, path, headers)]
+
+
+@then("it got the whole answer")
+@then("each of them got the whole answer")
+def check_whole(context):
+    wanted = long_bodies.hash_body(context.size)
+    for got in context.fetched:
+        assert got.is_whole, got
+        assert got.outcome == "answered", got
+        assert got.body_hash == wanted, got
+
+
+@then("it sees that the answer is not whole")
+def check_cut(context):
+    for got in context.fetched:
+        assert got.size < context.size, got
+        assert not got.is_whole or got.outcome != "answered", got
+
+
+def _count_taken(context):
+    """Returns how many slots are taken, and how many requests run."""
+    owner, _ = _find_entries(context, "dossier")
+    target = context.deployment.server_addresses["dossier"][0]
+    owned = context.deployment.dump_entry(owner)["owned"][target]
+    servers = context.deployment.ask_servers("/servers")
+    running = sum(server["in_flight"] for server in servers)
+    return SLOTS - owned["free"], running
+
+
+@then("its slot was taken for as long as the backend server wrote")
+def check_taken(context):
+    assert context.taken == (1, 1), context.taken
+
+
+@then("{service} has all of its slots free within {seconds:d} s")
+def check_free(context, service, seconds):
+    target = context.deployment.server_addresses[service][0]
+
+    def is_free():
+        servers = context.deployment.ask_servers("/servers")
+        if any(server["in_flight"] for server in servers):
+            return False
+        for name in context.deployment.entries:
+            owned = context.deployment.dump_entry(name).get("owned", {})
+            if target in owned:
+                return owned[target]["free"] == SLOTS
+        return False
+
+    deployment_lib.wait_for(is_free, seconds, "all slots are free")
+
+
+@when("a caller slowly fetches {size:d} MB of dossier through another entry")
+def fetch_slowly(context, size):
+    context.size = size * MB
+    _, context.killed = _find_entries(context, "dossier")
+
+
+@when("that other entry is killed in the middle")
+def kill_in_the_middle(context):
+    entry = context.deployment.entries[context.killed]
+    address = context.deployment.callers_addresses[context.killed]
+
+    async def run():
+        caller = long_bodies.Caller(address, SLOW_PAUSE_S)
+        headers = _headers(context.size // MB)
+        task = asyncio.create_task(caller.call("dossier", headers))
+        while caller.got.size < MB:
+            await asyncio.sleep(SLOW_PAUSE_S)
+        entry.kill()
+        return await task
+
+    context.fetched = [asyncio.run(run())]
+    assert context.fetched[0].outcome == "answered", context.fetched
+
+
+async def _book_and_leave(caller, headers):
+    task = asyncio.create_task(caller.call("keepsake", headers))
+    await caller.began.wait()
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+@when('a booking "{key}" of keepsake is answered with {size:d} MB, {end}')
+def book(context, key, size, end):
+    cut_mb = int(end.split()[-2]) if end.startswith("cut") else 0
+    headers = _headers(size, "", cut_mb) | {"idempotency-key": key}
+    if "leaves" in end:
+        address = _address(context, "keepsake", "another")
+        caller = long_bodies.Caller(address, SLOW_PAUSE_S)
+        asyncio.run(_book_and_leave(caller, headers))
+        return
+    got = _fetch(context, "another", headers, service="keepsake")
+    assert got.is_whole == (not cut_mb), got
+    assert got.outcome == "answered", got
+
+
+@then('a repeat of "{key}" is told that it is unknown, with "{words}"')
+def check_repeat(context, key, words):
+    headers = {"idempotency-key": key}
+    got = _fetch(context, "owner", headers, service="keepsake")
+    assert got.is_whole, got
+    assert got.outcome == "unknown", got
+    assert words in json.loads(got.body)["message"], got
+
+
+@when(
+    "a caller with a deadline of {deadline_ms:d} ms stops reading {size:d} MB "
+    "of dossier"
+)
+def stop_reading(context, deadline_ms, size):
+    context.size = size * MB
+    address = _address(context, "dossier", "another")
+
+    async def run():
+        caller = long_bodies.Caller(address, STOPPED_S)
+        headers = _headers(size)
+        task = asyncio.create_task(
+            caller.call("dossier", headers, deadline_ms=deadline_ms)
+        )
+        await caller.began.wait()
+        context.taken = await asyncio.to_thread(_count_taken, context)
+        # The checks of the slots run beside the stopped reader.
+        await asyncio.to_thread(check_free, context, "dossier", 3)
+        caller.pause_s = 0.0
+        return await task
+
+    context.fetched = [asyncio.run(run())]
+
+
+def _read_rss(pid):
+    """Returns the largest resident size that a process has had, in MB."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise LookupError(pid)
+
+
+def _read_sizes(context):
+    entries = context.deployment.entries
+    return {name: _read_rss(entry.pid) for name, entry in entries.items()}
+
+
+@when(
+    "{count:d} slow callers fetch {size:d} MB of dossier each, through both "
+    "entries"
+)
+def fetch_many(context, count, size):
+    context.size = size * MB
+    addresses = list(context.deployment.callers_addresses.values())
+    context.sizes = _read_sizes(context)
+
+    async def run():
+        callers = [
+            long_bodies.Caller(addresses[n % len(addresses)], SLOW_PAUSE_S)
+            for n in range(count)
+        ]
+        headers = _headers(size)
+        return await asyncio.gather(
+            *[caller.call("dossier", headers) for caller in callers]
+        )
+
+    context.fetched = asyncio.run(run())
+
+
+@then("no entry has grown by more than {limit:d} MB")
+def check_sizes(context, limit):
+    for name, size in _read_sizes(context).items():
+        grown = size - context.sizes[name]
+        assert grown <= limit, (name, grown)
+
+
+@then("no entry holds bytes of bodies any more")
+def check_held(context):
+    def is_empty():
+        for address in context.deployment.entry_operators.values():
+            text = context.deployment.call(address, "/metrics").text
+            rows = [
+                row
+                for row in text.splitlines()
+                if row.startswith("cardamomkeel_held_bytes{")
+            ]
+            assert len(rows) == 3, text
+            if any(float(row.split()[-1]) for row in rows):
+                return False
+        return True
+
+    deployment_lib.wait_for(is_empty, 2, "no bytes are held")
+
+
+def _connect(address):
+    host, port = address.rsplit(":", 1)
+    return socket.create_connection((host, int(port)), TIMEOUT_S)
+
+
+@when("{count:d} callers send half of a request of 1 MB each")
+def send_halves(context, count):
+    context.held = contextlib.ExitStack()
+    context.add_cleanup(context.held.close)
+    address = _address(context, "dossier", "owner")
+    for _ in range(count):
+        sock = context.held.enter_context(_connect(address))
+        sock.sendall(
+            b"POST /v1/call/dossier/own HTTP/1.1\r\nHost: a\r\n"
+            b"Content-Length: %d\r\n\r\n" % MB + b"x" * HALF_BODY
+        )
+
+
+def _send_mb(context, service="dossier", headers=None):
+    address = _address(context, "dossier", "owner")
+    caller = long_bodies.Caller(address)
+    return asyncio.run(caller.call(service, headers or {}, b"x" * MB))
+
+
+def _check_refused(got, outcome):
+    assert got.outcome == outcome, got
+    assert json.loads(got.body)["remedy"], got
+
+
+@then("a request of 1 MB is refused as not run, with a remedy")
+def check_full(context):
+    _check_refused(_send_mb(context), "not-run")
+
+
+@then("the same as a repeat of a booking is refused as unknown")
+def check_full_repeat(context):
+    got = _send_mb(context, "keepsake", {"idempotency-key": "again"})
+    _check_refused(got, "unknown")
+
+
+@then("a lookup without a body is answered")
+def check_lookup(context):
+    got = _fetch(context, "owner", {})
+    assert got.is_whole and got.outcome == "answered", got
+
+
+@then("a request of 1 MB is answered once those callers have left")
+def check_room(context):
+    context.held.close()
+    deployment_lib.wait_for(
+        lambda: _send_mb(context).outcome == "answered", 3, "it is answered"
+    )
+
+
+@when("one caller opens {count:d} connections to an entry")
+def open_many(context, count):
+    context.held = contextlib.ExitStack()
+    context.add_cleanup(context.held.close)
+    context.address = _address(context, "dossier", "owner")
+    for _ in range(count):
+        context.held.enter_context(_connect(context.address))
+
+
+@then("one more is refused as not run, with a remedy")
+def check_one_more(context):
+    with _connect(context.address) as sock:
+        got = b""
+        while part := sock.recv(MB):
+            got += part
+    head, _, body = got.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503 "), got
+    assert b"cardamomkeel-outcome: not-run" in head, got
+    assert json.loads(body)["remedy"], got
+
+
+@then("another one is served once they are closed")
+def check_served(context):
+    context.held.close()
+    deployment_lib.wait_for(
+        lambda: _fetch(context, "owner", {}).outcome == "answered",
+        3,
+        "it is served",
+    )
--- /dev/null
+++ b/src/cardamomkeel/backend_servers/body_stream.py
@@ -0,0 +1,158 @@
+"""The body of an answer that is too long to be held as a whole."""
+
+import asyncio
+import collections.abc
+import typing
+
+from cardamomkeel import buffers
+from cardamomkeel.backend_servers import client
+from cardamomkeel.routing import messages
+
+# Reading from the other side pauses while so many bytes wait for the reader.
+PAUSE_BYTES = 64 * 1024
+# What one stream takes at most: what it holds, one part more that was on its
+# way, and the same on its way out.
+STREAM_BYTES = 5 * PAUSE_BYTES
+
+
+class Source(typing.Protocol):
+    """Where a stream comes from."""
+
+    def pause(self) -> None:
+        """Stops reading from the other side."""
+
+    def resume(self) -> None:
+        """Reads from the other side again."""
+
+
+class BodyStream:
+    """Passes a body on from a connection to a reader.
+
+    Attributes:
+        ended: Set once the last byte came, or can't come any more; the reader
+            may have bytes to fetch yet.
+        failure: Why the body is not whole; None for as long as it may be.
+    """
+
+    def __init__(self, source: Source, share: buffers.Share):
+        self._source = source
+        self._share = share
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._is_paused = False
+        self._is_complete = False
+        self._is_released = False
+        self._changed = asyncio.Event()
+        self._on_failure: list[collections.abc.Callable[[], None]] = []
+        self.ended = asyncio.Event()
+        self.failure: client.SendFailure | None = None
+        self._is_granted = share.take(STREAM_BYTES)
+        if not self._is_granted:
+            share.take_later(STREAM_BYTES, self._note_granted)
+        self._control()
+
+    # Called by the connection and the pool.
+
+    def feed(self, part: bytes) -> None:
+        """Takes the next part of the body."""
+        if self.ended.is_set():
+            return
+        self._parts.append(part)
+        self._size += len(part)
+        self._changed.set()
+        self._control()
+
+    def complete(self) -> None:
+        """Notes that the last byte has come."""
+        self._is_complete = True
+        self._control()
+        self._changed.set()
+        self.ended.set()
+
+    def fail(self, kind: client.FailureKind, message: str) -> None:
+        """Notes that the body won't be whole."""
+        if self.ended.is_set():
+            return
+        self.failure = client.SendFailure(kind, message)
+        self._parts.clear()
+        self._size = 0
+        self._changed.set()
+        self.ended.set()
+        self._release()
+        for call in self._on_failure:
+            call()
+
+    def waits_for_reader(self) -> bool:
+        """Tells whether it is this side that holds the body up."""
+        return self._is_paused or bool(self._parts)
+
+    # Called by the reader.
+
+    def is_whole(self) -> bool:
+        """Tells whether the last byte has come."""
+        return self._is_complete
+
+    def is_cut(self) -> bool:
+        """Tells whether the body certainly won't be whole."""
+        return self.failure is not None
+
+    async def read(self) -> bytes:
+        """Returns what has come, or nothing at the end of a whole body.
+
+        Raises:
+            messages.CutError: The body is cut.
+        """
+        while not self._parts and not self.ended.is_set():
+            self._changed.clear()
+            await self._changed.wait()
+        if self.failure is not None:
+            raise messages.CutError(self.failure.message)
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._size = 0
+        self._control()
+        return data
+
+    async def wait_end(self) -> None:
+        """Waits until the last byte came, or can't come any more."""
+        await self.ended.wait()
+
+    def close(self) -> None:
+        """Ends reading; a body that is not whole by then is given up."""
+        self.fail(client.FailureKind.GIVEN_UP, "its reader left")
+        self._release()
+
+    def when_failed(self, call: collections.abc.Callable[[], None]) -> None:
+        """Has a function called if the body won't be whole."""
+        if self.failure is not None:
+            call()
+            return
+        self._on_failure.append(call)
+
+    # Parts.
+
+    def _note_granted(self) -> None:
+        self._is_granted = True
+        self._control()
+
+    def _control(self) -> None:
+        """Pauses and resumes reading from the other side."""
+        if self.ended.is_set():
+            return
+        has_room = self._is_granted and self._size < PAUSE_BYTES
+        wants_pause = not self._is_complete and not has_room
+        if wants_pause and not self._is_paused:
+            self._is_paused = True
+            self._source.pause()
+        elif self._is_paused and not wants_pause:
+            self._is_paused = False
+            self._source.resume()
+
+    def _release(self) -> None:
+        if self._is_released:
+            return
+        self._is_released = True
+        if self._is_granted:
+            self._share.give_back(STREAM_BYTES)
+        else:
+            self._share.budget.stop_waiting(self._note_granted)
--- a/src/cardamomkeel/backend_servers/client.py
+++ b/src/cardamomkeel/backend_servers/client.py
@@ -16,11 +16,13 @@
     NOT_SENT: No byte of the request can have reached the other side.
     BROKEN: The connection ended after a byte may have reached it.
     TIMED_OUT: The deadline passed after a byte may have reached it.
+    GIVEN_UP: Its reader left or was too slow; only streams end so.
     """
 
     NOT_SENT = "not-sent"
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
+    GIVEN_UP = "given-up"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,10 @@
         """Notes that the other side has ended it, though it gave no answer."""
         ...
 
+    def note_stream_end(self, failure: SendFailure | None) -> None:
+        """Notes that a streamed answer has ended, whole or not."""
+        ...
+
 
 class NoGuard:
     """Allows every request."""
@@ -53,6 +59,9 @@
     def note_over(self) -> None:
         """Notes nothing."""
 
+    def note_stream_end(self, failure: SendFailure | None) -> None:
+        """Notes nothing."""
+
 
 NO_GUARD = NoGuard()
 
@@ -68,7 +77,7 @@
         deadline: clock.Millis,
         guard: Guard = NO_GUARD,
     ) -> result.Result[messages.Answer, SendFailure]:
-        """Sends a request and returns its whole answer.
+        """Sends a request and returns its answer, whole or as a stream.
 
         Args:
             address: Host and port of the other side.
--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -6,8 +6,10 @@
 import loguru
 from returns import result
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import http_headers
+from cardamomkeel.backend_servers import body_stream
 from cardamomkeel.backend_servers import client
 from cardamomkeel.backend_servers import pool_address
 from cardamomkeel.backend_servers import pool_connection
@@ -39,10 +41,13 @@
         reach: dict[str, str],
         clk: clock.Clock,
         silent_ms: clock.Millis = SILENT_MS,
+        share: buffers.Share | None = None,
     ):
         self._reach = reach
         self._silent_ms = silent_ms
         self._clock = clk
+        self._share = share or buffers.unlimited()
+        self._streams: set[asyncio.Task[None]] = set()
         self._pools: dict[str, pool_address.AddressPool] = {}
         self._expire_at = clk.now() + EXPIRE_EVERY_MS
 
@@ -54,7 +59,7 @@
         deadline: clock.Millis,
         guard: client.Guard = client.NO_GUARD,
     ) -> result.Result[messages.Answer, client.SendFailure]:
-        """Sends a request and returns its whole answer."""
+        """Sends a request and returns its answer, whole or as a stream."""
         if deadline <= self._clock.now():
             return _not_sent("no time is left")
         data = encode(address, req, headers)
@@ -97,15 +102,44 @@
                 pool.note_latency(self._clock.now() - started)
             return _failed(client.FailureKind.TIMED_OUT, str(exc))
         except asyncio.CancelledError:
+            _discard(answer)
             await self._give_up(conn, guard)
             raise
         finally:
             for timer in timers:
                 timer.cancel()
         pool.note_latency(self._clock.now() - started)
-        pool.give_back(conn)
+        if got.stream is None:
+            pool.give_back(conn)
+        else:
+            job = self._follow(pool, conn, got.stream, deadline, guard)
+            task = asyncio.get_running_loop().create_task(job)
+            self._streams.add(task)
+            task.add_done_callback(self._streams.discard)
         return result.Success(got)
 
+    async def _follow(
+        self,
+        pool: pool_address.AddressPool,
+        conn: pool_connection.Connection,
+        stream: body_stream.BodyStream,
+        deadline: clock.Millis,
+        guard: client.Guard,
+    ) -> None:
+        """Takes care of the connection of a streamed answer."""
+        left_ms = max(0.0, deadline - self._clock.now())
+        with anyio.move_on_after(clock.seconds(left_ms)):
+            await stream.wait_end()
+        kind = client.FailureKind.TIMED_OUT
+        if stream.waits_for_reader():
+            kind = client.FailureKind.GIVEN_UP
+        stream.fail(kind, "the deadline passed before the last byte")
+        if stream.failure is None:
+            pool.give_back(conn)
+        elif stream.failure.kind is not client.FailureKind.BROKEN:
+            await self._give_up(conn, guard)
+        guard.note_stream_end(stream.failure)
+
     def _set_timers(
         self,
         pool: pool_address.AddressPool,
@@ -172,7 +206,7 @@
             self._expire(now)
         pool = self._pools.get(address)
         if pool is None:
-            pool = pool_address.AddressPool(address, self._clock)
+            pool = pool_address.AddressPool(address, self._clock, self._share)
             self._pools[address] = pool
         return pool
 
@@ -188,10 +222,20 @@
 
     async def close(self) -> None:
         """Closes all connections."""
+        for task in list(self._streams):
+            task.cancel()
         for pool in self._pools.values():
             pool.close()
 
 
+def _discard(answer: asyncio.Future[messages.Answer]) -> None:
+    """Gives up an answer that came while its reader was cancelled."""
+    if answer.cancelled() or not answer.done() or answer.exception():
+        return
+    if answer.result().stream is not None:
+        answer.result().stream.close()
+
+
 def _replace(
     pool: pool_address.AddressPool,
     conn: pool_connection.Connection,
--- a/src/cardamomkeel/backend_servers/pool_address.py
+++ b/src/cardamomkeel/backend_servers/pool_address.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel.backend_servers import pool_connection
 
@@ -29,11 +30,12 @@
     may have lost track of all.
     """
 
-    def __init__(self, address: str, clk: clock.Clock):
+    def __init__(self, address: str, clk: clock.Clock, share: buffers.Share):
         host, port = address.rsplit(":", 1)
         self._host = host
         self._port = int(port)
         self._clock = clk
+        self._share = share
         self._idle: collections.deque[pool_connection.Connection] = (
             collections.deque()
         )
@@ -141,7 +143,10 @@
 
     def _make_connection(self) -> pool_connection.Connection:
         return pool_connection.Connection(
-            f"{self._host}:{self._port}", self._clock, self._forget
+            f"{self._host}:{self._port}",
+            self._clock,
+            self._forget,
+            self._share,
         )
 
     def _forget(self, conn: pool_connection.Connection) -> None:
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -5,21 +5,30 @@
 
 import httptools
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
+from cardamomkeel.backend_servers import body_stream
+from cardamomkeel.backend_servers import client
 from cardamomkeel.routing import messages
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Longer bodies are passed on as streams.
+MAX_WHOLE_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+READ_BYTES = 64 * 1024
 
 _NO_BODY = frozenset([204, 304])
 _SWITCHED = 101
 
 
+# All connections read into this: what came is parsed before the next read.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
+
+
 class ProtocolError(Exception):
     """The other side sent what can't be taken for a whole answer."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """Sends one request at a time and takes its answer.
 
     A connection serves another request only where the last answer was whole
@@ -37,10 +46,12 @@
         address: str,
         clk: clock.Clock,
         on_closed: collections.abc.Callable[["Connection"], None],
+        share: buffers.Share,
     ):
         self.address = address
         self._clock = clk
         self._on_closed = on_closed
+        self._share = share
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[messages.Answer] | None = None
         self._lost: asyncio.Future[None] | None = None
@@ -55,7 +66,11 @@
     def request(
         self, data: bytes, is_head: bool
     ) -> asyncio.Future[messages.Answer]:
-        """Writes a request; the future gets its whole answer."""
+        """Writes a request; the future gets its answer.
+
+        The connection serves the next request once a streamed answer has
+        ended too.
+        """
         loop = asyncio.get_running_loop()
         self._answer = loop.create_future()
         self._begin(is_head)
@@ -79,6 +94,16 @@
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(TimeoutError(reason))
 
+    def pause(self) -> None:
+        """Stops reading."""
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Reads again."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Closes at once; what has not been answered fails."""
         self.closed = True
@@ -96,6 +121,7 @@
         """
         self.closed = True
         self._answer = None
+        self._end_stream()
         lost = self._lost
         if not lost.done() and self._transport.can_write_eof():
             try:
@@ -122,7 +148,11 @@
             self._lost.set_result(None)
         self._on_closed(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where to put the bytes that come."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Takes bytes of an answer."""
         if self._answer is None:
             # Nothing was asked: these bytes must not meet a later request.
@@ -132,7 +162,7 @@
         self._heard = True
         self.heard_at = self._clock.now()
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(_READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if not self._complete:
                 cause = exc.__context__ or exc
@@ -181,10 +211,13 @@
         if self._complete:
             self._surplus = True
             return
+        if self._stream is not None:
+            self._stream.feed(body)
+            return
         self._size += len(body)
-        if self._size > MAX_ANSWER_BYTES:
-            raise ProtocolError(f"it has more than {MAX_ANSWER_BYTES} bytes")
         self._body.append(body)
+        if self._size > MAX_WHOLE_BYTES:
+            self._begin_stream()
 
     def on_message_complete(self) -> None:
         """Ends an answer, or passes over an interim one."""
@@ -209,6 +242,7 @@
         self._surplus = False
         self._heard = False
         self._keeps_open = False
+        self._stream: body_stream.BodyStream | None = None
 
     def _has_length(self) -> bool:
         return any(
@@ -216,21 +250,49 @@
             for name, _ in self._headers
         )
 
+    def _begin_stream(self) -> None:
+        """Passes the answer on before it is whole."""
+        self._stream = body_stream.BodyStream(self, self._share)
+        for part in self._body:
+            self._stream.feed(part)
+        self._body = []
+        if self._answer.done():
+            # It came too late.
+            self._stream.close()
+            return
+        self._answer.set_result(
+            messages.Answer(self._status, self._headers, b"", self._stream)
+        )
+
+    def _end_stream(self) -> None:
+        """Gives up a stream, and hears the other side again."""
+        stream, self._stream = self._stream, None
+        if stream is None:
+            return
+        stream.close()
+        self.resume()
+
     def _finish(self) -> None:
         answer = messages.Answer(
             self._status, self._headers, b"".join(self._body)
         )
         waiter, self._answer = self._answer, None
+        stream, self._stream = self._stream, None
         if self._surplus or not self._keeps_open:
             self.close()
         elif self._is_head:
             # This parser still expects the body that HEAD leaves out.
             self._parser = httptools.HttpResponseParser(self)
         self._headers, self._body = [], []
-        if not waiter.done():
+        if stream is not None:
+            stream.complete()
+        elif not waiter.done():
             waiter.set_result(answer)
 
     def _fail(self, reason: str) -> None:
         waiter, self._answer = self._answer, None
-        if waiter is not None and not waiter.done():
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.fail(client.FailureKind.BROKEN, reason)
+        elif waiter is not None and not waiter.done():
             waiter.set_exception(ProtocolError(reason))
--- /dev/null
+++ b/src/cardamomkeel/buffers.py
@@ -0,0 +1,120 @@
+"""Bounds the bytes of bodies that a process holds.
+
+Requests may fill half of the budget, streams of backend servers three
+quarters, and streams of other entries all of it. A stream may wait for bytes
+of its reader: that one is a caller or the stream of another entry. Streams of
+entries wait for callers alone, so that no two processes wait for each other.
+"""
+
+import collections.abc
+
+REQUESTS_PART = 0.5
+BACKEND_SERVERS_PART = 0.75
+ENTRIES_PART = 1.0
+
+# Called once bytes that were not free have been taken.
+Granted = collections.abc.Callable[[], None]
+
+
+class Budget:
+    """Bytes that all users of a process share.
+
+    Attributes:
+        limit: How many bytes may be held.
+        held: How many bytes are held.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.held = 0
+        self._waiting: list[tuple[Share, int, Granted]] = []
+
+    def share(self, part: float) -> "Share":
+        """Returns a use that may fill the budget up to a part of it."""
+        return Share(self, part)
+
+    def give_back(self, size: int) -> None:
+        """Frees bytes, and gives them to those that wait."""
+        self.held -= size
+        waiting, self._waiting = self._waiting, []
+        for share, wanted, granted in waiting:
+            if share.take(wanted):
+                granted()
+            else:
+                self._waiting.append((share, wanted, granted))
+
+    def wait(self, share: "Share", size: int, granted: Granted) -> None:
+        """Has bytes taken once they are free."""
+        self._waiting.append((share, size, granted))
+
+    def stop_waiting(self, granted: Granted) -> None:
+        """Forgets a wish that was not granted."""
+        self._waiting = [row for row in self._waiting if row[2] != granted]
+
+    def count_waiting(self) -> int:
+        """Returns how many wait."""
+        return len(self._waiting)
+
+
+class Share:
+    """One kind of use, which may fill the budget up to a part of it.
+
+    Attributes:
+        budget: The budget.
+        held: How many bytes are held for this use.
+    """
+
+    def __init__(self, budget: Budget, part: float):
+        self.budget = budget
+        self.held = 0
+        self._limit = int(budget.limit * part)
+
+    def take(self, size: int) -> bool:
+        """Takes bytes where they are free."""
+        if self.budget.held + size > self._limit:
+            return False
+        self.budget.held += size
+        self.held += size
+        return True
+
+    def take_later(self, size: int, granted: Granted) -> None:
+        """Takes bytes once they are free, and says so."""
+        self.budget.wait(self, size, granted)
+
+    def give_back(self, size: int) -> None:
+        """Frees bytes."""
+        self.held -= size
+        self.budget.give_back(size)
+
+    def open(self) -> "Hold":
+        """Returns a hold of no bytes yet."""
+        return Hold(self)
+
+
+class Hold:
+    """The bytes that are held for one body."""
+
+    def __init__(self, share: Share):
+        self._share = share
+        self._size = 0
+
+    def cover(self, size: int) -> bool:
+        """Holds at least so many bytes; False where they are not free."""
+        more = size - self._size
+        if more <= 0:
+            return True
+        if not self._share.take(more):
+            return False
+        self._size = size
+        return True
+
+    def release(self) -> None:
+        """Frees the bytes."""
+        if self._size:
+            size, self._size = self._size, 0
+            self._share.give_back(size)
+
+
+def unlimited() -> Share:
+    """Returns a share without a bound, for tools and tests."""
+    return Share(Budget(1 << 62), ENTRIES_PART)
--- a/src/cardamomkeel/callers/answers.py
+++ b/src/cardamomkeel/callers/answers.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import anyio
+import loguru
 import orjson
 
 from cardamomkeel import errors
@@ -15,8 +17,11 @@
     messages.Outcome.UNKNOWN: 502,
 }
 _LENGTH = frozenset([b"content-length"])
+_NOTHING: frozenset[bytes] = frozenset()
 _NO_BODY = frozenset([204, 304])
 
+logger = loguru.logger
+
 
 async def send(
     send_event: Send, status: int, headers: messages.Headers, body: bytes
@@ -87,14 +92,22 @@
         forwarded: Whether the other side is an entry.
         more: Headers to send besides.
     """
+    if ended.stream is not None and ended.stream.is_cut():
+        ended = settle_stream(ended)
     headers = _describe(ended) + (more or [])
     if forwarded:
         headers.append((messages.SIGN, ended.sign.value.encode()))
         headers.append((messages.INSTANCE, ended.instance.encode()))
     if ended.answer is not None:
         # The length in an answer to HEAD is that of a body which is not sent.
-        dropped = frozenset() if method == "HEAD" else _LENGTH
+        has_body = method != "HEAD" and ended.stream is None
+        dropped = _LENGTH if has_body else _NOTHING
         kept = http_headers.keep_end_to_end(ended.answer.headers, dropped)
+        if ended.stream is not None:
+            await _send_stream(
+                send_event, ended.answer.status, kept + headers, ended.stream
+            )
+            return
         await send(
             send_event, ended.answer.status, kept + headers, ended.answer.body
         )
@@ -104,3 +117,49 @@
     if isinstance(error, errors.RequestError):
         status = error.status
     await send_error(send_event, status, error, headers)
+
+
+async def _send_stream(
+    send_event: Send,
+    status: int,
+    headers: messages.Headers,
+    stream: messages.Stream,
+) -> None:
+    """Passes a body on while it comes.
+
+    One that is cut is left without its end, so that the server closes the
+    connection and the caller sees that it is not whole.
+    """
+    start = {"type": "http.response.start", "status": status}
+    try:
+        await send_event({**start, "headers": headers})
+        with anyio.CancelScope() as scope:
+            # The caller may be the one that holds the body up.
+            stream.when_failed(scope.cancel)
+            while part := await stream.read():
+                await send_event(_make_part(part, more=True))
+            await send_event(_make_part(b"", more=False))
+    except messages.CutError as exc:
+        logger.info("an answer was cut", reason=str(exc))
+    finally:
+        stream.close()
+
+
+def _make_part(body: bytes, more: bool) -> dict[str, typing.Any]:
+    return {"type": "http.response.body", "body": body, "more_body": more}
+
+
+def settle_stream(ended: messages.Ended) -> messages.Ended:
+    """Returns how a request ended whose answer was streamed."""
+    if ended.stream is None or ended.stream.is_whole():
+        return ended
+    return messages.Ended(
+        messages.Outcome.UNKNOWN,
+        error=errors.UnavailableError(
+            "its answer was cut after it had begun",
+            "send it again with the same key, or where it may run twice",
+        ),
+        sign=ended.sign,
+        target=ended.target,
+        instance=ended.instance,
+    )
--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -7,6 +7,7 @@
 import loguru
 from returns import result
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.backend_servers import announcements as announcements_lib
@@ -20,6 +21,7 @@
 from cardamomkeel.routing import session as session_lib
 
 NOT_RUN = [(messages.OUTCOME, messages.Outcome.NOT_RUN.value.encode())]
+UNKNOWN = [(messages.OUTCOME, messages.Outcome.UNKNOWN.value.encode())]
 
 logger = loguru.logger
 
@@ -34,6 +36,7 @@
     clk: clock.Clock
     keep_addresses_ms: int
     decisions: decisions_lib.Decisions
+    share: buffers.Share
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
     async def __call__(
@@ -53,18 +56,22 @@
     async def _serve(self, scope, receive, send) -> None:
         path = scope["raw_path"].decode("ascii")
         if path.startswith(requests.PREFIX):
-            await self._call(scope, receive, send)
+            hold = self.share.open()
+            try:
+                await self._call(scope, receive, send, hold)
+            finally:
+                hold.release()
         elif path == "/v1/addresses":
             await self._addresses(scope, send)
         elif path == "/v1/announce":
-            await self._announce(receive, send)
+            await self._announce(scope, receive, send)
         else:
             error = errors.RequestError(
                 f"there is no {path}", "see docs/callers.md", 404
             )
             await answers.send_error(send, error.status, error, NOT_RUN)
 
-    async def _call(self, scope, receive, send) -> None:
+    async def _call(self, scope, receive, send, hold: buffers.Hold) -> None:
         started = self.clk.now()
         given = requests.get_header(scope, decisions_lib.REQUEST_ID)
         request_id = self.decisions.make_id(given)
@@ -77,7 +84,9 @@
             self.decisions.note(request_id, service, ended, started)
             await answers.send_ended(send, ended, scope["method"], more=named)
             return
-        body = await requests.read_body(receive)
+        body = await requests.read_body(
+            receive, hold, requests.get_length(scope)
+        )
         made = body.bind(
             lambda whole: requests.make_request(
                 scope, whole, self.session.view, self.clk.now()
@@ -88,16 +97,27 @@
             logger.info(
                 "refused request", request_id=request_id, reason=str(error)
             )
-            await answers.send_error(send, error.status, error, NOT_RUN + named)
+            told = NOT_RUN
+            if error.status == requests.FULL_STATUS and (
+                requests.may_be_repeat(scope)
+            ):
+                # An earlier one with this key may have run.
+                told = UNKNOWN
+            await answers.send_error(send, error.status, error, told + named)
             return
         req = made.unwrap()
         # What may run only once goes on to its end, for the repeat.
         scope[http1.CANCELLABLE] = req.idempotent
         ended = await self.router.handle(req)
+        is_stream = ended.stream is not None
+        if is_stream:
+            await answers.send_ended(send, ended, req.method, more=named)
+            ended = answers.settle_stream(ended)
         scope[http1.CANCELLABLE] = False
         self.decisions.note(request_id, req.service, ended, started)
         self._log(request_id, req, ended)
-        await answers.send_ended(send, ended, req.method, more=named)
+        if not is_stream:
+            await answers.send_ended(send, ended, req.method, more=named)
 
     def _log(
         self, request_id: str, req: messages.Request, ended: messages.Ended
@@ -156,8 +176,14 @@
             self.session.view, "", "", self.rng, without=self.session.id
         )
 
-    async def _announce(self, receive, send) -> None:
-        raw = await requests.read_body(receive)
+    async def _announce(self, scope, receive, send) -> None:
+        hold = self.share.open()
+        try:
+            raw = await requests.read_body(
+                receive, hold, requests.get_length(scope)
+            )
+        finally:
+            hold.release()
         if not isinstance(raw, result.Success):
             error = raw.failure()
             await answers.send_error(send, error.status, error)
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import logging
 import typing
 
@@ -24,14 +25,15 @@
 
 BACKLOG = 1024
 KEEP_ALIVE_MS = 60_000
+# How long what is left of a refused request is read and dropped: a connection
+# that is closed with bytes unread loses the answer on its way.
+LINGER_MS = 1000.0
 # How long a request may take to arrive, from its first byte to its last.
 RECEIVE_MS = 10_000.0
 # How long a caller may leave an answer unread.
 UNREAD_MS = 10_000.0
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
-MAX_CONNECTIONS = 4000
-MAX_CONNECTIONS_PER_PEER = 1000
 GRACE_MS = 5000.0
 GRACE_STEP_MS = 20.0
 
@@ -42,6 +44,19 @@
 logger = loguru.logger
 
 
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """How many connections one address takes.
+
+    Attributes:
+        connections: From all peers.
+        per_peer: From one IP number.
+    """
+
+    connections: int = 4000
+    per_peer: int = 1000
+
+
 class _LogHandler(logging.Handler):
     """Passes what uvicorn logs on to the log of this process."""
 
@@ -55,6 +70,7 @@
     """One connection of a caller, with limits on what it may take."""
 
     peers: collections.Counter[str]
+    limits: Limits
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes a connection, unless there are too many."""
@@ -64,11 +80,12 @@
         self._unread_timer: asyncio.TimerHandle | None = None
         self._header_bytes = 0
         self._receiving = False
+        self._lingering = False
         self._job: asyncio.Task | None = None
         self.peers[self._peer] += 1
         if (
-            self.peers[self._peer] > MAX_CONNECTIONS_PER_PEER
-            or len(self.connections) > MAX_CONNECTIONS
+            self.peers[self._peer] > self.limits.per_peer
+            or len(self.connections) > self.limits.connections
         ):
             self._refuse(
                 errors.RequestError(
@@ -96,7 +113,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of requests."""
-        if not self.transport.is_closing():
+        if not self.transport.is_closing() and not self._lingering:
             super().data_received(data)
 
     def on_message_begin(self) -> None:
@@ -126,7 +143,8 @@
     def on_response_complete(self) -> None:
         """Ends an answer; a request that is not whole by then is cut off."""
         if self._receiving and not self.transport.is_closing():
-            self.transport.close()
+            self._linger()
+            return
         super().on_response_complete()
 
     def pause_writing(self) -> None:
@@ -181,6 +199,16 @@
             self.transport.write(_encode_refusal(error))
         self.transport.close()
 
+    def _linger(self) -> None:
+        """Ends this half, and drops what still comes for a moment."""
+        self._lingering = True
+        self._stop_timer()
+        self.transport.write_eof()
+        self.flow.resume_reading()
+        self._timer = self.loop.call_later(
+            clock.seconds(LINGER_MS), self.transport.abort
+        )
+
     def _start_timer(self) -> None:
         self._timer = self.loop.call_later(
             clock.seconds(RECEIVE_MS), self._end_slow
@@ -269,13 +297,19 @@
     log.handlers = [_LogHandler()]
 
 
-async def serve(app: typing.Callable, address: str, stop: anyio.Event) -> None:
+async def serve(
+    app: typing.Callable,
+    address: str,
+    stop: anyio.Event,
+    limits: Limits = Limits(),
+) -> None:
     """Serves an application at one address until told to stop.
 
     Args:
         app: The ASGI application.
         address: Host and port to listen on.
         stop: Set once no new connection is to be taken.
+        limits: How many connections are taken.
     """
     cfg = _make_config(app)
     _redirect_log()
@@ -285,6 +319,7 @@
     def make_protocol() -> HttpProtocol:
         protocol = HttpProtocol(cfg, state, {})
         protocol.peers = peers
+        protocol.limits = limits
         return protocol
 
     host, port = address.rsplit(":", 1)
--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel import http_headers
@@ -15,6 +16,7 @@
 
 PREFIX = "/v1/call/"
 MAX_BODY_BYTES = 1024 * 1024
+FULL_STATUS = 503
 MAX_DEPTH = 16
 MAX_KEY_LENGTH = 200
 KEY = re.compile(rb"^[\x21-\x7e]{1,200}$")
@@ -63,29 +65,63 @@
     return service, f"{path}?{query}" if query else path
 
 
+_FULL = errors.RequestError(
+    "this entry holds as many bytes of bodies as it may",
+    "send it again later, or to another entry",
+    FULL_STATUS,
+)
+
+
+def get_length(scope: Scope) -> int:
+    """Returns how long a body is, or 0 where its header does not tell."""
+    return int(get_header(scope, b"content-length") or 0)
+
+
+def _check_size(
+    size: int, hold: buffers.Hold | None, limit: int
+) -> errors.Error | None:
+    """Returns why a body of a size can't be taken, or None."""
+    if size > limit:
+        return errors.RequestError(
+            f"the body has more than {limit} bytes",
+            "send less in one request",
+            413,
+        )
+    if hold is None or hold.cover(size):
+        return None
+    return _FULL
+
+
 async def read_body(
-    receive: Receive, limit: int = MAX_BODY_BYTES
+    receive: Receive,
+    hold: buffers.Hold | None = None,
+    expected: int = 0,
+    limit: int = MAX_BODY_BYTES,
 ) -> result.Result[bytes, errors.Error]:
-    """Reads a whole body, up to a limit in bytes."""
+    """Reads a whole body.
+
+    Args:
+        receive: The ASGI function.
+        hold: Holds the bytes of the body; None for a body without a budget.
+        expected: How long the body is, as far as that is known.
+        limit: How many bytes it may have.
+    """
     parts = []
     size = 0
+    more = True
     while True:
+        error = _check_size(max(size, expected), hold, limit)
+        if error is not None:
+            return result.Failure(error)
+        if not more:
+            return result.Success(b"".join(parts))
         event = await receive()
         if event["type"] == "http.disconnect":
             raise CallerLeftError
         part = event.get("body", b"")
         size += len(part)
-        if size > limit:
-            return result.Failure(
-                errors.RequestError(
-                    f"the body has more than {limit} bytes",
-                    "send less in one request",
-                    413,
-                )
-            )
         parts.append(part)
-        if not event.get("more_body", False):
-            return result.Success(b"".join(parts))
+        more = event.get("more_body", False)
 
 
 def _read_number(
--- a/src/cardamomkeel/daemons/entry.py
+++ b/src/cardamomkeel/daemons/entry.py
@@ -1,6 +1,7 @@
 """The program of an entry VM."""
 
 import dataclasses
+import functools
 import pathlib
 import random
 import typing
@@ -9,6 +10,7 @@
 import loguru
 import typer
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import announcements as announcements_lib
@@ -72,9 +74,15 @@
         self.control = client_lib.ControlClient(
             list(cfg.control.values()), cfg.reach, self.clk
         )
-        self.http = pool.PoolClient(cfg.reach, self.clk)
+        self.budget = buffers.Budget(cfg.buffer_bytes)
+        self.requests_share = self.budget.share(buffers.REQUESTS_PART)
+        self.streams_share = self.budget.share(buffers.BACKEND_SERVERS_PART)
+        self.forwarded_share = self.budget.share(buffers.ENTRIES_PART)
+        self.http = pool.PoolClient(
+            cfg.reach, self.clk, share=self.streams_share
+        )
         self.entries_http = pool.PoolClient(
-            cfg.reach, self.clk, pool.SILENT_ENTRY_MS
+            cfg.reach, self.clk, pool.SILENT_ENTRY_MS, self.forwarded_share
         )
         self.session = session_lib.Session(
             cfg, self.control, self.clk, self._follow
@@ -135,9 +143,31 @@
             self.clk,
             self.cfg.keep_addresses_ms,
             self.decisions,
+            self.requests_share,
+        )
+
+    def _set_buffer_gauges(self) -> None:
+        budget = self.budget
+        uses = {
+            "requests": self.requests_share,
+            "streams": self.streams_share,
+            "forwarded_streams": self.forwarded_share,
+        }
+        for use, share in uses.items():
+            self.metrics.gauge(
+                "held_bytes", "Bytes of bodies held.", share.held, use=use
+            )
+        self.metrics.gauge(
+            "held_bytes_allowed", "Bytes that may be held.", budget.limit
+        )
+        self.metrics.gauge(
+            "streams_waiting",
+            "Streams that wait for bytes to be free.",
+            budget.count_waiting(),
         )
 
     def _set_gauges(self) -> None:
+        self._set_buffer_gauges()
         gauge = self.metrics.gauge
         left_ms = max(0.0, self.session.lease_until - self.clk.now())
         gauge("lease_left_ms", "How long the lease runs yet.", left_ms)
@@ -175,6 +205,7 @@
                 address: {
                     "service": owned.record.service,
                     "limit": owned.candidate.slots.limit,
+                    "free": owned.candidate.slots.free(now),
                     "in_flight": owned.candidate.slots.in_flight,
                     "residual": owned.candidate.slots.residual(now),
                     "latency_ms": round(owned.candidate.health.latency_ms, 3),
@@ -224,11 +255,15 @@
     operators = operators_app.OperatorsApp(
         secret, entry.metrics, entry.dump, entry.explain.handlers()
     )
-    entries = entries_app.EntriesApp(entry.owner, entry.session, entry.clk)
+    entries = entries_app.EntriesApp(
+        entry.owner, entry.session, entry.clk, entry.requests_share
+    )
     count = entry.in_flight.wrap
     cfg = entry.cfg
+    limits = http1.Limits(cfg.connections, cfg.connections_per_caller)
+    serve_callers = functools.partial(http1.serve, limits=limits)
     return [
-        (http1.serve, count(entry.callers_app()), cfg.callers_address),
+        (serve_callers, count(entry.callers_app()), cfg.callers_address),
         (http1.serve, count(entries), cfg.entries_address),
         (serve.serve, operators, cfg.operators_address),
     ]
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -5,6 +5,7 @@
 import loguru
 from returns import result
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import http_headers
 from cardamomkeel.callers import answers
@@ -25,6 +26,7 @@
     owner: owner_lib.Owner
     session: session_lib.Session
     clk: clock.Clock
+    share: buffers.Share
 
     async def __call__(
         self,
@@ -35,10 +37,19 @@
         """Serves one request."""
         if scope["type"] != "http":
             return
+        hold = self.share.open()
         try:
-            body = await requests.read_body(receive)
+            await self._serve(scope, receive, send, hold)
         except requests.CallerLeftError:
             return
+        finally:
+            scope[http1.CANCELLABLE] = False
+            hold.release()
+
+    async def _serve(self, scope, receive, send, hold: buffers.Hold) -> None:
+        body = await requests.read_body(
+            receive, hold, requests.get_length(scope)
+        )
         if not isinstance(body, result.Success):
             error = body.failure()
             ended = messages.not_run(error.message, error.remedy)
@@ -64,8 +75,6 @@
         except Exception:
             logger.exception("a forwarded request failed")
             return messages.FAILED
-        finally:
-            scope[http1.CANCELLABLE] = False
 
     def _make_request(
         self, scope: requests.Scope, body: bytes
--- a/src/cardamomkeel/entries/forward.py
+++ b/src/cardamomkeel/entries/forward.py
@@ -77,6 +77,8 @@
     target = answer.header(messages.TARGET).decode("latin-1")
     instance = answer.header(messages.INSTANCE).decode("latin-1")
     if outcome is not messages.Outcome.ANSWERED:
+        if answer.stream is not None:
+            answer.stream.close()
         ended = messages.not_run(
             answer.body.decode("utf-8", "replace"),
             "send it again where it did not run",
@@ -90,6 +92,7 @@
             answer.status,
             [(n, v) for n, v in answer.headers if n.lower() not in OWN_HEADERS],
             answer.body,
+            answer.stream,
         ),
         sign=sign,
         target=target,
--- a/src/cardamomkeel/routing/claims.py
+++ b/src/cardamomkeel/routing/claims.py
@@ -118,9 +118,24 @@
             ended = await attempt(req, frozenset())
         except Exception:
             logger.exception("an attempt failed", key=req.key)
-        await self._settle(req, token, ended)
+        if ended.stream is not None:
+            # Only the end of the stream tells how the request ended.
+            self._tasks.start_soon(self._settle_stream, req, token, ended)
+        else:
+            await self._settle(req, token, ended)
         return ended
 
+    async def _settle_stream(
+        self, req: messages.Request, token: str, ended: messages.Ended
+    ) -> None:
+        """Has the end of a request written down whose answer is streamed."""
+        await ended.stream.wait_end()
+        if not ended.stream.is_whole():
+            ended = dataclasses.replace(
+                ended, outcome=messages.Outcome.UNKNOWN, answer=None
+            )
+        await self._settle(req, token, ended)
+
     async def _end_expired(
         self,
         req: messages.Request,
@@ -242,7 +257,7 @@
     if answer is None:
         return
     size = len(answer.body) + sum(len(n) + len(v) for n, v in answer.headers)
-    if size > LARGEST_KEPT_ANSWER:
+    if size > LARGEST_KEPT_ANSWER or answer.stream is not None:
         settle.answer_too_large = True
         return
     settle.answer.status = answer.status
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import enum
+import typing
 
 from cardamomkeel import clock
 from cardamomkeel import errors
@@ -28,7 +29,7 @@
 class Outcome(enum.Enum):
     """What a caller is told of its request.
 
-    ANSWERED: A backend server ran it and this is the whole answer.
+    ANSWERED: A backend server ran it and this is its answer.
     NOT_RUN: It certainly did not run; sending it again is safe.
     UNKNOWN: It may have run.
     """
@@ -87,13 +88,57 @@
     session: int = 0
 
 
+class CutError(Exception):
+    """A body ended before it was whole."""
+
+
+class Stream(typing.Protocol):
+    """A body that is passed on while it comes."""
+
+    async def read(self) -> bytes:
+        """Returns what has come, or nothing at the end of a whole body.
+
+        Raises:
+            CutError: The body is cut.
+        """
+        ...
+
+    def is_whole(self) -> bool:
+        """Tells whether the last byte has come."""
+        ...
+
+    def is_cut(self) -> bool:
+        """Tells whether the body certainly won't be whole."""
+        ...
+
+    def when_failed(self, call: collections.abc.Callable[[], None]) -> None:
+        """Has a function called if the body won't be whole."""
+        ...
+
+    async def wait_end(self) -> None:
+        """Waits until the last byte came, or can't come any more."""
+        ...
+
+    def close(self) -> None:
+        """Ends reading; a body that is not whole by then is given up."""
+        ...
+
+
 @dataclasses.dataclass(frozen=True)
 class Answer:
-    """A whole answer of a backend server."""
+    """An answer of a backend server.
+
+    Attributes:
+        status: The HTTP status.
+        headers: The headers as they came.
+        body: The whole body; empty where it is a stream.
+        stream: The body where it is too long to be held; None for others.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    stream: Stream | None = None
 
     def header(self, name: bytes) -> bytes:
         """Returns the first value of a header, or nothing."""
@@ -125,6 +170,16 @@
     instance: str = ""
     final: bool = False
 
+    @property
+    def stream(self) -> Stream | None:
+        """The body of the answer where it is a stream."""
+        return None if self.answer is None else self.answer.stream
+
+    def discard(self) -> None:
+        """Gives up an answer that nobody will read."""
+        if self.stream is not None:
+            self.stream.close()
+
 
 Attempt = collections.abc.Callable[
     [Request, frozenset[str]], collections.abc.Awaitable[Ended]
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -1,7 +1,9 @@
 """The targets that this entry owns, and the dispatch to them."""
 
 import dataclasses
+import functools
 import random
+import typing
 
 import anyio
 import anyio.abc
@@ -59,6 +61,7 @@
     clk: clock.Clock
     work: slots_lib.Work
     allowed_ms: clock.Millis
+    on_stream_end: typing.Callable[[client_lib.SendFailure | None], None]
 
     def may_send(self) -> bool:
         """Tells whether this entry still owns the target."""
@@ -73,6 +76,10 @@
         """Notes that the target has seen the end of the connection."""
         self.work.is_over = True
 
+    def note_stream_end(self, failure: client_lib.SendFailure | None) -> None:
+        """Notes that the last byte came, or can't come any more."""
+        self.on_stream_end(failure)
+
 
 @dataclasses.dataclass(frozen=True)
 class _Grant:
@@ -117,9 +124,12 @@
     def win(self, ended: messages.Ended) -> None:
         """Takes the answer of an attempt."""
         self.running -= 1
-        if self.ended is None:
-            self.ended = ended
-            self.done.set()
+        if self.ended is not None or self.is_over:
+            ended.discard()
+            return
+        self._fail(None)
+        self.ended = ended
+        self.done.set()
 
     def lose(self, ended: messages.Ended | None) -> None:
         """Takes the failure of an attempt; None for a cancelled one."""
@@ -128,11 +138,19 @@
         if self._failed is None or (
             ended is not None and ended.outcome is not messages.Outcome.NOT_RUN
         ):
-            self._failed = ended
-        if self.running == 0 and self.ended is None:
+            self._fail(ended)
+        if self.ended is not None or self.is_over:
+            self._fail(None)
+        elif self.running == 0:
             self.ended = self._failed or _LOST
             self.done.set()
 
+    def _fail(self, ended: messages.Ended | None) -> None:
+        """Remembers a failure in place of an earlier one."""
+        if self._failed is not None:
+            self._failed.discard()
+        self._failed = ended
+
 
 class Owner:
     """Gives work to the targets that this entry owns, and to no others.
@@ -481,6 +499,10 @@
                 race.running += 1
                 self._tasks.start_soon(self._run_in_race, race, second, req)
             await race.done.wait()
+        except BaseException:
+            if race.ended is not None:
+                race.ended.discard()
+            raise
         finally:
             race.is_over = True
             for scope in race.scopes:
@@ -544,7 +566,13 @@
                 req,
                 self._headers(req, allowed_ms),
                 started + allowed_ms,
-                _Guard(self._session, self._clock, work, allowed_ms),
+                _Guard(
+                    self._session,
+                    self._clock,
+                    work,
+                    allowed_ms,
+                    functools.partial(self._end_stream, owned, work),
+                ),
             )
         finally:
             self._end(slots, work, sent)
@@ -563,11 +591,41 @@
         sent: result.Result[messages.Answer, client_lib.SendFailure] | None,
     ) -> None:
         """Frees the slot of a request once it has ended for certain."""
-        if isinstance(sent, result.Success) or work.is_over:
+        if not isinstance(sent, result.Success):
+            kind = None if sent is None else sent.failure().kind
+            self._end_failed(slots, work, kind)
+        elif sent.unwrap().stream is None:
+            slots.give_back(work)
+
+    def _end_stream(
+        self,
+        owned: Owned,
+        work: slots_lib.Work,
+        failure: client_lib.SendFailure | None,
+    ) -> None:
+        """Frees the slot of a streamed answer."""
+        slots = owned.candidate.slots
+        if failure is None:
+            slots.give_back(work)
+        else:
+            self._end_failed(slots, work, failure.kind)
+            if failure.kind is not client_lib.FailureKind.GIVEN_UP:
+                cut = classify(result.Failure(failure), owned.record)
+                self._learn(owned, cut, work)
+        self._freed.notify()
+        self._serve(owned.record.service)
+
+    def _end_failed(
+        self,
+        slots: slots_lib.Slots,
+        work: slots_lib.Work,
+        kind: client_lib.FailureKind | None,
+    ) -> None:
+        """Frees a slot once work without a whole answer has ended."""
+        if work.is_over:
             slots.give_back(work)
             return
         self._ends_changed.notify()
-        kind = None if sent is None else sent.failure().kind
         if kind is client_lib.FailureKind.NOT_SENT or not work.is_sent:
             slots.give_back(work)
         elif kind is client_lib.FailureKind.BROKEN:
@@ -649,6 +707,8 @@
 ) -> messages.Ended:
     reason = answer.header(messages.NOT_RUN)
     if answer.status == 503 and reason:
+        if answer.stream is not None:
+            answer.stream.close()
         return messages.not_run(
             f"{target.address} did not run it: {reason.decode('latin-1')}",
             "send it again",
--- a/src/cardamomkeel/settings/page.py
+++ b/src/cardamomkeel/settings/page.py
@@ -29,6 +29,7 @@
 # Units by the end of a setting's name.
 UNITS = {
     "_ms": "ms",
+    "_bytes": "bytes",
     "bytes_per_second": "bytes/s",
     "messages_per_second": "messages/s",
     "slots": "requests",
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -8,6 +8,8 @@
 ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
 # The lease has to outlast the replacement of a silent or lost leader.
 LEASE_MARGIN_MS = 300
+# Room for requests, for streams of backend servers and for those of entries.
+LEAST_BUFFER_BYTES = 4 * 1024 * 1024
 
 
 def _check_address(address: str) -> str:
@@ -120,6 +122,10 @@
             same in all entries, and a planned stop serves for that long.
         stop_within_ms: The longest that a planned stop may take; what is
             left then is cut and logged.
+        buffer_bytes: How many bytes of bodies this process may hold; requests
+            get half of it, the rest is kept for answers.
+        connections: How many connections of callers it takes.
+        connections_per_caller: How many of these from one IP number.
         log_level: The least level of what is logged.
     """
 
@@ -134,6 +140,9 @@
     timings: Timings = Timings()
     keep_addresses_ms: int = pydantic.Field(5000, ge=100)
     stop_within_ms: int = pydantic.Field(30_000, ge=0)
+    buffer_bytes: int = pydantic.Field(64 * 1024 * 1024, ge=LEAST_BUFFER_BYTES)
+    connections: int = pydantic.Field(4000, ge=1)
+    connections_per_caller: int = pydantic.Field(1000, ge=1)
     log_level: str = "INFO"
 
     @pydantic.model_validator(mode="after")
@@ -146,3 +155,13 @@
                 "lower keep_addresses_ms"
             )
         return self
+
+    @pydantic.model_validator(mode="after")
+    def _check_connections(self) -> "EntrySettings":
+        if self.connections_per_caller > self.connections:
+            raise ValueError(
+                f"connections_per_caller has to be at most {self.connections} "
+                "to go with connections; lower connections_per_caller or "
+                "raise connections"
+            )
+        return self
