Say how long bodies are streamed and bounded; test refusals while sending

The tests of the budget hold 20 MB: with 16 MB two of 40 slow callers waited for the others and came close to the deadline (9.0 of 10 s, seen). A caller that stops reading is tested with 60 MB, since the kernel took in 20 MB: the backend server had written all of it (seen in a red run).

--- a/features/environment.py
+++ b/features/environment.py
@@ -21,7 +21,7 @@
 
 # What one machine can fill in a test.
 SMALL_LIMITS = {
-    "buffer_bytes": 16 * 1024 * 1024,
+    "buffer_bytes": 20 * 1024 * 1024,
     "connections_per_caller": 100,
 }
 
--- a/features/steps/streaming.py
+++ b/features/steps/streaming.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import socket
+import time
 
 from behave import then
 from behave import when
@@ -19,6 +20,8 @@
 # A slow caller takes at least 320 reads of 64 KB for 20 MB: some seconds.
 SLOW_PAUSE_S = 0.008
 STOPPED_S = 4.0
+# Long enough for an entry to answer in the middle of a request.
+PAUSE_S = 0.3
 
 
 def _find_entries(context, service):
@@ -259,11 +262,14 @@
     context.add_cleanup(context.held.close)
     address = _address(context, "dossier", "owner")
     for _ in range(count):
-        sock = context.held.enter_context(_connect(address))
-        sock.sendall(
-            b"POST /v1/call/dossier/own HTTP/1.1\r\nHost: a\r\n"
-            b"Content-Length: %d\r\n\r\n" % MB + b"x" * HALF_BODY
-        )
+        _send_half(context.held.enter_context(_connect(address)))
+
+
+def _send_half(sock):
+    sock.sendall(
+        b"POST /v1/call/dossier/own HTTP/1.1\r\nHost: a\r\n"
+        b"Content-Length: %d\r\n\r\n" % MB + b"x" * HALF_BODY
+    )
 
 
 def _send_mb(context, service="dossier", headers=None):
@@ -282,6 +288,24 @@
     _check_refused(_send_mb(context), "not-run")
 
 
+@then("one that is still being sent gets the same answer unharmed")
+def check_full_while_sent(context):
+    with _connect(_address(context, "dossier", "owner")) as sock:
+        _send_half(sock)
+        time.sleep(PAUSE_S)
+        sock.sendall(b"x" * HALF_BODY)
+        got = _read_all(sock)
+    assert got.startswith(b"HTTP/1.1 503 "), got
+    assert b"cardamomkeel-outcome: not-run" in got, got
+
+
+def _read_all(sock):
+    got = b""
+    while part := sock.recv(MB):
+        got += part
+    return got
+
+
 @then("the same as a repeat of a booking is refused as unknown")
 def check_full_repeat(context):
     got = _send_mb(context, "keepsake", {"idempotency-key": "again"})
@@ -314,9 +338,7 @@
 @then("one more is refused as not run, with a remedy")
 def check_one_more(context):
     with _connect(context.address) as sock:
-        got = b""
-        while part := sock.recv(MB):
-            got += part
+        got = _read_all(sock)
     head, _, body = got.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 503 "), got
     assert b"cardamomkeel-outcome: not-run" in head, got
--- a/features/streaming.feature
+++ b/features/streaming.feature
@@ -36,11 +36,16 @@
       | its caller leaves | k-gone | ran to its end     |
 
   Scenario: A caller that stops reading
-    When a caller with a deadline of 2000 ms stops reading 20 MB of dossier
+    When a caller with a deadline of 2000 ms stops reading 60 MB of dossier
     Then its slot was taken for as long as the backend server wrote
     And dossier has all of its slots free within 3 s
     And it sees that the answer is not whole
 
+  Scenario: More streams than an entry may hold at a time
+    When 100 slow callers fetch 1 MB of dossier each, through both entries
+    Then each of them got the whole answer
+    And no entry holds bytes of bodies any more
+
   Scenario: Many slow callers of long answers
     When 40 slow callers fetch 20 MB of dossier each, through both entries
     Then each of them got the whole answer
@@ -48,8 +53,9 @@
     And no entry holds bytes of bodies any more
 
   Scenario: More bytes of requests than an entry may hold
-    When 8 callers send half of a request of 1 MB each
+    When 10 callers send half of a request of 1 MB each
     Then a request of 1 MB is refused as not run, with a remedy
+    And one that is still being sent gets the same answer unharmed
     And the same as a repeat of a booking is refused as unknown
     And a lookup without a body is answered
     And a request of 1 MB is answered once those callers have left
