--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -136,9 +136,11 @@
 
     def is_known():
         rows = deployment.operate("/v1/show", {})["records"]
-        return any(r.get("target", {}).get("state") == "draining" for r in rows)
+        targets = [row["target"] for row in rows if "target" in row]
+        known = {t["address"] for t in targets if t["state"] == "draining"}
+        return known.issuperset(drained)
 
-    deployment_lib.wait_for(is_known, 10, "it drains")
+    deployment_lib.wait_for(is_known, 10, "they drain")
 
 
 @then("no dump, metric or log holds the secret")
@@ -150,7 +152,9 @@
         dump = deployment.call(address, "/dump")
         assert dump.status_code == 200, (name, dump.text)
         assert secret not in dump.text, name
-        metrics = httpx.get(f"http://{address}/metrics", trust_env=False)
+        metrics = httpx.get(
+            f"http://{address}/metrics", trust_env=False, verify=False
+        )
         assert secret not in metrics.text, name
         log = (deployment.folder / f"{name}.log").read_text()
         assert log, name
@@ -160,6 +164,43 @@
 @then("the metrics of {name} hold what is needed on call")
 def check_on_call_metrics(context, name):
     address = context.deployment.entry_operators[name]
-    got = httpx.get(f"http://{address}/metrics", trust_env=False).text
+    got = httpx.get(
+        f"http://{address}/metrics", trust_env=False, verify=False
+    ).text
     missing = [m for m in ON_CALL_METRICS if f"cardamomkeel_{m}" not in got]
     assert not missing, (missing, got)
+
+
+@then('it prints "{earlier}" before "{later}"')
+def check_order(context, earlier, later):
+    said = context.ran.stdout
+    assert earlier in said, said
+    assert later in said.partition(earlier)[2], said
+
+
+@when("entry {name} is killed and its targets are owned by others")
+def kill_entry(context, name):
+    deployment = context.deployment
+    owned = deployment.dump_entry(name)["owned"]
+    deployment.entries[name].kill()
+
+    def is_taken_over():
+        return all(
+            any(
+                address in deployment.dump_entry(other).get("owned", {})
+                for other in deployment.entries
+            )
+            for address in owned
+        )
+
+    deployment_lib.wait_for(is_taken_over, 20, "others own its targets")
+
+
+@when("every control VM is killed and started again")
+def restart_controls(context):
+    deployment = context.deployment
+    for control in deployment.controls.values():
+        control.kill()
+    for control in deployment.controls.values():
+        control.start()
+    deployment.operate("/v1/show", {})
