--- a/bench/long_bodies.py
+++ b/bench/long_bodies.py
@@ -59,8 +59,9 @@
         pause_s: How long to wait between two reads.
     """
 
-    def __init__(self, address: str, pause_s: float = 0.0):
+    def __init__(self, address: str, pause_s: float = 0.0, hashes: bool = True):
         self._address = address
+        self._hashes = hashes
         self._digest = hashlib.sha256()
         self.pause_s = pause_s
         self.got = Fetched()
@@ -117,7 +118,8 @@
                 raise asyncio.IncompleteReadError(b"", size)
             size -= len(part)
             self.got.size += len(part)
-            self._digest.update(part)
+            if self._hashes:
+                self._digest.update(part)
             if self.got.size <= PIECE_BYTES:
                 self.got.body += part
             await asyncio.sleep(self.pause_s)
--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -62,8 +62,8 @@
         """Sends a request and returns its answer, whole or as a stream."""
         if deadline <= self._clock.now():
             return _not_sent("no time is left")
-        data = encode(address, req, headers)
-        if data is None:
+        head = encode_head(address, req, headers)
+        if head is None:
             return _not_sent("the path or a header can't be passed on")
         pool = self._pool(self._reach.get(address, address))
         heard_after = float("-inf")
@@ -78,19 +78,19 @@
         if not guard.may_send():
             pool.give_back(conn)
             return _not_sent("the lease ran out before it was sent")
-        return await self._exchange(pool, conn, req, data, deadline, guard)
+        return await self._exchange(pool, conn, req, head, deadline, guard)
 
     async def _exchange(
         self,
         pool: pool_address.AddressPool,
         conn: pool_connection.Connection,
         req: messages.Request,
-        data: bytes,
+        head: bytes,
         deadline: clock.Millis,
         guard: client.Guard,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         started = self._clock.now()
-        answer = conn.request(data, req.method == "HEAD")
+        answer = conn.request(head, req.body, req.method == "HEAD")
         timers = self._set_timers(pool, conn, req.idempotent, deadline)
         try:
             got = await answer
@@ -246,10 +246,10 @@
         pool.replace_older(sent_at)
 
 
-def encode(
+def encode_head(
     address: str, req: messages.Request, headers: messages.Headers
 ) -> bytes | None:
-    """Returns a request as bytes, or None where that can't be done safely."""
+    """Returns the head of a request, or None where it can't be sent safely."""
     if not http_headers.is_safe_path(req.path):
         return None
     lines = [
@@ -262,7 +262,6 @@
     if req.body or req.method not in ("GET", "HEAD"):
         lines.append(b"content-length: %d\r\n" % len(req.body))
     lines.append(b"\r\n")
-    lines.append(req.body)
     return b"".join(lines)
 
 
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -15,6 +15,8 @@
 MAX_WHOLE_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 READ_BYTES = 64 * 1024
+# Shorter bodies are written in one piece with the head.
+LARGE_BODY_BYTES = 16 * 1024
 
 _NO_BODY = frozenset([204, 304])
 _SWITCHED = 101
@@ -64,7 +66,7 @@
     # Called by the users of the connection.
 
     def request(
-        self, data: bytes, is_head: bool
+        self, head: bytes, body: bytes, is_head: bool
     ) -> asyncio.Future[messages.Answer]:
         """Writes a request; the future gets its answer.
 
@@ -74,7 +76,12 @@
         loop = asyncio.get_running_loop()
         self._answer = loop.create_future()
         self._begin(is_head)
-        self._transport.write(data)
+        if len(body) < LARGE_BODY_BYTES:
+            self._transport.write(head + body)
+        else:
+            # Another copy of the body would be held until the answer.
+            self._transport.write(head)
+            self._transport.write(body)
         return self._answer
 
     def is_usable(self) -> bool:
