--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -8,8 +8,10 @@
 import loguru
 from returns import result
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import http_headers
+from cardamomkeel.backend_servers import body_stream
 from cardamomkeel.backend_servers import client
 from cardamomkeel.backend_servers import pool_address
 from cardamomkeel.backend_servers import pool_connection
@@ -46,10 +48,13 @@
         reach: dict[str, str],
         clk: clock.Clock,
         silent_ms: clock.Millis = SILENT_MS,
+        share: buffers.Share | None = None,
     ):
         self._reach = reach
         self._silent_ms = silent_ms
         self._clock = clk
+        self._share = share or buffers.unlimited()
+        self._streams: set[asyncio.Task[None]] = set()
         self._pools: dict[str, pool_address.AddressPool] = {}
         self.on_all_ended: collections.abc.Callable[[str], None] = _ignore
         self._expire_at = clk.now() + EXPIRE_EVERY_MS
@@ -62,11 +67,11 @@
         deadline: clock.Millis,
         guard: client.Guard = client.NO_GUARD,
     ) -> result.Result[messages.Answer, client.SendFailure]:
-        """Sends a request and returns its whole answer."""
+        """Sends a request and returns its answer, whole or as a stream."""
         if deadline <= self._clock.now():
             return _not_sent("no time is left")
-        data = encode(address, req, headers)
-        if data is None:
+        head = encode_head(address, req, headers)
+        if head is None:
             return _not_sent("the path or a header can't be passed on")
         pool = self._pool(address)
         heard_after = float("-inf")
@@ -81,19 +86,19 @@
         if not guard.may_send():
             pool.give_back(conn)
             return _not_sent("the lease ran out before it was sent")
-        return await self._exchange(pool, conn, req, data, deadline, guard)
+        return await self._exchange(pool, conn, req, head, deadline, guard)
 
     async def _exchange(
         self,
         pool: pool_address.AddressPool,
         conn: pool_connection.Connection,
         req: messages.Request,
-        data: bytes,
+        head: bytes,
         deadline: clock.Millis,
         guard: client.Guard,
     ) -> result.Result[messages.Answer, client.SendFailure]:
         started = self._clock.now()
-        answer = conn.request(data, req.method == "HEAD")
+        answer = conn.request(head, req.body, req.method == "HEAD")
         timers = self._set_timers(pool, conn, req.idempotent, deadline)
         try:
             got = await answer
@@ -105,15 +110,44 @@
                 pool.note_latency(self._clock.now() - started)
             return _failed(client.FailureKind.TIMED_OUT, str(exc))
         except asyncio.CancelledError:
+            _discard(answer)
             await self._give_up(conn, guard)
             raise
         finally:
             for timer in timers:
                 timer.cancel()
         pool.note_latency(self._clock.now() - started)
-        pool.give_back(conn)
+        if got.stream is None:
+            pool.give_back(conn)
+        else:
+            job = self._follow(pool, conn, got.stream, deadline, guard)
+            task = asyncio.get_running_loop().create_task(job)
+            self._streams.add(task)
+            task.add_done_callback(self._streams.discard)
         return result.Success(got)
 
+    async def _follow(
+        self,
+        pool: pool_address.AddressPool,
+        conn: pool_connection.Connection,
+        stream: body_stream.BodyStream,
+        deadline: clock.Millis,
+        guard: client.Guard,
+    ) -> None:
+        """Takes care of the connection of a streamed answer."""
+        left_ms = max(0.0, deadline - self._clock.now())
+        with anyio.move_on_after(clock.seconds(left_ms)):
+            await stream.wait_end()
+        kind = client.FailureKind.TIMED_OUT
+        if stream.waits_for_reader():
+            kind = client.FailureKind.GIVEN_UP
+        stream.fail(kind, "the deadline passed before the last byte")
+        if stream.failure is None:
+            pool.give_back(conn)
+        elif stream.failure.kind is not client.FailureKind.BROKEN:
+            await self._give_up(conn, guard)
+        guard.note_stream_end(stream.failure)
+
     def _set_timers(
         self,
         pool: pool_address.AddressPool,
@@ -183,6 +217,7 @@
             pool = pool_address.AddressPool(
                 self._reach.get(address, address),
                 self._clock,
+                self._share,
                 functools.partial(self._note_all_ended, address),
             )
             self._pools[address] = pool
@@ -203,6 +238,8 @@
 
     async def close(self) -> None:
         """Closes all connections."""
+        for task in list(self._streams):
+            task.cancel()
         for pool in self._pools.values():
             pool.close()
 
@@ -211,6 +248,14 @@
     """Is for those who don't ask when all connections have ended."""
 
 
+def _discard(answer: asyncio.Future[messages.Answer]) -> None:
+    """Gives up an answer that came while its reader was cancelled."""
+    if answer.cancelled() or not answer.done() or answer.exception():
+        return
+    if answer.result().stream is not None:
+        answer.result().stream.close()
+
+
 def _replace(
     pool: pool_address.AddressPool,
     conn: pool_connection.Connection,
@@ -221,10 +266,10 @@
         pool.replace_older(sent_at)
 
 
-def encode(
+def encode_head(
     address: str, req: messages.Request, headers: messages.Headers
 ) -> bytes | None:
-    """Returns a request as bytes, or None where that can't be done safely."""
+    """Returns the head of a request, or None where it can't be sent safely."""
     if not http_headers.is_safe_path(req.path):
         return None
     lines = [
@@ -237,7 +282,6 @@
     if req.body or req.method not in ("GET", "HEAD"):
         lines.append(b"content-length: %d\r\n" % len(req.body))
     lines.append(b"\r\n")
-    lines.append(req.body)
     return b"".join(lines)
 
 
--- a/src/cardamomkeel/backend_servers/pool_address.py
+++ b/src/cardamomkeel/backend_servers/pool_address.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel.backend_servers import pool_connection
 
@@ -34,6 +35,7 @@
         self,
         address: str,
         clk: clock.Clock,
+        share: buffers.Share,
         on_all_ended: collections.abc.Callable[[], None],
     ):
         host, port = address.rsplit(":", 1)
@@ -41,6 +43,7 @@
         self._port = int(port)
         self._clock = clk
         self._on_all_ended = on_all_ended
+        self._share = share
         self._idle: collections.deque[pool_connection.Connection] = (
             collections.deque()
         )
@@ -148,7 +151,10 @@
 
     def _make_connection(self) -> pool_connection.Connection:
         return pool_connection.Connection(
-            f"{self._host}:{self._port}", self._clock, self._forget
+            f"{self._host}:{self._port}",
+            self._clock,
+            self._forget,
+            self._share,
         )
 
     def _forget(self, conn: pool_connection.Connection) -> None:
--- a/src/cardamomkeel/routing/attempts.py
+++ b/src/cardamomkeel/routing/attempts.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 
 from returns import result
 
@@ -27,6 +28,9 @@
     clk: clock.Clock
     work: slots_lib.Work
     allowed_ms: clock.Millis
+    on_stream_end: collections.abc.Callable[
+        [client_lib.SendFailure | None], None
+    ]
 
     def may_send(self) -> bool:
         """Tells whether this entry still owns the target."""
@@ -41,6 +45,10 @@
         """Notes that the target has seen the end of the connection."""
         self.work.is_over = True
 
+    def note_stream_end(self, failure: client_lib.SendFailure | None) -> None:
+        """Notes that the last byte came, or can't come any more."""
+        self.on_stream_end(failure)
+
 
 class Attempts:
     """Makes one attempt at a time at a request.
@@ -80,7 +88,13 @@
                 req,
                 _make_headers(req, allowed_ms),
                 started + allowed_ms,
-                _Guard(self._session, self._clock, work, allowed_ms),
+                _Guard(
+                    self._session,
+                    self._clock,
+                    work,
+                    allowed_ms,
+                    functools.partial(self._end_stream, owned, work),
+                ),
             )
         finally:
             self._end(owned.candidate.slots, work, sent)
@@ -99,11 +113,41 @@
         sent: result.Result[messages.Answer, client_lib.SendFailure] | None,
     ) -> None:
         """Frees the slot of a request once it has ended for certain."""
-        if isinstance(sent, result.Success) or work.is_over:
+        if not isinstance(sent, result.Success):
+            kind = None if sent is None else sent.failure().kind
+            self._end_failed(slots, work, kind)
+        elif sent.unwrap().stream is None:
+            slots.give_back(work)
+
+    def _end_stream(
+        self,
+        owned: targets_lib.Owned,
+        work: slots_lib.Work,
+        failure: client_lib.SendFailure | None,
+    ) -> None:
+        """Frees the slot of a streamed answer."""
+        slots = owned.candidate.slots
+        if failure is None:
+            slots.give_back(work)
+        else:
+            self._end_failed(slots, work, failure.kind)
+            if failure.kind is not client_lib.FailureKind.GIVEN_UP:
+                cut = classify.classify(result.Failure(failure), owned.record)
+                self._learn(owned, cut, work)
+        self._targets.freed.notify()
+        self.on_end(owned.record.service)
+
+    def _end_failed(
+        self,
+        slots: slots_lib.Slots,
+        work: slots_lib.Work,
+        kind: client_lib.FailureKind | None,
+    ) -> None:
+        """Frees a slot once work without a whole answer has ended."""
+        if work.is_over:
             slots.give_back(work)
             return
         self._targets.ends_changed.notify()
-        kind = None if sent is None else sent.failure().kind
         if kind is client_lib.FailureKind.NOT_SENT or not work.is_sent:
             slots.give_back(work)
         elif kind is client_lib.FailureKind.BROKEN:
--- a/src/cardamomkeel/routing/classify.py
+++ b/src/cardamomkeel/routing/classify.py
@@ -49,6 +49,8 @@
 ) -> messages.Ended:
     reason = answer.header(messages.NOT_RUN)
     if answer.status == 503 and reason:
+        if answer.stream is not None:
+            answer.stream.close()
         return messages.not_run(
             f"{target.address} did not run it: {reason.decode('latin-1')}",
             "send it again",
--- a/src/cardamomkeel/routing/races.py
+++ b/src/cardamomkeel/routing/races.py
@@ -41,8 +41,11 @@
     def win(self, ended: messages.Ended) -> None:
         """Takes the answer of an attempt."""
         self.running -= 1
-        if not self.done.done():
-            self.done.set_result(ended)
+        if self.done.done() or self.is_over:
+            ended.discard()
+            return
+        self._fail(None)
+        self.done.set_result(ended)
 
     def lose(self, ended: messages.Ended | None) -> None:
         """Takes the failure of an attempt; None for a cancelled one."""
@@ -51,8 +54,10 @@
         if self._failed is None or (
             ended is not None and ended.outcome is not messages.Outcome.NOT_RUN
         ):
-            self._failed = ended
-        if self.running == 0 and not self.done.done():
+            self._fail(ended)
+        if self.done.done() or self.is_over:
+            self._fail(None)
+        elif self.running == 0:
             self.done.set_result(self._failed or _LOST)
 
     def end(self) -> None:
@@ -61,6 +66,17 @@
         for task in self.begun:
             task.cancel()
 
+    def discard(self) -> None:
+        """Gives up an answer that nobody takes any more."""
+        if self.done.done() and not self.done.cancelled():
+            self.done.result().discard()
+
+    def _fail(self, ended: messages.Ended | None) -> None:
+        """Remembers a failure in place of an earlier one."""
+        if self._failed is not None:
+            self._failed.discard()
+        self._failed = ended
+
 
 class Races:
     """Makes the attempts at a request, of which the first answer counts."""
@@ -125,6 +141,9 @@
         )
         try:
             return await race.done
+        except BaseException:
+            race.discard()
+            raise
         finally:
             timer.cancel()
             race.end()
