Let entries follow any control VM by a stream of polls

Cause: an idle leader spent 6.3% of a core at 17 entries, since each entry polled it twice a second by a call of its own and each poll waited for a majority by itself.

Change: an entry keeps one stream to any control VM, asks for a lease once a second on it, and gets changed rows pushed. The control VM collects the polls of all its streams and has the leader renew their leases in one request; the leader confirms its majority once for all of them and tells everybody the same moment to ask next, so the polls of a second come together. Leases are passed on only with rows at least as new as the leader's were. The poll is answered at once, so the longer period leaves as much of the lease as before.

The leader tells the others of a commit at once when it changed a row.

Checks: the pair poll_wait_ms and poll_timeout_ms is gone, since polls are no longer held; both are checked against lease_ms in its place.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -25,7 +25,8 @@
       | setting            | value | other              |
       | heartbeat_ms       | 400   | election_least_ms  |
       | election_least_ms  | 1300  | election_most_ms   |
-      | poll_wait_ms       | 1000  | poll_timeout_ms    |
+      | poll_wait_ms       | 1600  | lease_ms           |
+      | poll_timeout_ms    | 900   | lease_ms           |
       | lease_ms           | 2000  | election_most_ms   |
 
   Scenario: The page of settings is the one that the models give
--- a/src/cardamomkeel/control/client.py
+++ b/src/cardamomkeel/control/client.py
@@ -47,16 +47,14 @@
         req: typing.Any,
         attempt_ms: clock.Millis,
         timeout_ms: clock.Millis,
-        again: typing.Any = None,
     ) -> result.Result[typing.Any, errors.Error]:
         """Calls until the leader answers or the time is over.
 
         Args:
             method: The method to call.
-            req: What to send first.
+            req: What to send.
             attempt_ms: How long one answer may take.
             timeout_ms: How long all may take together.
-            again: What to send from the second time on, if not the same.
         """
         until = self._clock.now() + timeout_ms
         last = "no leader is known"
@@ -87,23 +85,8 @@
             else:
                 last = str(reply.failure())
                 self._leader = ""
-            req = again or req
             await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
 
-    async def poll(
-        self,
-        req: control_pb2.PollRequest,
-        attempt_ms: clock.Millis,
-        timeout_ms: clock.Millis,
-    ) -> result.Result[control_pb2.PollReply, errors.Error]:
-        """Asks for a lease and for what has changed."""
-        # Only the first leader may hold its answer back: there is not the time
-        # for a second wait, and the lease is due.
-        at_once = control_pb2.PollRequest()
-        at_once.CopyFrom(req)
-        at_once.wait_ms = 0
-        return await self._call("Poll", req, attempt_ms, timeout_ms, at_once)
-
     async def propose(
         self,
         commands: list[control_pb2.Command],
--- /dev/null
+++ b/src/cardamomkeel/control/hub.py
@@ -0,0 +1,159 @@
+"""Collects the polls of many streams and has their leases renewed at once."""
+
+import dataclasses
+import typing
+
+import anyio
+from grpclib import server as grpc_server
+
+from cardamomkeel import clock
+from cardamomkeel.control import signal
+from cardamomkeel.control import streams
+from cardamomkeel.wire import control_pb2
+
+# Polls that arrive this close to each other share one request.
+COLLECT_MS = 10.0
+RETRY_PAUSE_MS = 50.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """What the leader granted to a batch of polls.
+
+    Attributes:
+        lease_ms: How long each lease runs from when its entry asked.
+        version: The version of the leader's rows when it granted them.
+        next_ms: When to ask for the next batch.
+        expired: The sessions that get no lease.
+    """
+
+    lease_ms: clock.Millis
+    version: int
+    next_ms: clock.Millis
+    expired: frozenset[int] = frozenset()
+
+
+class Lessor(typing.Protocol):
+    """Grants leases, or has them granted by the leader."""
+
+    def leads(self) -> bool:
+        """Tells whether leases are granted here."""
+
+    async def renew(self, polls: list[control_pb2.PollRequest]) -> Grant | None:
+        """Renews the leases of a batch; None where nobody granted them."""
+
+
+class Hub:
+    """Serves the streams of those that follow the rows through this process.
+
+    Leases are only passed on, never made: each answer carries what the
+    leader granted, and rows at least as new as the leader's were then.
+    """
+
+    def __init__(
+        self,
+        rows: typing.Callable[[], streams.Rows],
+        lessor: Lessor,
+        lease_ms: clock.Millis,
+        clk: clock.Clock,
+    ):
+        self._rows = rows
+        self._lessor = lessor
+        self._lease_ms = lease_ms
+        self._clock = clk
+        self._streams: list[streams.Stream] = []
+        self._asked = signal.Signal()
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def wake(self) -> None:
+        """Has the streams look for rows that are new."""
+        for stream in self._streams:
+            stream.wake.notify()
+
+    async def serve(self, wire: grpc_server.Stream) -> None:
+        """Serves one stream until it ends or has been silent for a lease."""
+        stream = streams.Stream(wire, self._rows, self._clock)
+        self._streams.append(stream)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._read, wire, stream, tasks)
+                await stream.write(self._lease_ms)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._streams.remove(stream)
+
+    async def _read(
+        self,
+        wire: grpc_server.Stream,
+        stream: streams.Stream,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        async for req in wire:
+            stream.take(req)
+            self._asked.notify()
+        tasks.cancel_scope.cancel()
+
+    async def run(self) -> None:
+        """Renews leases for as long as there is anybody to ask for them."""
+        while True:
+            if not any(stream.request for stream in self._streams):
+                await self._asked.wait()
+            await anyio.sleep(clock.seconds(COLLECT_MS))
+            if not await self._renew():
+                await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
+
+    async def _renew(self) -> bool:
+        """Renews what is asked for; False where it has to be tried again."""
+        self._refuse_followers()
+        asking = {s: s.request for s in self._streams if s.request}
+        if not asking:
+            return True
+        polls = [poll for stream in asking for poll in self._read_polls(stream)]
+        grant = await self._lessor.renew(polls)
+        if grant is None:
+            return False
+        for stream, req in asking.items():
+            if stream.request is req:
+                stream.request = None
+            stream.answer(_answer(req, grant))
+        return True
+
+    def _refuse_followers(self) -> None:
+        """Turns other control VMs away where this one does not lead."""
+        if self._lessor.leads():
+            return
+        for stream in self._streams:
+            req = stream.request
+            if req and req.leader_only:
+                stream.request = None
+                stream.answer(
+                    control_pb2.FollowReply(number=req.number, not_leader=True)
+                )
+
+    def _read_polls(
+        self, stream: streams.Stream
+    ) -> list[control_pb2.PollRequest]:
+        """Returns the polls of a stream, aged by how long they waited."""
+        waited_ms = int(self._clock.now() - stream.arrived)
+        polls = []
+        for poll in stream.request.polls:
+            aged = control_pb2.PollRequest()
+            aged.CopyFrom(poll)
+            aged.age_ms += waited_ms
+            polls.append(aged)
+        return polls
+
+
+def _answer(
+    req: control_pb2.FollowRequest, grant: Grant
+) -> control_pb2.FollowReply:
+    expired = [p.session for p in req.polls if p.session in grant.expired]
+    return control_pb2.FollowReply(
+        number=req.number,
+        lease_ms=int(grant.lease_ms),
+        expired=expired,
+        next_ms=int(grant.next_ms),
+        version=grant.version,
+    )
--- a/src/cardamomkeel/control/leases.py
+++ b/src/cardamomkeel/control/leases.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cardamomkeel import clock
+from cardamomkeel.wire import control_pb2
 
 # Clocks of two VMs may run this much apart.
 DRIFT = 1.05
@@ -16,11 +17,16 @@
         until: When it has run out for certain.
         version: The version of the state that the entry has confirmed.
         closing: Whether the session is being ended; no lease is given then.
+        number: The newest poll whose bounds were taken.
+        bounds: The longest work, by service, that the session gives; None
+            where this leader was not told.
     """
 
     until: clock.Millis
     version: int = 0
     closing: bool = False
+    number: int = 0
+    bounds: list[control_pb2.WorkBound] | None = None
 
 
 class Leases:
@@ -29,25 +35,33 @@
     def __init__(self, lease_ms: clock.Millis):
         self.lease_ms = lease_ms
         self._leases: dict[int, Lease] = {}
+        self._started = float("-inf")
 
     def start(self, sessions: list[int], now: clock.Millis) -> None:
         """Begins a leadership: every session may hold a fresh lease."""
+        self._started = now
         self._leases = {
             session: Lease(until=now + self.lease_ms * DRIFT)
             for session in sessions
         }
 
-    def grant(self, session: int, version: int, now: clock.Millis) -> bool:
+    def grant(self, poll: control_pb2.PollRequest, now: clock.Millis) -> bool:
         """Gives a lease that counts from when the entry asked.
 
         Returns:
             False where the session is being ended.
         """
-        lease = self._leases.setdefault(session, Lease(until=now))
+        lease = self._leases.setdefault(poll.session, Lease(until=now))
         if lease.closing:
             return False
         lease.until = now + self.lease_ms * DRIFT
-        lease.version = max(lease.version, version)
+        lease.version = max(lease.version, poll.version)
+        # A poll may be late: one before may have told another leader, or
+        # this one through another control VM, something newer.
+        is_own = now - poll.age_ms >= self._started
+        if is_own and poll.number > lease.number:
+            lease.number = poll.number
+            lease.bounds = list(poll.bounds)
         return True
 
     def close_expired(
--- /dev/null
+++ b/src/cardamomkeel/control/lessor.py
@@ -0,0 +1,90 @@
+"""Grants leases where this control VM leads; asks the leader elsewhere."""
+
+from cardamomkeel import clock
+from cardamomkeel.control import hub
+from cardamomkeel.control import link as link_lib
+from cardamomkeel.control import node as node_lib
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.wire import control_pb2
+
+
+class GroupLessor:
+    """Renews leases with whoever leads the control group."""
+
+    def __init__(
+        self,
+        node: node_lib.ControlNode,
+        link: link_lib.Link,
+        period_ms: clock.Millis,
+        timeout_ms: clock.Millis,
+        clk: clock.Clock,
+    ):
+        """Makes the lessor of one control VM.
+
+        Args:
+            node: The control VM.
+            link: The stream to the leader; it carries no rows.
+            period_ms: How often entries ask where nothing changes.
+            timeout_ms: How long the leader's answer may take.
+            clk: The clock.
+        """
+        self._node = node
+        self._link = link
+        self._period_ms = period_ms
+        self._timeout_ms = timeout_ms
+        self._clock = clk
+
+    def leads(self) -> bool:
+        """Tells whether leases are granted here."""
+        return self._node.replica.is_ready
+
+    async def renew(
+        self, polls: list[control_pb2.PollRequest]
+    ) -> hub.Grant | None:
+        """Renews the leases of a batch; None where nobody granted them."""
+        if self._node.replica.is_leader:
+            return await self._grant(polls)
+        return await self._ask_leader(polls)
+
+    async def _grant(
+        self, polls: list[control_pb2.PollRequest]
+    ) -> hub.Grant | None:
+        node = self._node
+        if not await node.confirm(self._clock.now()):
+            return None
+        now = self._clock.now()
+        expired = frozenset(
+            poll.session for poll in polls if not self._grant_one(poll, now)
+        )
+        # All who ask are told the same moment, so their polls come together.
+        next_ms = self._period_ms - now % self._period_ms
+        return hub.Grant(
+            node.leases.lease_ms, node.tables.version, next_ms, expired
+        )
+
+    def _grant_one(
+        self, poll: control_pb2.PollRequest, now: clock.Millis
+    ) -> bool:
+        node = self._node
+        if node.tables.get(tables_lib.entry_key(poll.session)) is None:
+            return False
+        return node.leases.grant(poll, now)
+
+    async def _ask_leader(
+        self, polls: list[control_pb2.PollRequest]
+    ) -> hub.Grant | None:
+        address = self._node.leader_address()
+        if not address:
+            return None
+        req = control_pb2.FollowRequest(
+            polls=polls, without_rows=True, leader_only=True
+        )
+        reply = await self._link.ask(address, req, self._timeout_ms)
+        if reply is None or reply.not_leader:
+            return None
+        return hub.Grant(
+            reply.lease_ms,
+            reply.version,
+            reply.next_ms,
+            frozenset(reply.expired),
+        )
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -110,9 +110,9 @@
     def after_step(self) -> None:
         """Applies what is committed and wakes whoever waits for it."""
         replica = self.replica
+        before = self.tables.version
         if self.applied < replica.snapshot.index:
             self._load_snapshot()
-        before = self.tables.version
         for entry in replica.entries(self.applied + 1, replica.commit):
             self._apply(entry)
         self._compact()
@@ -120,8 +120,14 @@
         # Nobody waits for commands that change no row, such as claims.
         if self.tables.version != before:
             self.changed.notify()
+            self._send_commit()
         self._send.notify()
 
+    def _send_commit(self) -> None:
+        """Has the others told at once, since entries follow their rows."""
+        for progress in self.replica.progress.values():
+            progress.sent_at = float("-inf")
+
     def _apply(self, entry: control_pb2.LogEntry) -> None:
         done = None
         if entry.HasField("command"):
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -3,10 +3,10 @@
 from grpclib import server as grpc_server
 
 from cardamomkeel import clock
+from cardamomkeel.control import hub as hub_lib
 from cardamomkeel.control import membership
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.replication import members as members_lib
-from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
@@ -88,41 +88,19 @@
 class ControlService(control_grpc.ControlBase):
     """What entries and operators ask of the control group."""
 
-    def __init__(self, node: node_lib.ControlNode, clk: clock.Clock):
+    def __init__(
+        self,
+        node: node_lib.ControlNode,
+        hub: hub_lib.Hub,
+        clk: clock.Clock,
+    ):
         self._node = node
+        self._hub = hub
         self._clock = clk
 
-    async def Poll(self, stream: grpc_server.Stream) -> None:  # noqa: N802
-        """Gives a lease, and what has changed, to an entry."""
-        req = await stream.recv_message()
-        await stream.send_message(await self._poll(req))
-
-    async def _poll(
-        self, req: control_pb2.PollRequest
-    ) -> control_pb2.PollReply:
-        node = self._node
-        arrived = self._clock.now()
-        until = arrived + req.wait_ms
-        while node.replica.is_ready and node.tables.version <= req.version:
-            left = until - self._clock.now()
-            if left <= 0:
-                break
-            await node.changed.wait(clock.seconds(left))
-        if not await node.confirm(arrived):
-            return control_pb2.PollReply(leader_address=node.leader_address())
-        if node.tables.get(tables_lib.entry_key(req.session)) is None:
-            return control_pb2.PollReply(leader=True, session_expired=True)
-        now = self._clock.now()
-        if not node.leases.grant(req.session, req.version, now):
-            return control_pb2.PollReply(leader=True, session_expired=True)
-        whole, records = node.tables.changed_since(req.version)
-        return control_pb2.PollReply(
-            leader=True,
-            lease_ms=int(node.leases.lease_ms),
-            version=node.tables.version,
-            whole=whole,
-            records=records,
-        )
+    async def Follow(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Gives leases, and what has changed, for as long as it is asked."""
+        await self._hub.serve(stream)
 
     async def Propose(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Has commands committed."""
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -16,6 +16,7 @@
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import channels
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.control import follow
 from cardamomkeel.control import formation
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.control import service
@@ -124,10 +125,11 @@
     control = client_lib.ControlClient(
         list(cfg.control.values()), cfg.reach, clk
     )
+    followers = follow.Followers(cfg, node, clk)
     server = grpc_server.Server(
         [
             service.ReplicationService(node, clk),
-            service.ControlService(node, clk),
+            service.ControlService(node, followers.hub, clk),
         ]
     )
     host, port = channels.split_address(cfg.address)
@@ -135,7 +137,7 @@
     operators = operators_app.OperatorsApp(
         secret,
         metrics_lib.Metrics(),
-        lambda: dump(cfg, node),
+        lambda: dump(cfg, node) | {"streams": len(followers.hub)},
         changes.Changes(control, clk).handlers()
         | resolutions.Resolutions(control).handlers()
         | members_calls.MemberChanges(control).handlers(),
@@ -143,6 +145,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(start.wait_for_stop, stop)
         tasks.start_soon(node.run)
+        tasks.start_soon(followers.run)
         tasks.start_soon(_join, cfg, node, clk)
         tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
         logger.info("runs", member=node.replica.id)
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -2,6 +2,7 @@
 
 import secrets
 import typing
+import zlib
 
 import anyio
 import loguru
@@ -9,6 +10,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.control import link as link_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
@@ -16,6 +18,7 @@
 # The clock of this VM may run this much slower than that of the leader.
 DRIFT_SHARE = 0.05
 REJOIN_PAUSE_MS = 200.0
+RETRY_PAUSE_MS = 50.0
 
 logger = loguru.logger
 
@@ -41,6 +44,11 @@
         self._clock = clk
         self._on_change = on_change
         self._nonce = secrets.token_hex(8)
+        self._link = link_lib.Link(cfg.reach, self._take)
+        self._addresses = list(cfg.control.values())
+        # Entries spread over the control VMs.
+        self._turn = zlib.crc32(cfg.name.encode()) % len(self._addresses)
+        self._number = 0
         self.id = 0
         self.view = view_lib.View()
         self.lease_until = float("-inf")
@@ -49,13 +57,20 @@
         """Tells whether this entry may act on its view."""
         return self._clock.now() < self.lease_until
 
+    @property
+    def follows(self) -> str:
+        """The address of the control VM that is polled; empty for none."""
+        return self._link.address
+
     async def run(self) -> None:
         """Joins, polls, and joins again where the session has ended."""
-        while True:
-            if self.id == 0:
-                await self._join()
-            else:
-                await self._poll()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._link.run)
+            while True:
+                if self.id == 0:
+                    await self._join()
+                else:
+                    await self._poll()
 
     async def _join(self) -> None:
         cfg = self._cfg
@@ -83,33 +98,47 @@
         logger.info("joined", session=self.id)
 
     async def _poll(self) -> None:
-        timings = self._cfg.timings
-        first = self.lease_until == float("-inf")
-        req = control_pb2.PollRequest(
-            session=self.id,
-            version=self.view.version,
-            wait_ms=0 if first else timings.poll_wait_ms,
-        )
+        confirmed = self.view.version
+        address = self._addresses[self._turn]
         asked = self._clock.now()
-        # The lease counts from this call, so a retry is a call of its own.
-        done = await self._client.poll(
-            req, timings.poll_timeout_ms, timings.poll_timeout_ms
+        reply = await self._link.ask(
+            address, self._make_request(), self._cfg.timings.poll_timeout_ms
         )
-        if not isinstance(done, result.Success):
-            logger.warning("no lease", reason=str(done.failure()))
+        if reply is None:
+            await self._go_on(address)
             return
-        reply = done.unwrap()
-        if reply.session_expired:
+        if self.id in reply.expired:
             self._end()
             return
         self.lease_until = asked + reply.lease_ms * (1 - DRIFT_SHARE)
-        changed = reply.version != self.view.version or reply.whole
+        if self.view.version == confirmed and self._link.is_open:
+            await self._link.news.wait(clock.seconds(reply.next_ms))
+
+    def _make_request(self) -> control_pb2.FollowRequest:
+        self._number += 1
+        poll = control_pb2.PollRequest(
+            session=self.id, version=self.view.version, number=self._number
+        )
+        return control_pb2.FollowRequest(
+            polls=[poll], version=self.view.version
+        )
+
+    async def _go_on(self, address: str) -> None:
+        """Turns to the next control VM."""
+        logger.warning("no lease", control=address)
+        self._turn = (self._turn + 1) % len(self._addresses)
+        await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
+
+    def _take(self, reply: control_pb2.FollowReply) -> None:
+        """Takes the rows of a reply over."""
+        if reply.version == self.view.version and not reply.whole:
+            return
         self.view.take(reply)
-        if changed:
-            self._on_change()
+        self._on_change()
 
     def _end(self) -> None:
         logger.warning("session has ended", session=self.id)
+        self._link.close()
         self.id = 0
         self.lease_until = float("-inf")
         self.view = view_lib.View()
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -42,7 +42,7 @@
         default_factory=dict
     )
 
-    def take(self, reply: control_pb2.PollReply) -> None:
+    def take(self, reply: control_pb2.FollowReply) -> None:
         """Takes the changed rows of a reply over."""
         if reply.whole:
             self.targets.clear()
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -6,7 +6,8 @@
 import pydantic
 
 ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
-# The lease has to outlast the replacement of a silent or lost leader.
+# The lease has to outlast the replacement of a lost leader, and two control
+# VMs that don't answer.
 LEASE_MARGIN_MS = 300
 
 
@@ -37,28 +38,32 @@
             control VM stands for election.
         election_most_ms: The most time without a heartbeat before it does.
         lease_ms: How long an entry may act on settings that it confirmed.
-        poll_wait_ms: How long control holds a poll of an entry open where
-            nothing changes.
-        poll_timeout_ms: How long an entry waits for the answer to a poll
-            before it tries another control VM.
+        poll_wait_ms: How often an entry asks for a lease where nothing
+            changes.
+        poll_timeout_ms: How long an entry waits for the answer before it asks
+            another control VM.
     """
 
     heartbeat_ms: int = pydantic.Field(250, ge=20)
     election_least_ms: int = pydantic.Field(600, ge=50)
     election_most_ms: int = pydantic.Field(1200, ge=100)
     lease_ms: int = pydantic.Field(3000, ge=200)
-    poll_wait_ms: int = pydantic.Field(500, ge=20)
-    poll_timeout_ms: int = pydantic.Field(900, ge=50)
+    poll_wait_ms: int = pydantic.Field(1000, ge=20)
+    poll_timeout_ms: int = pydantic.Field(600, ge=50)
 
     @pydantic.model_validator(mode="after")
     def _check_pairs(self) -> "Timings":
         pairs = [
             ("heartbeat_ms", 2 * self.heartbeat_ms, "election_least_ms"),
             ("election_least_ms", self.election_least_ms, "election_most_ms"),
-            ("poll_wait_ms", self.poll_wait_ms, "poll_timeout_ms"),
             (
-                "election_most_ms",
-                self.election_most_ms + self.poll_timeout_ms + LEASE_MARGIN_MS,
+                "poll_wait_ms and election_most_ms",
+                self.poll_wait_ms + self.election_most_ms + LEASE_MARGIN_MS,
+                "lease_ms",
+            ),
+            (
+                "poll_wait_ms and twice poll_timeout_ms",
+                self.poll_wait_ms + 2 * self.poll_timeout_ms + LEASE_MARGIN_MS,
                 "lease_ms",
             ),
         ]
--- a/src/cardamomkeel/wire/control_grpc.py
+++ b/src/cardamomkeel/wire/control_grpc.py
@@ -123,7 +123,7 @@
 class ControlBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Poll(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.PollRequest, cardamomkeel.wire.control_pb2.PollReply]') -> None:
+    async def Follow(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.FollowRequest, cardamomkeel.wire.control_pb2.FollowReply]') -> None:
         pass
 
     @abc.abstractmethod
@@ -140,11 +140,11 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/cardamomkeel.wire.Control/Poll': grpclib.const.Handler(
-                self.Poll,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                cardamomkeel.wire.control_pb2.PollRequest,
-                cardamomkeel.wire.control_pb2.PollReply,
+            '/cardamomkeel.wire.Control/Follow': grpclib.const.Handler(
+                self.Follow,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                cardamomkeel.wire.control_pb2.FollowRequest,
+                cardamomkeel.wire.control_pb2.FollowReply,
             ),
             '/cardamomkeel.wire.Control/Propose': grpclib.const.Handler(
                 self.Propose,
@@ -170,11 +170,11 @@
 class ControlStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Poll = grpclib.client.UnaryUnaryMethod(
+        self.Follow = grpclib.client.StreamStreamMethod(
             channel,
-            '/cardamomkeel.wire.Control/Poll',
-            cardamomkeel.wire.control_pb2.PollRequest,
-            cardamomkeel.wire.control_pb2.PollReply,
+            '/cardamomkeel.wire.Control/Follow',
+            cardamomkeel.wire.control_pb2.FollowRequest,
+            cardamomkeel.wire.control_pb2.FollowReply,
         )
         self.Propose = grpclib.client.UnaryUnaryMethod(
             channel,
