Measure service while several entries are lost at once

Kills some owners together under open-loop load; the record of the backend servers says when each of their targets got work again. Source folders can be compared turn by turn in one run. The callers go on to another entry where one can't be reached, as callers do.

--- a/bench/choosers.py
+++ b/bench/choosers.py
@@ -100,11 +100,14 @@
         """Sends a request of any caller to its first address."""
         caller = self._rng.choice(self._callers)
         addresses = await self._addresses(caller, job.service)
+        return await self._send_to(addresses[0], job)
+
+    async def _send_to(self, address: str, job: Job) -> str:
         headers = {DEADLINE: str(job.deadline_ms)}
         if job.key:
             headers["idempotency-key"] = job.key
         reply = await self._http.request(
-            addresses[0],
+            address,
             job.method,
             f"/v1/call/{job.service}{job.path}",
             headers,
--- a/bench/load.py
+++ b/bench/load.py
@@ -49,7 +49,14 @@
 class Load:
     """Sends requests at a rate, whatever the answers do."""
 
-    def __init__(self, services: list[str], rate: float, rng: random.Random):
+    def __init__(
+        self,
+        services: list[str],
+        rate: float,
+        rng: random.Random,
+        deadline_ms: int = DEADLINE_MS,
+    ):
+        self._deadline_ms = deadline_ms
         self._services = services
         self._rate = rate
         self._rng = rng
@@ -59,11 +66,11 @@
         draw = self._rng.random()
         if draw < 0.7:
             return choosers.Job(
-                self._services[0], "GET", "/lookup", "", DEADLINE_MS
+                self._services[0], "GET", "/lookup", "", self._deadline_ms
             )
         service = self._services[1 if draw < 0.9 else 2]
         key = f"{self._rng.getrandbits(64):x}"
-        return choosers.Job(service, "POST", "/book", key, DEADLINE_MS)
+        return choosers.Job(service, "POST", "/book", key, self._deadline_ms)
 
     async def run(self, chooser: choosers.Chooser, seconds: float) -> None:
         """Sends requests for some seconds and waits for their ends."""
--- /dev/null
+++ b/bench/lost_owner.py
@@ -0,0 +1,218 @@
+"""Measures service while entries are lost at once, and after that.
+
+Some entries are killed together under load. For each target that they owned,
+the record of the fake backend servers says when it got work again. Several
+source folders can be compared, turn by turn, in one run.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import statistics
+import tempfile
+import time
+
+from bench import choosers
+from bench import deployment as deployment_lib
+from bench import http_client
+from bench import load as load_lib
+
+ATTEMPTS = 4
+PAUSE_S = 0.02
+# How long a caller leaves out an entry that it could not reach.
+AVOID_S = 5.0
+
+
+class Callers(choosers.System):
+    """Callers that go on to another entry where one can't be reached."""
+
+    def __init__(self, deployment, http, rng):
+        super().__init__(deployment, http, rng)
+        self._avoid_until: dict[str, float] = {}
+
+    async def _addresses(self, caller, service: str) -> list[str]:
+        addresses = await super()._addresses(caller, service)
+        now = time.monotonic()
+        return sorted(
+            addresses, key=lambda a: now < self._avoid_until.get(a, 0)
+        )
+
+    async def send(self, job: choosers.Job) -> str:
+        """Sends a request, again and with the same key where it failed."""
+        caller = self._rng.choice(self._callers)
+        for _ in range(ATTEMPTS):
+            address = ""
+            try:
+                address = (await self._addresses(caller, job.service))[0]
+                return await self._send_to(address, job)
+            except choosers.ERRORS:
+                self._avoid_until[address] = time.monotonic() + AVOID_S
+                await asyncio.sleep(PAUSE_S)
+        return "unreachable"
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What is done to a deployment.
+
+    Attributes:
+        lost: How many entries that own targets are lost at once.
+        rate: Requests per second.
+        before_s: How long the load runs before that.
+        after_s: How long it runs after that.
+        deadline_ms: The deadline of each request.
+        seed: Draws the requests and the entries.
+    """
+
+    lost: int = 6
+    rate: float = 200.0
+    before_s: float = 6.0
+    after_s: float = 18.0
+    deadline_ms: int = load_lib.DEADLINE_MS
+    seed: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Loss:
+    """Which entries were lost, and when.
+
+    Attributes:
+        lost: The targets that they owned, with their services.
+        started: When the load began.
+        at: When the entries were lost.
+    """
+
+    lost: dict[str, str]
+    started: float
+    at: float
+
+
+def _kill(
+    deployment: deployment_lib.Deployment, options: Options
+) -> tuple[dict[str, str], float]:
+    """Kills entries that own targets; returns these, and the time."""
+    owned = {
+        name: deployment.dump_entry(name)["owned"]
+        for name in deployment.entries
+    }
+    owners = [name for name in owned if owned[name]]
+    names = random.Random(options.seed).sample(owners, options.lost)
+    for name in names:
+        deployment.entries[name].send(signal.SIGKILL)
+    for name in names:
+        deployment.entries[name].kill()
+    lost = {
+        address: row["service"]
+        for name in names
+        for address, row in owned[name].items()
+    }
+    return lost, time.time()
+
+
+async def measure(
+    deployment: deployment_lib.Deployment, options: Options
+) -> dict:
+    """Returns the figures of one loss."""
+    rng = random.Random(options.seed)
+    http = http_client.Client()
+    load = load_lib.Load(
+        list(deployment.shape.services), options.rate, rng, options.deadline_ms
+    )
+    callers = Callers(deployment, http, rng)
+    deployment.ask_servers("/clear")
+    started = time.time()
+    running = asyncio.create_task(
+        load.run(callers, options.before_s + options.after_s)
+    )
+    await asyncio.sleep(options.before_s)
+    lost, at = await asyncio.to_thread(_kill, deployment, options)
+    await running
+    http.close()
+    return _summarize(deployment, load, Loss(lost, started, at))
+
+
+def _summarize(
+    deployment: deployment_lib.Deployment, load: load_lib.Load, loss: Loss
+) -> dict:
+    record = deployment.record()
+    first_run: dict[str, float] = {}
+    for run in record:
+        if run["started"] > loss.at:
+            first_run.setdefault(run["address"], run["started"] - loss.at)
+    idle_s = [first_run.get(a, float("inf")) for a in loss.lost]
+    runs = collections.Counter(run["key"] for run in record if run["key"])
+    servers = deployment.ask_servers("/servers")
+    figures = {
+        "lost_targets": len(loss.lost),
+        "until_work_again_s_median": round(statistics.median(idle_s), 2),
+        "until_work_again_s_most": round(max(idle_s), 2),
+        "overruns": sum(server["overruns"] for server in servers),
+        "booked_twice": sum(count > 1 for count in runs.values()),
+    }
+    lost_at_s = loss.at - loss.started
+    served_s = lost_at_s + max(
+        (idle for idle in idle_s if idle < float("inf")), default=0.0
+    )
+    phases = {
+        "before": (0.0, lost_at_s),
+        "until all serve again": (lost_at_s, served_s),
+        "after": (served_s, float("inf")),
+    }
+    first_service = next(iter(deployment.shape.services))
+    for name, (begin, end) in phases.items():
+        samples = [s for s in load.samples if begin <= s.due_s < end]
+        figures[name] = load_lib.summarize(samples, first_service)
+    return figures
+
+
+def main() -> None:
+    """Runs the losses that the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--deployment",
+        choices=load_lib.DEPLOYMENTS,
+        default="ar-gwenn-skouarn",
+    )
+    parser.add_argument("--lost", type=int, default=6, help="entries")
+    parser.add_argument("--deadline-ms", type=int, default=2000)
+    parser.add_argument("--rounds", type=int, default=1)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--source",
+        action="append",
+        help="a source folder to measure; several are compared",
+    )
+    args = parser.parse_args()
+    shape = load_lib.DEPLOYMENTS[args.deployment]
+    for turn in range(args.rounds):
+        options = Options(
+            lost=args.lost,
+            deadline_ms=args.deadline_ms,
+            seed=args.seed + turn,
+        )
+        for source in args.source or [os.environ.get("PYTHONPATH", "src")]:
+            os.environ["PYTHONPATH"] = source
+            figures = _measure_once(shape, options)
+            print(f"{source}, {args.lost} of {shape.entries} entries lost")
+            load_lib.print_table(figures, "  ")
+
+
+def _measure_once(shape: deployment_lib.Shape, options: Options) -> dict:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-bench-"))
+    deployment = deployment_lib.Deployment(folder, shape)
+    try:
+        deployment.start()
+        deployment.wait_ready()
+        return asyncio.run(measure(deployment, options))
+    finally:
+        deployment.kill_all()
+        deployment.remove()
+
+
+if __name__ == "__main__":
+    main()
