Let entries promise how long their work goes on after the lease

Cause: the targets of a lost entry were unusable for the lease, a round of duties and the longest deadline there is, up to 3.15 + 0.55 + 10.6 s, since what it had in flight is unknown.

Ruled out: a promise of the longest deadline given, counted from the end of the lease (adds 2.2 s to every loss at deadlines of 2 s); counts of slots by target (each burst would wait for control); reports of targets (may mislead).

Change: each poll promises, by service, how long work may go on after the lease that it gets. The entry starts nothing that would end later, checked again right before the first byte; what needs longer has a longer promise confirmed first, and an idempotent request of a caller goes on with what is covered. A shorter promise binds when it is sent, a longer one once confirmed. Polls are numbered and name the term of the leader that answered last, so that one that was late does not count; a new leader falls back to the longest deadline. Work that a lost owner had inherited counts to its own end. The leader counts a lease from when the question arrived, no longer from its answer up to 0.5 s later, and wakes when the first lease runs out.

One check rested on the old wait: that a lost target gets no work after the take-over of an owner that is cut off. Its new owner may now serve it at once, so the scenario has every owner give work with a long deadline first; the check is the same.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -20,6 +20,7 @@
 
   Scenario: An owner that is cut off gives no work once its lease is over
     Given every target of creneau is warm
+    And every owner has just given work that new owners have to wait for
     When 1 owners of creneau are cut off from control
     And creneau is under load until every target has another owner
     Then the lost targets got no work since then
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -148,6 +148,14 @@
     )
 
 
+@given("every owner has just given work that new owners have to wait for")
+def give_long_work(context):
+    # Whatever runs at a lost target from then on was given by its old owner.
+    for address in context.deployment.callers_addresses.values():
+        got = _call(address, "creneau", LONG_DEADLINE_MS)
+        assert got.outcome == "answered", got
+
+
 def _cut_off(deployment, name):
     for control in deployment.controls:
         deployment.relays.inject("silence", name, control)
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -14,6 +14,7 @@
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import client as client_lib
 from cardamomkeel.control import signal
+from cardamomkeel.policy import promises as promises_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import owner as owner_lib
 from cardamomkeel.routing import view as view_lib
@@ -33,6 +34,7 @@
     def __init__(self, slots, queue, targets=1, hedge_share=0.0):
         self.id = SESSION
         self.lease_until = float("inf")
+        self.promises = promises_lib.Promises()
         service = services.Service(
             slots=slots,
             queue=queue,
--- a/src/cardamomkeel/control/deadlines.py
+++ b/src/cardamomkeel/control/deadlines.py
@@ -53,6 +53,34 @@
             for service, longest_ms in self._longest.items()
         ]
 
+    def expire(
+        self,
+        session: int,
+        after_ms: dict[str, int] | None,
+        owned: set[str],
+        now: clock.Millis,
+    ) -> control_pb2.Command:
+        """Returns the command that ends a session.
+
+        Args:
+            session: The session.
+            after_ms: How long its work may go on after its lease, by service,
+                as it promised; None where it promised nothing.
+            owned: The services of its targets.
+            now: The time.
+        """
+        expire = control_pb2.EntryExpire(sessions=[session])
+        if after_ms is None:
+            expire.bounds.extend(self.bounds(now))
+        else:
+            expire.after_lease.extend(
+                control_pb2.WorkBound(
+                    service=service, longest_ms=after_ms.get(service, 0)
+                )
+                for service in sorted(owned)
+            )
+        return control_pb2.Command(entry_expire=expire)
+
     def _bound(self, service: str, longest_ms: int) -> int:
         earlier = [
             before.get(service, targets.LONGEST_DEADLINE_MS)
--- a/src/cardamomkeel/control/leases.py
+++ b/src/cardamomkeel/control/leases.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cardamomkeel import clock
+from cardamomkeel.wire import control_pb2
 
 # Clocks of two VMs may run this much apart.
 DRIFT = 1.05
@@ -16,11 +17,22 @@
         until: When it has run out for certain.
         version: The version of the state that the entry has confirmed.
         closing: Whether the session is being ended; no lease is given then.
+        number: The number of the newest poll that counts.
+        after_ms: How long work of the session may go on after the lease, by
+            service, as that poll promised; None before the first promise.
     """
 
     until: clock.Millis
     version: int = 0
     closing: bool = False
+    number: int = 0
+    after_ms: dict[str, int] | None = None
+
+    def take_promise(self, number: int, after_ms: dict[str, int]) -> None:
+        """Counts what a poll promised, unless a newer one was there first."""
+        if number > self.number:
+            self.number = number
+            self.after_ms = after_ms
 
 
 class Leases:
@@ -37,16 +49,21 @@
             for session in sessions
         }
 
-    def grant(self, session: int, version: int, now: clock.Millis) -> bool:
+    def grant(self, session: int, version: int, asked: clock.Millis) -> bool:
         """Gives a lease that counts from when the entry asked.
 
+        Args:
+            session: The session.
+            version: The version of the state that the entry has confirmed.
+            asked: When its question arrived.
+
         Returns:
             False where the session is being ended.
         """
-        lease = self._leases.setdefault(session, Lease(until=now))
+        lease = self._leases.setdefault(session, Lease(until=asked))
         if lease.closing:
             return False
-        lease.until = now + self.lease_ms * DRIFT
+        lease.until = max(lease.until, asked + self.lease_ms * DRIFT)
         lease.version = max(lease.version, version)
         return True
 
@@ -64,6 +81,31 @@
                 expired.append(session)
         return expired
 
+    def take_promise(self, req: control_pb2.PollRequest, term: int) -> None:
+        """Counts what an entry promised with a poll that got a lease.
+
+        Only a poll made after this leader has answered the entry counts: one
+        that was on its way for long may promise less than what the entry has
+        told another leader since.
+        """
+        if req.term == term:
+            after_ms = {row.service: row.longest_ms for row in req.bounds}
+            self._leases[req.session].take_promise(req.number, after_ms)
+
+    def after_lease(self, session: int) -> dict[str, int] | None:
+        """Returns how long work may go on after a lease, or None if unknown.
+
+        Services that are not listed have no work that goes on.
+        """
+        lease = self._leases.get(session)
+        return None if lease is None else lease.after_ms
+
+    def wait_ms(self, now: clock.Millis, most_ms: clock.Millis) -> clock.Millis:
+        """Returns how long until a lease runs out, or the most to wait."""
+        open_leases = (x for x in self._leases.values() if not x.closing)
+        ends = [lease.until for lease in open_leases]
+        return min(max(0.0, min(ends, default=now + most_ms) - now), most_ms)
+
     def forget_all_but(self, sessions: list[int]) -> None:
         """Drops what is known of sessions that have ended."""
         live = set(sessions)
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -402,11 +402,16 @@
 
     async def _run_duties(self) -> None:
         while True:
-            await self.changed.wait(clock.seconds(DUTY_PERIOD_MS))
+            await self.changed.wait(clock.seconds(self._duty_wait_ms()))
             if self.replica.is_ready:
                 await self._do_duties()
             await anyio.sleep(clock.seconds(DUTY_PAUSE_MS))
 
+    def _duty_wait_ms(self) -> clock.Millis:
+        if not self.replica.is_ready:
+            return DUTY_PERIOD_MS
+        return self.leases.wait_ms(self._clock.now(), DUTY_PERIOD_MS)
+
     async def _do_duties(self) -> None:
         now = self._clock.now()
         sessions = self._sessions()
@@ -418,13 +423,7 @@
         expired = self.leases.close_expired(sessions, now)
         if expired:
             logger.warning("ends sessions of entries", sessions=expired)
-            commands.append(
-                control_pb2.Command(
-                    entry_expire=control_pb2.EntryExpire(
-                        sessions=expired, bounds=self._deadlines.bounds(now)
-                    )
-                )
-            )
+            commands.extend(self._expire(session, now) for session in expired)
         assignments = self._plan_owners(now)
         if assignments:
             commands.append(
@@ -441,6 +440,15 @@
             await self.propose(commands)
         await self._promote_learners()
 
+    def _expire(self, session: int, now: clock.Millis) -> control_pb2.Command:
+        owned = {
+            target.service
+            for target in self.tables.targets()
+            if target.owner == session
+        }
+        after_ms = self.leases.after_lease(session)
+        return self._deadlines.expire(session, after_ms, owned, now)
+
     def _plan_owners(self, now: clock.Millis) -> list[control_pb2.Assignment]:
         may_balance = now - self._balanced_at >= BALANCE_PERIOD_MS
         if may_balance:
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -112,9 +112,10 @@
             return control_pb2.PollReply(leader_address=node.leader_address())
         if node.tables.get(tables_lib.entry_key(req.session)) is None:
             return control_pb2.PollReply(leader=True, session_expired=True)
-        now = self._clock.now()
-        if not node.leases.grant(req.session, req.version, now):
+        # The entry counts its lease from before the poll arrived.
+        if not node.leases.grant(req.session, req.version, arrived):
             return control_pb2.PollReply(leader=True, session_expired=True)
+        node.leases.take_promise(req, node.replica.term)
         whole, records = node.tables.changed_since(req.version)
         return control_pb2.PollReply(
             leader=True,
@@ -122,6 +123,7 @@
             version=node.tables.version,
             whole=whole,
             records=records,
+            term=node.replica.term,
         )
 
     async def Propose(self, stream: grpc_server.Stream) -> None:  # noqa: N802
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -16,6 +16,11 @@
     return allowed_ms * DRIFT + TRANSIT_MS
 
 
+def allow_work(bound_ms: clock.Millis) -> clock.Millis:
+    """Returns the time to allow work that has to end within some time."""
+    return (bound_ms - TRANSIT_MS) / DRIFT
+
+
 @dataclasses.dataclass(eq=False)
 class Work:
     """One request that was given to a target.
--- a/src/cardamomkeel/routing/attempts.py
+++ b/src/cardamomkeel/routing/attempts.py
@@ -10,6 +10,7 @@
 from cardamomkeel.backend_servers import client as client_lib
 from cardamomkeel.policy import slots as slots_lib
 from cardamomkeel.routing import classify
+from cardamomkeel.routing import cover as cover_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.routing import targets as targets_lib
@@ -24,7 +25,9 @@
     """
 
     session: session_lib.Session
+    cover: cover_lib.Cover
     clk: clock.Clock
+    service: str
     work: slots_lib.Work
     allowed_ms: clock.Millis
 
@@ -32,9 +35,11 @@
         """Tells whether this entry still owns the target."""
         if not self.session.is_fresh():
             return False
+        until = self.clk.now() + slots_lib.bound_work(self.allowed_ms)
+        if not self.cover.give(self.service, until):
+            return False
         self.work.is_sent = True
-        bound_ms = slots_lib.bound_work(self.allowed_ms)
-        self.work.until = self.clk.now() + bound_ms
+        self.work.until = until
         return True
 
     def note_over(self) -> None:
@@ -57,7 +62,9 @@
         http: client_lib.Client,
         clk: clock.Clock,
         metrics: metrics_lib.Metrics,
+        cover: cover_lib.Cover,
     ):
+        self._cover = cover
         self._session = session
         self._targets = targets
         self._http = http
@@ -73,6 +80,14 @@
         owned, work = grant.owned, grant.work
         started = self._clock.now()
         allowed_ms = self._targets.allowed_ms(req)
+        guard = _Guard(
+            self._session,
+            self._cover,
+            self._clock,
+            req.service,
+            work,
+            allowed_ms,
+        )
         sent = None
         try:
             sent = await self._http.send(
@@ -80,7 +95,7 @@
                 req,
                 _make_headers(req, allowed_ms),
                 started + allowed_ms,
-                _Guard(self._session, self._clock, work, allowed_ms),
+                guard,
             )
         finally:
             self._end(owned.candidate.slots, work, sent)
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -9,6 +9,7 @@
 from cardamomkeel.backend_servers import client as client_lib
 from cardamomkeel.control import client as control_client
 from cardamomkeel.routing import attempts as attempts_lib
+from cardamomkeel.routing import cover as cover_lib
 from cardamomkeel.routing import handover as handover_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import queueing
@@ -17,6 +18,12 @@
 from cardamomkeel.routing import targets as targets_lib
 from cardamomkeel.settings import services
 
+_NOT_COVERED = messages.not_run(
+    "control did not confirm in time that it may run for so long",
+    "send it to another entry, or with a shorter deadline",
+    messages.Sign.FULL,
+)
+
 
 class Owner:
     """Gives work to the targets that this entry owns, and to no others."""
@@ -31,13 +38,14 @@
         metrics: metrics_lib.Metrics,
     ):
         self._session = session
-        self._targets = targets_lib.Targets(session, clk, rng)
+        self._cover = cover_lib.Cover(session, control, clk)
+        self._targets = targets_lib.Targets(session, clk, rng, self._cover)
         self._queues = queueing.Queues(session, self._targets, clk)
         self._handover = handover_lib.Handover(
             session, control, clk, self._targets.freed
         )
         attempts = attempts_lib.Attempts(
-            session, self._targets, http, clk, metrics
+            session, self._targets, http, clk, metrics, self._cover
         )
         self._races = races_lib.Races(
             session, self._targets, self._queues, attempts, clk, metrics
@@ -85,6 +93,9 @@
             req: The request.
             excluded: Addresses that already failed this request.
         """
+        allowed_ms = self._targets.asked_ms(req)
+        if not await self._cover.secure(req, allowed_ms):
+            return _NOT_COVERED
         taken = await self._queues.take(req, excluded)
         if isinstance(taken, messages.Ended):
             return taken
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -9,6 +9,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.policy import promises as promises_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
@@ -27,6 +28,7 @@
         id: The session that the control group knows; 0 for none.
         view: The state as of the newest answer.
         lease_until: When the lease runs out, on the local clock.
+        promises: How long work may go on after the lease.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self.id = 0
         self.view = view_lib.View()
         self.lease_until = float("-inf")
+        self.promises = promises_lib.Promises()
 
     def is_fresh(self) -> bool:
         """Tells whether this entry may act on its view."""
@@ -91,6 +94,7 @@
             wait_ms=0 if first else timings.poll_wait_ms,
         )
         asked = self._clock.now()
+        self.promise(req, asked)
         # The lease counts from this call, so a retry is a call of its own.
         done = await self._client.poll(
             req, timings.poll_timeout_ms, timings.poll_timeout_ms
@@ -103,11 +107,30 @@
             self._end()
             return
         self.lease_until = asked + reply.lease_ms * (1 - DRIFT_SHARE)
+        self.confirm(req, reply)
         changed = reply.version != self.view.version or reply.whole
         self.view.take(reply)
         if changed:
             self._on_change()
 
+    def promise(
+        self, req: control_pb2.PollRequest, asked: clock.Millis
+    ) -> None:
+        """Adds to a poll how long work may go on after its lease."""
+        bounds = self.promises.send(asked, self.is_fresh())
+        for service, after_ms in bounds.items():
+            req.bounds.add(service=service, longest_ms=after_ms)
+        req.number = self.promises.number
+        req.term = self.promises.term
+
+    def confirm(
+        self, req: control_pb2.PollRequest, reply: control_pb2.PollReply
+    ) -> None:
+        """Counts a promise as confirmed by the answer to its poll."""
+        if reply.lease_ms and req.session == self.id:
+            lease_ms = reply.lease_ms * (1 - DRIFT_SHARE)
+            self.promises.confirm(req.number, reply.term, lease_ms)
+
     def _end(self) -> None:
         logger.warning("session has ended", session=self.id)
         self.id = 0
--- a/src/cardamomkeel/routing/targets.py
+++ b/src/cardamomkeel/routing/targets.py
@@ -8,6 +8,7 @@
 from cardamomkeel.control import signal
 from cardamomkeel.policy import choose
 from cardamomkeel.policy import slots as slots_lib
+from cardamomkeel.routing import cover as cover_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.wire import control_pb2
@@ -56,10 +57,12 @@
         session: session_lib.Session,
         clk: clock.Clock,
         rng: random.Random,
+        cover: cover_lib.Cover,
     ):
         self._session = session
         self._clock = clk
         self._rng = rng
+        self._cover = cover
         self.owned: dict[str, Owned] = {}
         self.freed = signal.Signal()
         self.ends_changed = signal.Signal()
@@ -153,6 +156,10 @@
 
     def allowed_ms(self, req: messages.Request) -> clock.Millis:
         """Returns how long a request may run from now on."""
+        return min(self.asked_ms(req), self._cover.cover_ms(req.service))
+
+    def asked_ms(self, req: messages.Request) -> clock.Millis:
+        """Returns how long a request may run by its deadline."""
         left = req.deadline - self._clock.now()
         service = self._session.view.get_service(req.service)
         if service is None:
--- a/src/cardamomkeel/state/commands/entries.py
+++ b/src/cardamomkeel/state/commands/entries.py
@@ -36,9 +36,14 @@
     tables: tables_lib.Tables, cmd: control_pb2.EntryExpire, index: int
 ) -> control_pb2.CommandResult:
     """Ends sessions whose leases have run out."""
-    bounds = {bound.service: bound.longest_ms for bound in cmd.bounds}
+    left_ms = {
+        bound.service: targets.bound_work(bound.longest_ms)
+        for bound in cmd.bounds
+    }
+    for bound in cmd.after_lease:
+        left_ms[bound.service] = targets.bound_after_lease(bound.longest_ms)
     for session in cmd.sessions:
-        _end(tables, session, index, bounds)
+        _end(tables, session, index, left_ms)
     return control_pb2.CommandResult(status=OK, version=index)
 
 
@@ -63,10 +68,10 @@
     tables: tables_lib.Tables,
     session: int,
     index: int,
-    bounds: dict[str, int] | None = None,
+    left_ms: dict[str, int] | None = None,
 ) -> None:
     if tables.get(tables_lib.entry_key(session)) is None:
         return
     tables.delete(tables_lib.entry_key(session), index)
-    targets.drop_owner(tables, session, index, bounds)
+    targets.drop_owner(tables, session, index, left_ms or {})
     claims.drop_session(tables, session)
--- a/src/cardamomkeel/state/commands/targets.py
+++ b/src/cardamomkeel/state/commands/targets.py
@@ -1,5 +1,7 @@
 """Commands about targets and their owners."""
 
+import math
+
 from cardamomkeel.policy import slots
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
@@ -12,6 +14,16 @@
 LONGEST_DEADLINE_MS = 10_000
 
 
+def bound_work(longest_ms: int) -> int:
+    """Returns how long work may go on that was allowed a time at most."""
+    return int(slots.bound_work(longest_ms))
+
+
+def bound_after_lease(promised_ms: int) -> int:
+    """Returns how long a promised time after a lease may last here."""
+    return math.ceil(promised_ms * slots.DRIFT)
+
+
 def _copy(target: control_pb2.TargetRecord) -> control_pb2.TargetRecord:
     copied = control_pb2.TargetRecord()
     copied.CopyFrom(target)
@@ -60,8 +72,7 @@
     left_ms = old.work_until_log_ms - tables.log_ms
     # A new instance has none of the work of the one before.
     if left_ms > 0 and old.target.instance == cmd.instance:
-        target.residual_slots = max(old.target.slots, cmd.slots)
-        target.residual_ms = left_ms
+        _set_residual(tables, target, max(old.target.slots, cmd.slots), left_ms)
     return target
 
 
@@ -76,7 +87,7 @@
     key = tables_lib.target_key(cmd.address)
     record = tables.get(key)
     if record is not None and record.target.instance == cmd.instance:
-        bound_ms = int(slots.bound_work(LONGEST_DEADLINE_MS))
+        bound_ms = bound_work(LONGEST_DEADLINE_MS)
         tables.delete(
             key,
             index,
@@ -123,8 +134,9 @@
             continue
         target = _copy(record.target)
         _hand_over(tables, target)
-        target.residual_slots = released.residual_slots
-        target.residual_ms = released.residual_ms
+        _set_residual(
+            tables, target, released.residual_slots, released.residual_ms
+        )
         _put(tables, target, index)
     return control_pb2.CommandResult(status=OK, version=index)
 
@@ -138,25 +150,34 @@
     target.epoch += 1
 
 
+def _set_residual(
+    tables: tables_lib.Tables,
+    target: control_pb2.TargetRecord,
+    residual_slots: int,
+    residual_ms: int,
+) -> None:
+    """Notes how many slots earlier work may take, and for how long."""
+    target.residual_slots = residual_slots
+    target.residual_ms = residual_ms
+    until_ms = tables.log_ms + math.ceil(residual_ms * slots.DRIFT)
+    target.residual_until_log_ms = until_ms
+
+
 def drop_owner(
     tables: tables_lib.Tables,
     session: int,
     index: int,
-    bounds: dict[str, int] | None = None,
+    left_ms: dict[str, int],
 ) -> None:
     """Takes all targets from a session that has ended.
 
-    What the old owner had in flight is not known, so all slots count as
-    taken until the longest deadline has passed.
-
     Args:
         tables: The replicated state.
         session: The session that has ended.
         index: The index of the command.
-        bounds: The longest deadlines that the session may have granted, by
-            service, in milliseconds.
+        left_ms: For how long its work may go on, by service; services that
+            are not listed count with the longest time there is.
     """
-    bounds = bounds or {}
     for old in tables.targets():
         if old.owner != session and old.next_owner != session:
             continue
@@ -164,8 +185,25 @@
         if target.next_owner == session:
             target.next_owner = 0
         if target.owner == session:
+            longest_ms = bound_work(LONGEST_DEADLINE_MS)
+            own_ms = left_ms.get(target.service, longest_ms)
             _hand_over(tables, target)
-            target.residual_slots = target.slots
-            longest_ms = bounds.get(target.service, LONGEST_DEADLINE_MS)
-            target.residual_ms = int(slots.bound_work(longest_ms))
+            _leave_work(tables, target, own_ms)
         _put(tables, target, index)
+
+
+def _leave_work(
+    tables: tables_lib.Tables, target: control_pb2.TargetRecord, own_ms: int
+) -> None:
+    """Notes the work that a lost owner left, beside what it had inherited.
+
+    How much a lost owner had in flight is not known, so all slots count as
+    taken for as long as its work may go on.
+    """
+    inherited_ms = max(0, target.residual_until_log_ms - tables.log_ms)
+    if own_ms:
+        left_ms = max(own_ms, inherited_ms)
+        _set_residual(tables, target, target.slots, left_ms)
+    else:
+        count = target.residual_slots if inherited_ms else 0
+        _set_residual(tables, target, count, inherited_ms)
