--- a/features/steps/settings_rows.py
+++ b/features/steps/settings_rows.py
@@ -82,7 +82,7 @@
     """Has an entry's view follow, and checks what it shows."""
     whole, records = tables.changed_since(view.version)
     view.take(
-        control_pb2.PollReply(
+        control_pb2.FollowReply(
             version=tables.version, whole=whole, records=records
         )
     )
--- a/src/cardamomkeel/control/hub.py
+++ b/src/cardamomkeel/control/hub.py
@@ -28,12 +28,14 @@
         lease_ms: How long each lease runs from when its entry asked.
         version: The version of the leader's rows when it granted them.
         next_ms: When to ask for the next batch.
+        term: The term of the leader.
         expired: The sessions that get no lease.
     """
 
     lease_ms: clock.Millis
     version: int
     next_ms: clock.Millis
+    term: int
     expired: frozenset[int] = frozenset()
 
 
@@ -169,4 +171,5 @@
         next_ms=int(grant.next_ms),
         version=grant.version,
         pause_ms=int(pause_ms),
+        term=grant.term,
     )
--- a/src/cardamomkeel/control/lessor.py
+++ b/src/cardamomkeel/control/lessor.py
@@ -59,7 +59,11 @@
         # All who ask are told the same moment, so their polls come together.
         next_ms = self._period_ms - now % self._period_ms
         return hub.Grant(
-            node.leases.lease_ms, node.tables.version, next_ms, expired
+            node.leases.lease_ms,
+            node.tables.version,
+            next_ms,
+            node.replica.term,
+            expired,
         )
 
     def _grant_one(
@@ -68,7 +72,12 @@
         node = self._node
         if node.tables.get(tables_lib.entry_key(poll.session)) is None:
             return False
-        return node.leases.grant(poll, now)
+        # The entry counts its lease from before the poll arrived anywhere.
+        asked = now - poll.age_ms
+        if not node.leases.grant(poll.session, poll.version, asked):
+            return False
+        node.leases.take_promise(poll, node.replica.term)
+        return True
 
     async def _ask_leader(
         self, polls: list[control_pb2.PollRequest]
@@ -86,5 +95,6 @@
             reply.lease_ms,
             reply.version,
             reply.next_ms,
+            reply.term,
             frozenset(reply.expired),
         )
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -10,6 +10,8 @@
 from cardamomkeel import clock
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.control import link as link_lib
+from cardamomkeel.control import signal
+from cardamomkeel.policy import promises as promises_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
@@ -31,6 +33,7 @@
         id: The session that the control group knows; 0 for none.
         view: The state as of the newest answer.
         lease_until: When the lease runs out, on the local clock.
+        promises: How long work may go on after the lease.
     """
 
     def __init__(
@@ -50,10 +53,13 @@
         # Entries spread over the control VMs.
         self._turn = secrets.randbelow(len(self._addresses))
         self._failures = 0
-        self._number = 0
+        self._is_early = False
+        self._early = signal.Signal()
+        self._answered = signal.Signal()
         self.id = 0
         self.view = view_lib.View()
         self.lease_until = float("-inf")
+        self.promises = promises_lib.Promises()
 
     def is_fresh(self) -> bool:
         """Tells whether this entry may act on its view."""
@@ -103,8 +109,11 @@
         confirmed = self.view.version
         address = self._addresses[self._turn]
         asked = self._clock.now()
+        # Asked for early from now on is not yet part of this poll.
+        self._is_early = False
+        poll = self._make_poll(asked)
         reply = await self._link.ask(
-            address, self._make_request(), self._cfg.timings.poll_timeout_ms
+            address, _wrap(poll), self._cfg.timings.poll_timeout_ms
         )
         if reply is None:
             await self._go_on(address)
@@ -114,19 +123,46 @@
             return
         self._failures = 0
         self.lease_until = asked + reply.lease_ms * (1 - DRIFT_SHARE)
+        self._confirm(poll, reply)
         if self.view.version == confirmed and self._link.is_open:
-            await self._link.news.wait(clock.seconds(reply.next_ms))
+            await self._wait_for_news(reply.next_ms)
         left = asked + reply.pause_ms - self._clock.now()
-        await anyio.sleep(clock.seconds(max(0.0, left)))
+        if left > 0 and not self._is_early:
+            await self._early.wait(clock.seconds(left))
 
-    def _make_request(self) -> control_pb2.FollowRequest:
-        self._number += 1
+    async def _wait_for_news(self, most_ms: clock.Millis) -> None:
+        if not self._is_early:
+            await self._link.news.wait(clock.seconds(most_ms))
+
+    async def poll_early(self, timeout_ms: clock.Millis) -> None:
+        """Has the next poll sent now, and waits for the answer to a poll.
+
+        That may be the answer to an earlier one.
+        """
+        self._is_early = True
+        self._early.notify()
+        self._link.news.notify()
+        await self._answered.wait(clock.seconds(timeout_ms))
+
+    def _make_poll(self, asked: clock.Millis) -> control_pb2.PollRequest:
+        """Returns a poll that says how long work may go on after its lease."""
         poll = control_pb2.PollRequest(
-            session=self.id, version=self.view.version, number=self._number
-        )
-        return control_pb2.FollowRequest(
-            polls=[poll], version=self.view.version
+            session=self.id, version=self.view.version
         )
+        bounds = self.promises.send(asked, self.is_fresh())
+        for service, after_ms in bounds.items():
+            poll.bounds.add(service=service, longest_ms=after_ms)
+        poll.number = self.promises.number
+        poll.term = self.promises.term
+        return poll
+
+    def _confirm(
+        self, poll: control_pb2.PollRequest, reply: control_pb2.FollowReply
+    ) -> None:
+        """Counts a promise as confirmed by the answer to its poll."""
+        lease_ms = reply.lease_ms * (1 - DRIFT_SHARE)
+        self.promises.confirm(poll.number, reply.term, lease_ms)
+        self._answered.notify()
 
     async def _go_on(self, address: str) -> None:
         """Turns to the next control VM."""
@@ -153,3 +189,7 @@
         self.lease_until = float("-inf")
         self.view = view_lib.View()
         self._on_change()
+
+
+def _wrap(poll: control_pb2.PollRequest) -> control_pb2.FollowRequest:
+    return control_pb2.FollowRequest(polls=[poll], version=poll.version)
