--- a/src/cardamomkeel/operators/findings/targets.py
+++ b/src/cardamomkeel/operators/findings/targets.py
@@ -94,7 +94,7 @@
             service,
             f"{count.residual} {of_all} may still run work of an owner that "
             "was lost",
-            "nothing; it ends with the longest deadline",
+            "nothing; that work ends within the longest deadline",
         )
     if count.cold:
         yield base.Finding(
