--- /dev/null
+++ b/src/cardamomkeel/control/duties.py
@@ -0,0 +1,131 @@
+"""What a control VM does while it leads: sessions, owners, learners."""
+
+import typing
+
+import anyio
+import loguru
+
+from cardamomkeel import clock
+from cardamomkeel.control import deadlines as deadlines_lib
+from cardamomkeel.control import leases as leases_lib
+from cardamomkeel.control import signal
+from cardamomkeel.policy import owners
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.replication import replica as replica_lib
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.wire import control_pb2
+
+DUTY_PERIOD_MS = 500.0
+DUTY_PAUSE_MS = 50.0
+SWEEP_PERIOD_MS = 30_000.0
+BALANCE_PERIOD_MS = 5000.0
+
+logger = loguru.logger
+
+
+class Node(typing.Protocol):
+    """What the duties need of the control VM that has them."""
+
+    replica: replica_lib.Replica
+    tables: tables_lib.Tables
+    leases: leases_lib.Leases
+    changed: signal.Signal
+
+    async def propose(
+        self, commands: list[control_pb2.Command]
+    ) -> list[control_pb2.CommandResult] | None:
+        """Has commands committed."""
+
+    def after_step(self) -> None:
+        """Applies what is committed."""
+
+
+class Duties:
+    """Ends lost sessions, gives targets owners, makes learners voters."""
+
+    def __init__(self, node: Node, lease_ms: clock.Millis, clk: clock.Clock):
+        self._node = node
+        self._clock = clk
+        self._deadlines = deadlines_lib.Deadlines(lease_ms)
+        self._swept_at = 0.0
+        self._balanced_at = 0.0
+
+    def start(self, now: clock.Millis) -> None:
+        """Begins a leadership."""
+        self._deadlines.start(now)
+
+    async def run(self) -> None:
+        """Does what is due, for as long as this node leads."""
+        while True:
+            await self._node.changed.wait(clock.seconds(self._wait_ms()))
+            if self._node.replica.is_ready:
+                await self._do()
+            await anyio.sleep(clock.seconds(DUTY_PAUSE_MS))
+
+    def _wait_ms(self) -> clock.Millis:
+        if not self._node.replica.is_ready:
+            return DUTY_PERIOD_MS
+        return self._node.leases.wait_ms(self._clock.now(), DUTY_PERIOD_MS)
+
+    async def _do(self) -> None:
+        now = self._clock.now()
+        sessions = self._node.tables.sessions()
+        self._node.leases.forget_all_but(sessions)
+        revision = self._node.tables.settings.revision
+        if revision != self._deadlines.revision:
+            longest = self._node.tables.longest_deadlines()
+            self._deadlines.follow(revision, longest, now)
+        commands = []
+        expired = self._node.leases.close_expired(sessions, now)
+        if expired:
+            logger.warning("ends sessions of entries", sessions=expired)
+            commands.extend(self._expire(session, now) for session in expired)
+        assignments = self._plan_owners(now)
+        if assignments:
+            commands.append(
+                control_pb2.Command(
+                    assign_owners=control_pb2.AssignOwners(
+                        assignments=assignments
+                    )
+                )
+            )
+        if now - self._swept_at > SWEEP_PERIOD_MS:
+            self._swept_at = now
+            commands.append(control_pb2.Command(sweep=control_pb2.Sweep()))
+        if commands:
+            await self._node.propose(commands)
+        await self._promote_learners()
+
+    def _expire(self, session: int, now: clock.Millis) -> control_pb2.Command:
+        owned = {
+            target.service
+            for target in self._node.tables.targets()
+            if target.owner == session
+        }
+        after_ms = self._node.leases.after_lease(session)
+        return self._deadlines.expire(session, after_ms, owned, now)
+
+    def _plan_owners(self, now: clock.Millis) -> list[control_pb2.Assignment]:
+        may_balance = now - self._balanced_at >= BALANCE_PERIOD_MS
+        if may_balance:
+            self._balanced_at = now
+        return owners.plan(
+            self._node.tables.targets(),
+            self._node.tables.entries(),
+            may_balance,
+        )
+
+    async def _promote_learners(self) -> None:
+        now = self._clock.now()
+        for member in self._node.replica.members.members:
+            if member.voter or not self._node.replica.is_caught_up(
+                member.id, now
+            ):
+                continue
+            changed = members_lib.with_voter(
+                self._node.replica.members, member.id
+            )
+            if self._node.replica.propose_members(changed) is not None:
+                logger.info("makes a learner a voter", member=member.id)
+                self._node.after_step()
+            return
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -12,10 +12,9 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.control import channels as channels_lib
-from cardamomkeel.control import deadlines as deadlines_lib
+from cardamomkeel.control import duties as duties_lib
 from cardamomkeel.control import leases as leases_lib
 from cardamomkeel.control import signal
-from cardamomkeel.policy import owners
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import replica as replica_lib
 from cardamomkeel.replication import storage as storage_lib
@@ -25,10 +24,6 @@
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
-DUTY_PERIOD_MS = 500.0
-DUTY_PAUSE_MS = 50.0
-SWEEP_PERIOD_MS = 30_000.0
-BALANCE_PERIOD_MS = 5000.0
 ENTRIES_BEFORE_COMPACTION = 2000
 # Each node adds up to so many, so that a majority is never busy at once.
 COMPACTION_SPREAD = 500
@@ -83,15 +78,13 @@
         self._was_ready = False
         self._log_ms_base = 0
         self._ready_since = 0.0
-        self._swept_at = 0.0
-        self._balanced_at = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
         self._failure: storage_lib.StorageFailedError | None = None
         self._failed = anyio.Event()
         self.changed = signal.Signal()
         self.confirmed = signal.Signal()
         self.leases = leases_lib.Leases(lease_ms)
-        self._deadlines = deadlines_lib.Deadlines(lease_ms)
+        self._duties = duties_lib.Duties(self, lease_ms, clk)
         self.tables = tables_lib.Tables()
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
@@ -168,8 +161,8 @@
         if ready:
             self._log_ms_base = self.tables.log_ms
             self._ready_since = now
-            self.leases.start(self._sessions(), now)
-            self._deadlines.start(now)
+            self.leases.start(self.tables.sessions(), now)
+            self._duties.start(now)
         else:
             self._fail_waiting()
         logger.info("leads" if ready else "follows", term=self.replica.term)
@@ -180,9 +173,6 @@
             pending.done.set()
         self._waiting = {}
 
-    def _sessions(self) -> list[int]:
-        return [entry.session for entry in self.tables.entries()]
-
     def handle(self, handler: typing.Callable, req: typing.Any) -> typing.Any:
         """Has the replica answer a request of another control VM.
 
@@ -214,7 +204,7 @@
             self._tasks = tasks
             tasks.start_soon(self._run_ticks)
             tasks.start_soon(self._run_batches)
-            tasks.start_soon(self._run_duties)
+            tasks.start_soon(self._duties.run)
             await self._failed.wait()
             raise self._failure
 
@@ -410,74 +400,3 @@
                 return True
             await self.confirmed.wait(clock.seconds(self._timings.heartbeat_ms))
         return False
-
-    # A leader's duties.
-
-    async def _run_duties(self) -> None:
-        while True:
-            await self.changed.wait(clock.seconds(self._duty_wait_ms()))
-            if self.replica.is_ready:
-                await self._do_duties()
-            await anyio.sleep(clock.seconds(DUTY_PAUSE_MS))
-
-    def _duty_wait_ms(self) -> clock.Millis:
-        if not self.replica.is_ready:
-            return DUTY_PERIOD_MS
-        return self.leases.wait_ms(self._clock.now(), DUTY_PERIOD_MS)
-
-    async def _do_duties(self) -> None:
-        now = self._clock.now()
-        sessions = self._sessions()
-        self.leases.forget_all_but(sessions)
-        revision = self.tables.settings.revision
-        if revision != self._deadlines.revision:
-            longest = self.tables.longest_deadlines()
-            self._deadlines.follow(revision, longest, now)
-        commands = []
-        expired = self.leases.close_expired(sessions, now)
-        if expired:
-            logger.warning("ends sessions of entries", sessions=expired)
-            commands.extend(self._expire(session, now) for session in expired)
-        assignments = self._plan_owners(now)
-        if assignments:
-            commands.append(
-                control_pb2.Command(
-                    assign_owners=control_pb2.AssignOwners(
-                        assignments=assignments
-                    )
-                )
-            )
-        if now - self._swept_at > SWEEP_PERIOD_MS:
-            self._swept_at = now
-            commands.append(control_pb2.Command(sweep=control_pb2.Sweep()))
-        if commands:
-            await self.propose(commands)
-        await self._promote_learners()
-
-    def _expire(self, session: int, now: clock.Millis) -> control_pb2.Command:
-        owned = {
-            target.service
-            for target in self.tables.targets()
-            if target.owner == session
-        }
-        after_ms = self.leases.after_lease(session)
-        return self._deadlines.expire(session, after_ms, owned, now)
-
-    def _plan_owners(self, now: clock.Millis) -> list[control_pb2.Assignment]:
-        may_balance = now - self._balanced_at >= BALANCE_PERIOD_MS
-        if may_balance:
-            self._balanced_at = now
-        return owners.plan(
-            self.tables.targets(), self.tables.entries(), may_balance
-        )
-
-    async def _promote_learners(self) -> None:
-        now = self._clock.now()
-        for member in self.replica.members.members:
-            if member.voter or not self.replica.is_caught_up(member.id, now):
-                continue
-            changed = members_lib.with_voter(self.replica.members, member.id)
-            if self.replica.propose_members(changed) is not None:
-                logger.info("makes a learner a voter", member=member.id)
-                self.after_step()
-            return
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -77,6 +77,10 @@
         """Returns the rows of all sessions of entries."""
         return [record.entry for record in self.rows("entry")]
 
+    def sessions(self) -> list[int]:
+        """Returns the sessions of all entries."""
+        return [entry.session for entry in self.entries()]
+
     def outs(self) -> list[control_pb2.OutRecord]:
         """Returns the rows of all that is taken out of service."""
         return [record.out for record in self.rows("out")]
