--- a/features/operators_status.feature
+++ b/features/operators_status.feature
@@ -22,6 +22,12 @@
     And the command "status" is run
     Then it prints "no majority: " and ends with status 4
 
+  @fixture.small
+  Scenario: Why a target is cold is told by its owner
+    When the nearest backend server of dossier crashes
+    And the command "explain --target" is run for one of them
+    Then it prints "it ended its last unused connection" or "it came back as another instance"
+
   @fixture.small
   Scenario: What happened is told by all processes, and after a restart
     When the command "take-out --data-centre rennes --operator maela --wait" is run
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -15,6 +15,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 COMMAND_TIMEOUT_S = 30
+OWNER_IS_NEW = "its owner is new and knows nothing of it"
 # What an on-call person reads first.
 ON_CALL_METRICS = (
     "requests{",
@@ -204,3 +205,29 @@
     for control in deployment.controls.values():
         control.start()
     deployment.operate("/v1/show", {})
+
+
+@when("the nearest backend server of {service} crashes")
+def crash_server(context, service):
+    deployment = context.deployment
+    # A connection to it is open, and unused.
+    got = context.caller.call(service)
+    assert got.outcome == "answered", got
+    address = deployment.server_addresses[service][0]
+    deployment.ask_servers("/crash", {"address": address})
+    context.drained = address
+
+    def is_known():
+        body = {"target": address}
+        asked = deployment.entry_operators["entry-1"]
+        told = deployment.call(asked, "/v1/explain", body).json()
+        return told.get("fell_for", OWNER_IS_NEW) != OWNER_IS_NEW
+
+    deployment_lib.wait_for(is_known, 10, "its owner takes it for cold")
+
+
+@then('it prints "{one}" or "{other}"')
+def check_printed_either(context, one, other):
+    said = context.ran.stdout
+    assert context.ran.returncode == 0, context.ran
+    assert one in said or other in said, said
--- a/src/cardamomkeel/routing/attempts.py
+++ b/src/cardamomkeel/routing/attempts.py
@@ -184,11 +184,12 @@
         if ended.answer is not None:
             owned.candidate.health.note_answer(now)
         if _says_cold(ended.answer):
-            owned.candidate.slots.make_cold()
+            owned.fall(targets_lib.Fall.ANSWERED, now)
         elif succeeded:
             owned.candidate.slots.note_success(work)
         elif ended.sign is not messages.Sign.SERVER_ERROR:
-            owned.candidate.slots.make_cold()
+            fall = _FALLS.get(ended.sign, targets_lib.Fall.FAILED)
+            owned.fall(fall, now)
         self._metrics.count(
             "attempts",
             "Requests given to targets, by what they showed.",
@@ -197,6 +198,15 @@
         )
 
 
+# What each sign of an attempt shows of its target.
+_FALLS = {
+    messages.Sign.SHED: targets_lib.Fall.SHED,
+    messages.Sign.REFUSED: targets_lib.Fall.REFUSED,
+    messages.Sign.BROKEN: targets_lib.Fall.BROKEN,
+    messages.Sign.TIMED_OUT: targets_lib.Fall.TIMED_OUT,
+}
+
+
 def _says_cold(answer: messages.Answer | None) -> bool:
     """Tells whether a target says in its answer that it is cold."""
     return answer is not None and answer.header(messages.STATE) == messages.COLD
--- a/src/cardamomkeel/routing/targets.py
+++ b/src/cardamomkeel/routing/targets.py
@@ -1,8 +1,11 @@
 """The targets that this entry owns: their slots, health and limits."""
 
 import dataclasses
+import enum
 import random
 
+import loguru
+
 from cardamomkeel import clock
 from cardamomkeel.control import signal
 from cardamomkeel.policy import choose
@@ -12,6 +15,23 @@
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.wire import control_pb2
 
+logger = loguru.logger
+
+
+class Fall(enum.Enum):
+    """Why a target is taken for one in cold start, in words for operators."""
+
+    TAKEN_OVER = "its owner is new and knows nothing of it"
+    RESTARTED = "it came back as another instance"
+    ANNOUNCED = "it announced that it is cold"
+    ANSWERED = "it said in an answer that it is cold"
+    ENDED = "it ended its last unused connection"
+    SHED = "it shed a request"
+    REFUSED = "it refused a connection"
+    BROKEN = "it broke the connection of a request"
+    TIMED_OUT = "a request to it timed out"
+    FAILED = "a request to it failed"
+
 
 @dataclasses.dataclass
 class Owned:
@@ -22,12 +42,30 @@
         candidate: Its slots and health.
         seen_at: When it last announced itself, or became owned.
         leaving: Whether it is being handed over.
+        fell_for: Why it was last taken for one in cold start.
+        fell_at: When that was.
     """
 
     record: control_pb2.TargetRecord
     candidate: choose.Candidate
     seen_at: clock.Millis
     leaving: bool = False
+    fell_for: Fall = Fall.TAKEN_OVER
+    fell_at: clock.Millis = 0.0
+
+    def fall(self, why: Fall, now: clock.Millis) -> None:
+        """Takes the target for one that is in cold start."""
+        slots = self.candidate.slots
+        before = slots.limit
+        slots.make_cold()
+        self.fell_for, self.fell_at = why, now
+        if slots.limit < before:
+            logger.info(
+                "a target fell back into cold start",
+                target=self.record.address,
+                service=self.record.service,
+                why=why.value,
+            )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,8 +142,10 @@
             self.owned[address] = owned
         slots = owned.candidate.slots
         slots.announced_cold = target.state == "cold"
-        if owned.record.instance != target.instance or slots.announced_cold:
-            slots.make_cold()
+        if owned.record.instance != target.instance:
+            owned.fall(Fall.RESTARTED, self._clock.now())
+        elif slots.announced_cold:
+            owned.fall(Fall.ANNOUNCED, self._clock.now())
         owned.record = target
         self._apply_limits(owned)
         if not target.next_owner or owned.leaving:
@@ -120,7 +160,7 @@
         candidate = choose.Candidate(target.address, slots, choose.Health())
         owned = Owned(target, candidate, seen_at=now)
         self._apply_limits(owned)
-        slots.make_cold()
+        owned.fall(Fall.TAKEN_OVER, now)
         return owned
 
     def _apply_limits(self, owned: Owned) -> None:
@@ -138,7 +178,7 @@
         """Takes a target for fallen into cold start, where it is owned."""
         owned = self.owned.get(address)
         if owned is not None:
-            owned.candidate.slots.make_cold()
+            owned.fall(Fall.ENDED, self._clock.now())
 
     def usable(self, service: str) -> list[Owned]:
         """Returns the targets of a service that may get new work."""
