Let another member catch up before a leader that stops hands over

Cause: a leader went on to take commands while it asked another member to stand. Ruled out: the time of the start (the calls name the group that does not answer). Change: it takes no more commands and waits until the other has the whole log, 500 ms at most.

--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -31,6 +31,8 @@
 TURNS_TO_SEND = 3
 HAND_OVER_MS = 2000.0
 HAND_OVER_STEP_MS = 10.0
+# How long a leader that stops waits for another member to have its whole log.
+LEVEL_MS = 500.0
 PEER_PAUSE_MS = 100.0
 
 logger = loguru.logger
@@ -76,6 +78,7 @@
         self._send = signal.Signal()
         self._senders: set[str] = set()
         self._was_ready = False
+        self._hands_over = False
         self._log_ms_base = 0
         self._ready_since = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -266,7 +269,9 @@
 
     async def hand_over(self) -> None:
         """Has another member lead, so that this one can stop."""
-        req = self.replica.hand_over()
+        # New entries would leave the other's log behind, and it would lose.
+        self._hands_over = True
+        req = await self._find_successor()
         if req is None:
             return
         await self._call_member(
@@ -281,6 +286,17 @@
             await anyio.sleep(clock.seconds(HAND_OVER_STEP_MS))
         logger.info("handed over", leader=self.replica.leader)
 
+    async def _find_successor(self) -> control_pb2.StandRequest | None:
+        """Waits for a moment until another member has the whole log."""
+        until = self._clock.now() + LEVEL_MS
+        while True:
+            req = self.replica.hand_over()
+            if req is None or self.replica.is_level(req.to):
+                return req
+            if self._clock.now() >= until:
+                return req
+            await anyio.sleep(clock.seconds(HAND_OVER_STEP_MS))
+
     def _start_senders(self) -> None:
         if not self.replica.is_leader:
             return
@@ -348,7 +364,7 @@
         self, commands: list[control_pb2.Command]
     ) -> list[control_pb2.CommandResult] | None:
         """Has commands committed; None where this node can't tell."""
-        if not self.replica.is_ready:
+        if not self.replica.is_ready or self._hands_over:
             return None
         pending = [_Pending(command) for command in commands]
         self._pending.extend(pending)
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -283,6 +283,13 @@
             to=member, leader=self.id, term=self.term
         )
 
+    def is_level(self, member: str) -> bool:
+        """Tells whether a member has every entry of this leader."""
+        progress = self.progress.get(member)
+        return progress is not None and (
+            progress.match_index >= self.last_index
+        )
+
     def handle_stand(
         self, now: clock.Millis, req: control_pb2.StandRequest
     ) -> list[control_pb2.VoteRequest]:
