Wait until a crash report is likely known before its caller is answered

Cause: the caller of a request that broke a connection may send it again to another entry within a millisecond or two, and the report reaches that entry a little later than it was committed. The reporter waits until the rows have brought the report back here, 250 ms at most, and 20 ms more. That makes the race unlikely, not impossible.

--- a/src/cardamomkeel/routing/suspects.py
+++ b/src/cardamomkeel/routing/suspects.py
@@ -14,6 +14,11 @@
 from cardamomkeel.wire import control_pb2
 
 REPORT_TIMEOUT_MS = 2000.0
+# How long to wait until a report has come back with the rows, and how much
+# later it may reach another entry.
+MOST_KNOWN_MS = 250.0
+KNOWN_STEP_MS = 5.0
+SPREAD_MS = 20.0
 # How long to wait while another entry probes the same request.
 PROBE_PAUSE_MS = 20.0
 
@@ -142,6 +147,19 @@
                 path=req.path,
                 fingerprint=req.fingerprint.hex(),
             )
+        await self._wait_until_known(done.unwrap()[0].version)
+
+    async def _wait_until_known(self, version: int) -> None:
+        """Waits until a report is here, and has likely reached the others.
+
+        The caller may send the request again at once, to another entry.
+        """
+        until = self._clock.now() + MOST_KNOWN_MS
+        while (
+            self._session.view.version < version and self._clock.now() < until
+        ):
+            await anyio.sleep(clock.seconds(KNOWN_STEP_MS))
+        await anyio.sleep(clock.seconds(SPREAD_MS))
 
     async def _end_probe(
         self,
