Wait in a test until a lifted quarantine is in force

Cause: the lift was accepted, and the next request met an entry that did not know yet (0.2 s later on a busy machine): refused, so one crash too few. An operator is told that a change is in force by waiting for its version; the test does the same, and the counts stay.

--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -123,6 +123,10 @@
             },
         )
         assert "version" in done, done
+        # Accepted is not yet in force at every entry.
+        body = {"version": done["version"]}
+        waited = context.deployment.operate("/v1/wait", body)
+        assert waited["in_force"], waited
 
 
 def send_in_turn(context, path, until) -> None:
