Remove what nothing uses any more

Cause: early polls replaced the call that the cover of a request made itself, so its control client was unused; a view's check of quarantines, a length of keys and an example's path had no reader. Behaviour is as it was. Seen: whole_path and slots_queue, 15 passed, 0 failed; formatter and linter clean.

--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -18,7 +18,6 @@
 MAX_BODY_BYTES = 1024 * 1024
 FULL_STATUS = 503
 MAX_DEPTH = 16
-MAX_KEY_LENGTH = 200
 KEY = re.compile(rb"^[\x21-\x7e]{1,200}$")
 WHOLE_NUMBER = re.compile(rb"^[0-9]{1,9}$")
 
--- a/src/cardamomkeel/routing/cover.py
+++ b/src/cardamomkeel/routing/cover.py
@@ -1,7 +1,6 @@
 """Sees that a request's time is covered by the lease and the promises."""
 
 from cardamomkeel import clock
-from cardamomkeel.control import client as client_lib
 from cardamomkeel.control import signal
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import session as session_lib
@@ -24,11 +23,9 @@
     def __init__(
         self,
         session: session_lib.Session,
-        control: client_lib.ControlClient,
         clk: clock.Clock,
     ):
         self._session = session
-        self._control = control
         self._clock = clk
         self._raised = signal.Signal()
         self._is_raising = False
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -38,7 +38,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self._session = session
-        self._cover = cover_lib.Cover(session, control, clk)
+        self._cover = cover_lib.Cover(session, clk)
         self._targets = targets_lib.Targets(session, clk, rng, self._cover)
         self._queues = queueing.Queues(session, self._targets, clk)
         self._handover = handover_lib.Handover(
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -152,11 +152,6 @@
         """Tells whether a data centre is taken out of service."""
         return f"{data_centre}/" in self.outs
 
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Tells whether a request is known to break backend servers."""
-        row = self.quarantines.get(fingerprint)
-        return row is not None and row.active
-
 
 def _or_before(parsed: result.Result, before: typing.Any) -> typing.Any:
     """Returns new settings; those before where this program can't read them."""
--- a/src/cardamomkeel/settings/services.py
+++ b/src/cardamomkeel/settings/services.py
@@ -5,8 +5,6 @@
 from cardamomkeel.policy import measuring
 from cardamomkeel.settings import process
 
-EXAMPLE = "examples/services.json"
-
 
 class Service(process.Strict):
     """What operators say of one service.
