--- a/src/cardamomkeel/control/client.py
+++ b/src/cardamomkeel/control/client.py
@@ -34,6 +34,10 @@
         """Closes all connections."""
         self._channels.close()
 
+    def follow_members(self, addresses: list[str]) -> None:
+        """Calls other control VMs from now on."""
+        self._addresses = list(addresses)
+
     def _pick(self) -> str:
         if self._leader:
             return self._leader
--- a/src/cardamomkeel/control/duties.py
+++ b/src/cardamomkeel/control/duties.py
@@ -19,6 +19,8 @@
 DUTY_PAUSE_MS = 50.0
 SWEEP_PERIOD_MS = 30_000.0
 BALANCE_PERIOD_MS = 5000.0
+# A member that has not answered for so long may be replaced by a new one.
+REPLACE_MS = 3000.0
 
 logger = loguru.logger
 
@@ -29,6 +31,7 @@
     replica: replica_lib.Replica
     tables: tables_lib.Tables
     leases: leases_lib.Leases
+    most_members: int
     changed: signal.Signal
 
     async def propose(
@@ -49,10 +52,12 @@
         self._deadlines = deadlines_lib.Deadlines(lease_ms)
         self._swept_at = 0.0
         self._balanced_at = 0.0
+        self._led_since = 0.0
 
     def start(self, now: clock.Millis) -> None:
         """Begins a leadership."""
         self._deadlines.start(now)
+        self._led_since = now
 
     async def run(self) -> None:
         """Does what is due, for as long as this node leads."""
@@ -117,15 +122,37 @@
 
     async def _promote_learners(self) -> None:
         now = self._clock.now()
-        for member in self._node.replica.members.members:
-            if member.voter or not self._node.replica.is_caught_up(
-                member.id, now
-            ):
+        replica = self._node.replica
+        learners = [
+            member
+            for member in replica.members.members
+            if not member.voter and replica.is_caught_up(member.id, now)
+        ]
+        dead = self._find_dead(now)
+        voters = len(members_lib.voters(replica.members))
+        # An even group bears no more losses than with one member less.
+        if dead is not None and (learners or voters % 2 == 0):
+            self._change(members_lib.without(replica.members, dead.name))
+            logger.warning("removed a silent member", member=dead.id)
+        elif learners:
+            member = learners[0]
+            self._change(members_lib.with_voter(replica.members, member.id))
+            logger.info("makes a learner a voter", member=member.id)
+
+    def _change(self, changed: control_pb2.Members) -> None:
+        if self._node.replica.propose_members(changed) is not None:
+            self._node.after_step()
+
+    def _find_dead(self, now: clock.Millis) -> control_pb2.Member | None:
+        """Returns a voter that may be replaced without an operator."""
+        replica = self._node.replica
+        if not self._node.most_members or now - self._led_since < REPLACE_MS:
+            return None
+        for member in replica.members.members:
+            if member.id == replica.id or not member.voter:
                 continue
-            changed = members_lib.with_voter(
-                self._node.replica.members, member.id
-            )
-            if self._node.replica.propose_members(changed) is not None:
-                logger.info("makes a learner a voter", member=member.id)
-                self._node.after_step()
-            return
+            progress = replica.progress.get(member.id)
+            silent = now - REPLACE_MS
+            if progress is not None and progress.acked_sent_at < silent:
+                return member
+        return None
--- a/src/cardamomkeel/control/follow.py
+++ b/src/cardamomkeel/control/follow.py
@@ -36,7 +36,11 @@
             clk,
         )
         self.hub = hub_lib.Hub(
-            lambda: node.tables, self._lessor, timings.lease_ms, clk
+            lambda: node.tables,
+            self._lessor,
+            timings.lease_ms,
+            clk,
+            node.list_addresses,
         )
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/cardamomkeel/control/group_calls.py
@@ -0,0 +1,119 @@
+"""Calls to the control group from within one of its VMs.
+
+They are carried out here where this VM leads, and by the leader elsewhere.
+"""
+
+import typing
+
+import anyio
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.control import node as node_lib
+from cardamomkeel.control import registrar as registrar_lib
+from cardamomkeel.wire import control_grpc
+from cardamomkeel.wire import control_pb2
+
+# How long a call looks for a leader before it fails.
+PATIENCE_MS = 900.0
+# How long the leader's answer may take.
+ATTEMPT_MS = 800.0
+RETRY_PAUSE_MS = 30.0
+
+
+class GroupCalls:
+    """Has commands committed and rows read, wherever the leader is."""
+
+    def __init__(
+        self,
+        node: node_lib.ControlNode,
+        registrar: registrar_lib.Registrar,
+        channels: channels_lib.Channels,
+        clk: clock.Clock,
+    ):
+        self._node = node
+        self._registrar = registrar
+        self._channels = channels
+        self._clock = clk
+
+    def leader_address(self) -> str:
+        """Returns the address of the leader, or nothing."""
+        return self._node.leader_address()
+
+    async def _repeat(
+        self,
+        here: typing.Callable[[], typing.Awaitable],
+        method: str,
+        req: typing.Any,
+    ) -> typing.Any:
+        """Calls here or at the leader until one of them can tell.
+
+        Returns:
+            What `here` returned, the leader's reply, or None for no answer
+            in time.
+        """
+        with anyio.move_on_after(clock.seconds(PATIENCE_MS)):
+            while True:
+                if self._node.replica.is_ready:
+                    done = await here()
+                    if done is not None:
+                        return done
+                elif address := self._node.leader_address():
+                    reply = await self._ask(address, method, req)
+                    if reply is not None:
+                        return reply
+                await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
+        return None
+
+    async def _ask(
+        self, address: str, method: str, req: typing.Any
+    ) -> typing.Any:
+        reply = await self._channels.call(
+            address, control_grpc.ControlStub, method, req, ATTEMPT_MS
+        )
+        if not isinstance(reply, result.Success):
+            return None
+        return reply.unwrap() if reply.unwrap().leader else None
+
+    async def propose(
+        self, command: control_pb2.Command
+    ) -> control_pb2.CommandResult | None:
+        """Has a command committed; None where its end is not known."""
+
+        async def here() -> list[control_pb2.CommandResult] | None:
+            copied = control_pb2.Command()
+            copied.CopyFrom(command)
+            return await self._node.propose([copied])
+
+        req = control_pb2.ProposeRequest(commands=[command])
+        done = await self._repeat(here, "Propose", req)
+        if done is None:
+            return None
+        results = done if isinstance(done, list) else done.results
+        return results[0]
+
+    async def announce(self, told: control_pb2.InstanceRecord) -> bool:
+        """Passes an announcement on; False where nobody has taken it."""
+
+        async def here() -> bool | None:
+            return await self._registrar.announce([told])
+
+        req = control_pb2.AnnounceRequest(instances=[told])
+        return await self._repeat(here, "Announce", req) is not None
+
+    async def read_routes(self) -> control_pb2.RoutesRecord | None:
+        """Returns the newest routes; None where that is not certain."""
+
+        async def here() -> control_pb2.RoutesRecord | None:
+            if not await self._node.confirm(self._clock.now()):
+                return None
+            return self._node.tables.routes()
+
+        req = control_pb2.ReadRequest(key="routes")
+        done = await self._repeat(here, "Read", req)
+        if done is None or isinstance(done, control_pb2.RoutesRecord):
+            return done
+        for record in done.records:
+            return record.routes
+        return control_pb2.RoutesRecord()
--- a/src/cardamomkeel/control/hub.py
+++ b/src/cardamomkeel/control/hub.py
@@ -62,7 +62,9 @@
         lessor: Lessor,
         lease_ms: clock.Millis,
         clk: clock.Clock,
+        members: typing.Callable[[], list[str]] = list,
     ):
+        self._members = members
         self._rows = rows
         self._lessor = lessor
         self._lease_ms = lease_ms
@@ -131,7 +133,10 @@
         for stream, req in asking.items():
             if stream.request is req:
                 stream.request = None
-            stream.answer(_answer(req, grant, stream.pause_ms))
+            answer = _answer(req, grant, stream.pause_ms)
+            if not req.without_rows:
+                answer.control_addresses.extend(self._members())
+            stream.answer(answer)
         return True
 
     def _refuse_followers(self) -> None:
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -57,6 +57,8 @@
         leases: The leases of entries, while this node leads.
         changed: Notified when the state or the role changes.
         confirmed: Notified when another member answers.
+        most_members: Up to how many members the group grows and replaces
+            lost ones without an operator; 0 for never.
     """
 
     def __init__(
@@ -68,7 +70,9 @@
         reach: dict[str, str],
         clk: clock.Clock,
         rng: random.Random,
+        most_members: int = 0,
     ):
+        self.most_members = most_members
         self._clock = clk
         self._timings = timings
         self._channels = channels_lib.Channels(reach, clk)
@@ -114,6 +118,10 @@
         )
         return "" if member is None else member.address
 
+    def list_addresses(self) -> list[str]:
+        """Returns the addresses of all members of the group."""
+        return [member.address for member in self.replica.members.members]
+
     def after_step(self) -> None:
         """Applies what is committed and wakes whoever waits for it."""
         replica = self.replica
--- /dev/null
+++ b/src/cardamomkeel/control/registrar.py
@@ -0,0 +1,108 @@
+"""Keeps which backend servers have announced themselves, while this VM leads.
+
+What an announcement changes is committed before it is acknowledged. One that
+changes nothing is only remembered with its time, so that silent servers can
+be forgotten.
+"""
+
+import anyio
+import loguru
+
+from cardamomkeel import clock
+from cardamomkeel.control import node as node_lib
+from cardamomkeel.policy import incarnations
+from cardamomkeel.state.commands import instances
+from cardamomkeel.wire import control_pb2
+
+# A server that was not heard for so long is forgotten. Entries find out by
+# themselves what does not answer, and servers cut off from the control VMs
+# may still be reached by entries.
+SILENT_MS = 20_000.0
+LOOK_EVERY_MS = 1000.0
+
+logger = loguru.logger
+
+
+class Registrar:
+    """Takes announcements where this control VM leads."""
+
+    def __init__(self, node: node_lib.ControlNode, clk: clock.Clock):
+        self._node = node
+        self._clock = clk
+        self._heard: dict[str, clock.Millis] = {}
+        self._leads_since: clock.Millis | None = None
+
+    async def announce(
+        self, told: list[control_pb2.InstanceRecord]
+    ) -> bool | None:
+        """Takes announcements; None where another control VM leads.
+
+        Returns:
+            True once all that they change is committed.
+        """
+        node = self._node
+        if not node.replica.is_ready:
+            return None
+        now = self._clock.now()
+        news = []
+        for one in told:
+            known = instances.find(node.tables, one.address)
+            if not incarnations.is_newer(known, one):
+                continue
+            self._heard[one.address] = now
+            if incarnations.is_news(known, one, node.tables.log_ms):
+                news.append(one)
+        if not news:
+            return True
+        command = control_pb2.Command(
+            instances_seen=control_pb2.InstancesSeen(instances=news)
+        )
+        if await node.propose([command]) is None:
+            return None
+        for one in news:
+            logger.info(
+                "a target announced itself",
+                target=one.address,
+                instance=one.instance,
+                service=one.service,
+                state=one.state,
+                cold_ms=one.cold_ms,
+            )
+        return True
+
+    async def run(self) -> None:
+        """Forgets silent servers for as long as this control VM leads."""
+        while True:
+            await anyio.sleep(clock.seconds(LOOK_EVERY_MS))
+            if not self._node.replica.is_ready:
+                self._leads_since = None
+                self._heard = {}
+                continue
+            now = self._clock.now()
+            if self._leads_since is None:
+                self._leads_since = now
+            await self._forget_silent(now)
+
+    async def _forget_silent(self, now: clock.Millis) -> None:
+        silent = [
+            row
+            for row in self._node.tables.instances()
+            if row.state != incarnations.GONE
+            and self._heard.get(row.address, self._leads_since)
+            < now - SILENT_MS
+        ]
+        if not silent:
+            return
+        names = [
+            control_pb2.InstanceName(instance=row.instance, born_ms=row.born_ms)
+            for row in silent
+        ]
+        command = control_pb2.Command(
+            instances_gone=control_pb2.InstancesGone(
+                instances=names, silent=True
+            )
+        )
+        logger.warning(
+            "forgets silent targets", targets=[row.address for row in silent]
+        )
+        await self._node.propose([command])
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -6,6 +6,7 @@
 from cardamomkeel.control import hub as hub_lib
 from cardamomkeel.control import membership
 from cardamomkeel.control import node as node_lib
+from cardamomkeel.control import registrar as registrar_lib
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
@@ -73,7 +74,9 @@
             return control_pb2.JoinReply(
                 message=f"{member.name} is taken by a control VM that is live"
             )
-        changed = members_lib.with_learner(replica.members, member)
+        changed = members_lib.with_learner(
+            replica.members, member, self._node.most_members
+        )
         if changed is None:
             return control_pb2.JoinReply(
                 message=f"{member.name} is not expected; an operator adds it "
@@ -93,7 +96,9 @@
         node: node_lib.ControlNode,
         hub: hub_lib.Hub,
         clk: clock.Clock,
+        registrar: registrar_lib.Registrar,
     ):
+        self._registrar = registrar
         self._node = node
         self._hub = hub
         self._clock = clk
@@ -102,6 +107,17 @@
         """Gives leases, and what has changed, for as long as it is asked."""
         await self._hub.serve(stream)
 
+    async def Announce(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Takes announcements of backend servers."""
+        req = await stream.recv_message()
+        done = await self._registrar.announce(list(req.instances))
+        await stream.send_message(
+            control_pb2.AnnounceReply(
+                leader=done is not None,
+                leader_address=self._node.leader_address(),
+            )
+        )
+
     async def Propose(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Has commands committed."""
         req = await stream.recv_message()
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -8,7 +8,6 @@
 from google.protobuf import json_format
 from grpclib import server as grpc_server
 import loguru
-from returns import result
 import typer
 
 from cardamomkeel import clock
@@ -19,7 +18,9 @@
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.control import follow
 from cardamomkeel.control import formation
+from cardamomkeel.control import joining as joining_lib
 from cardamomkeel.control import node as node_lib
+from cardamomkeel.control import registrar as registrar_lib
 from cardamomkeel.control import service
 from cardamomkeel.daemons import serve
 from cardamomkeel.daemons import start
@@ -35,12 +36,8 @@
 from cardamomkeel.replication import replica
 from cardamomkeel.replication import storage
 from cardamomkeel.settings import process
-from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
-JOIN_PAUSE_MS = 500.0
-JOIN_TIMEOUT_MS = 1000.0
-
 logger = loguru.logger
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help="Runs a control VM."
@@ -136,12 +133,23 @@
         list(cfg.control.values()), cfg.reach, clk
     )
     followers = follow.Followers(cfg, node, clk)
+    registrar = registrar_lib.Registrar(node, clk)
     server = grpc_server.Server(
         [
             service.ReplicationService(node, clk),
-            service.ControlService(node, followers.hub, clk),
+            service.ControlService(node, followers.hub, clk, registrar),
         ]
     )
+    own = control_pb2.Member(
+        id=node.replica.id, name=cfg.name, address=cfg.address
+    )
+    joining = joining_lib.Joining(
+        node,
+        own,
+        lambda: list(cfg.control.values()),
+        channels.Channels(cfg.reach, clk),
+        clk,
+    )
     host, port = channels.split_address(cfg.address)
     await server.start(host, port)
     operators = operators_app.OperatorsApp(
@@ -158,7 +166,8 @@
         tasks.start_soon(start.wait_for_stop, stop)
         tasks.start_soon(node.run)
         tasks.start_soon(followers.run)
-        tasks.start_soon(_join, cfg, node, clk)
+        tasks.start_soon(registrar.run)
+        tasks.start_soon(joining.run)
         tasks.start_soon(serve.serve, operators, cfg.operators_address, stop)
         logger.info("runs", member=node.replica.id)
         await stop.wait()
@@ -168,32 +177,6 @@
         tasks.cancel_scope.cancel()
 
 
-async def _join(
-    cfg: process.ControlSettings, node: node_lib.ControlNode, clk: clock.Clock
-) -> None:
-    """Asks to be a member for as long as this replica is none."""
-    asked = channels.Channels(cfg.reach, clk)
-    own = control_pb2.Member(
-        id=node.replica.id, name=cfg.name, address=cfg.address
-    )
-    known = members.get_member_by_id
-    while known(node.replica.members, node.replica.id) is None:
-        for address in cfg.control.values():
-            if address == cfg.address:
-                continue
-            reply = await asked.call(
-                address,
-                control_grpc.ReplicationStub,
-                "Join",
-                control_pb2.JoinRequest(member=own),
-                JOIN_TIMEOUT_MS,
-            )
-            if isinstance(reply, result.Success) and reply.unwrap().message:
-                logger.info("not joined yet", reason=reply.unwrap().message)
-        await anyio.sleep(clock.seconds(JOIN_PAUSE_MS))
-    asked.close()
-
-
 def dump(
     cfg: process.ControlSettings, node: node_lib.ControlNode
 ) -> dict[str, typing.Any]:
--- /dev/null
+++ b/src/cardamomkeel/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that send to every target themselves, without owners."""
--- /dev/null
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -0,0 +1,429 @@
+"""Serves a caller's request: its route, its target, and its one answer."""
+
+import asyncio
+import collections
+import hashlib
+import random
+import typing
+
+import loguru
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.gateway import messages
+from cardamomkeel.gateway import request_log
+from cardamomkeel.gateway import sending
+from cardamomkeel.gateway import settings as settings_lib
+from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.gateway import waiting as waiting_lib
+from cardamomkeel.policy import resends as resends_lib
+from cardamomkeel.routes import document as document_lib
+from cardamomkeel.routes import table as table_lib
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.wire import control_pb2
+
+# A request may wait for a target for this share of its objective: one that
+# waits longer is better told at once to come back.
+WAIT_SHARE = 0.25
+# Targets that can't be reached before a request is given up.
+MOST_UNREACHABLE = 4
+# When a request that may run twice is sent to a second target: after this
+# share of its objective, and this multiple of the usual time.
+HEDGE_OBJECTIVE_SHARE = 0.6
+HEDGE_WORK_FACTOR = 2.0
+# When to come back, in multiples of the usual work time, by chance so that
+# those who were refused together do not return together.
+COME_BACK_LEAST = 0.4
+COME_BACK_MOST = 1.6
+# A request that crashed so many targets is refused.
+CRASHES_ALLOWED = 2
+# How long a target that crashed may take to refuse connections.
+CRASH_CHECK_MS = 50.0
+REPORT_MS = 3000.0
+
+logger = loguru.logger
+
+
+class _Case:
+    """One request on its way.
+
+    Attributes:
+        order: What is sent.
+        route: Its route.
+        service: The service that was picked.
+        useful_until: Until when an answer is of full use.
+        tried: The targets that it was sent to.
+        unreachable: The targets that could not be reached.
+        may_have_run: Whether a target may have run it.
+        failed: A failure that a target answered with.
+        reason: Why the last send failed.
+    """
+
+    def __init__(
+        self,
+        order: sending.Order,
+        route: document_lib.Route,
+        service: str,
+    ):
+        self.order = order
+        self.route = route
+        self.service = service
+        self.useful_until = order.req.arrived + route.objective_ms
+        self.tried: list[targets_lib.Target] = []
+        self.unreachable: list[targets_lib.Target] = []
+        self.may_have_run = False
+        self.failed: messages.Response | None = None
+        self.reason = ""
+
+
+class Gateway:
+    """Answers callers from targets that every entry shares."""
+
+    def __init__(
+        self,
+        cfg: settings_lib.GatewaySettings,
+        session: session_lib.Session,
+        targets: targets_lib.Targets,
+        sender: sending.Sender,
+        report: typing.Callable[[control_pb2.Command], typing.Awaitable],
+        metrics: metrics_lib.Metrics,
+        clk: clock.Clock,
+        rng: random.Random,
+    ):
+        self._cfg = cfg
+        self._session = session
+        self._targets = targets
+        self._sender = sender
+        self._report = report
+        self._metrics = metrics
+        self._clock = clk
+        self._rng = rng
+        self._log = request_log.RequestLog(metrics, clk)
+        self._names = cfg.headers
+        self._waiting: dict[str, waiting_lib.Waiting] = collections.defaultdict(
+            waiting_lib.Waiting
+        )
+        self._resends: dict[str, resends_lib.Resends] = {}
+        self._behind: set[asyncio.Task] = set()
+
+    def wake(self) -> None:
+        """Has waiting requests look for targets again."""
+        for queue in self._waiting.values():
+            queue.wake()
+
+    async def handle(self, req: messages.Request) -> messages.Response:
+        """Returns the answer to a caller's request."""
+        view = self._session.view
+        if view.table.document is None:
+            return self._refuse(503, "no routes are known yet")
+        host = req.get(b"host").decode("latin-1")
+        route = view.table.match(host, req.path)
+        if route is None:
+            return self._refuse(404, f"no route for {host}{req.path}")
+        request_id = req.get(self._names.request_id.lower().encode())
+        if not request_id:
+            return self._refuse(400, "the request has no id")
+        service = table_lib.pick_service(route, self._rng)
+        order = sending.Order(
+            req, request_id, route.idempotent, self._read_until(req, route)
+        )
+        case = _Case(order, route, service or "")
+        self._get_resends(case.service).note_request()
+        if self._crashes_targets(case):
+            case.reason = "it crashed targets before"
+            return self._give_up(case)
+        response = await self._serve(case)
+        self._note_end(case, response)
+        return response
+
+    def _read_until(
+        self, req: messages.Request, route: document_lib.Route
+    ) -> clock.Millis:
+        told = req.get(self._names.deadline.lower().encode())
+        allowed_ms = route.timeout_ms
+        if told.isdigit():
+            allowed_ms = min(allowed_ms, float(told))
+        return req.arrived + allowed_ms
+
+    def _get_resends(self, service: str) -> resends_lib.Resends:
+        resends = self._resends.get(service)
+        if resends is None:
+            cfg = self._cfg
+            resends = self._resends[service] = resends_lib.Resends(
+                cfg.resend_share,
+                cfg.resend_slack,
+                cfg.resend_window_ms,
+                len(self._session.view.entries),
+                self._clock.now(),
+            )
+        return resends
+
+    # Sending.
+
+    async def _serve(self, case: _Case) -> messages.Response:
+        while True:
+            target = await self._place(case)
+            if target is None:
+                return self._give_up(case)
+            sent = await self._send(case, target)
+            if sent.fate is sending.Fate.ANSWERED:
+                if not self._is_worth_repeating(case, sent):
+                    return sent.response
+                case.failed = sent.response
+            self._note_send(case, target, sent)
+            if not self._may_go_on(case, sent):
+                return self._give_up(case)
+
+    def _is_worth_repeating(self, case: _Case, sent: sending.Sent) -> bool:
+        return sent.response.status >= 500 and case.order.idempotent
+
+    def _note_send(
+        self, case: _Case, target: targets_lib.Target, sent: sending.Sent
+    ) -> None:
+        case.reason = f"{target.address}: {sent.reason}"
+        if sent.fate is sending.Fate.NOT_SENT:
+            case.unreachable.append(target)
+            return
+        if target not in case.tried:
+            case.tried.append(target)
+        if sent.fate is not sending.Fate.NOT_RUN:
+            case.may_have_run = True
+        if sent.fate is sending.Fate.BROKEN:
+            self._check_crash(case, target)
+
+    def _may_go_on(self, case: _Case, sent: sending.Sent) -> bool:
+        now = self._clock.now()
+        if now >= case.order.until:
+            return False
+        if sent.fate is sending.Fate.NOT_SENT:
+            return len(case.unreachable) < MOST_UNREACHABLE
+        if case.may_have_run and not case.order.idempotent:
+            return False
+        if len(case.tried) >= case.route.attempts:
+            return False
+        return self._get_resends(case.service).take(now)
+
+    async def _send(
+        self, case: _Case, target: targets_lib.Target
+    ) -> sending.Sent:
+        again = bool(case.tried)
+        if not case.order.idempotent or case.route.attempts < 2 or again:
+            return await self._sender.send(case.order, target, again)
+        return await self._send_hedged(case, target)
+
+    async def _send_hedged(
+        self, case: _Case, target: targets_lib.Target
+    ) -> sending.Sent:
+        """Sends to a second target too where the first is late."""
+        order = case.order
+        first = asyncio.ensure_future(self._sender.send(order, target, False))
+        both = [first]
+        try:
+            late_ms = self._hedge_ms(case)
+            await asyncio.wait([first], timeout=clock.seconds(late_ms))
+            if not first.done():
+                target.note_late(late_ms, self._clock.now())
+                second_target = self._find_second(case, target)
+                if second_target is not None:
+                    case.tried.extend([target, second_target])
+                    case.may_have_run = True
+                    both.append(
+                        asyncio.ensure_future(
+                            self._sender.send(order, second_target, True)
+                        )
+                    )
+            return await self._first_answer(both)
+        finally:
+            for task in both:
+                task.cancel()
+
+    def _find_second(
+        self, case: _Case, target: targets_lib.Target
+    ) -> targets_lib.Target | None:
+        now = self._clock.now()
+        found = self._targets.choose(
+            case.service,
+            [target],
+            case.useful_until - now,
+            case.order.until - now,
+            False,
+            self._rng,
+        )
+        if found is None or not self._get_resends(case.service).take(now):
+            return None
+        self._metrics.count("hedges", "Requests sent to a second target.")
+        return found
+
+    async def _first_answer(
+        self, tasks: list[asyncio.Future[sending.Sent]]
+    ) -> sending.Sent:
+        """Returns the first good answer, or else the last end."""
+        left = set(tasks)
+        while True:
+            done, left = await asyncio.wait(
+                left, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                sent = task.result()
+                good = (
+                    sent.fate is sending.Fate.ANSWERED
+                    and sent.response.status < 500
+                )
+                if good or not left:
+                    return sent
+
+    def _hedge_ms(self, case: _Case) -> clock.Millis:
+        expected = self._targets.expect_ms(case.service)
+        return max(
+            case.route.objective_ms * HEDGE_OBJECTIVE_SHARE,
+            expected * HEDGE_WORK_FACTOR,
+        )
+
+    # Waiting for a target.
+
+    def _choose(self, case: _Case, relaxed: bool) -> targets_lib.Target | None:
+        now = self._clock.now()
+        return self._targets.choose(
+            case.service,
+            case.tried + case.unreachable,
+            case.useful_until - now,
+            case.order.until - now,
+            relaxed,
+            self._rng,
+        )
+
+    async def _place(self, case: _Case) -> targets_lib.Target | None:
+        """Returns a target, after a short wait where none is free."""
+        queue = self._waiting[case.service]
+        if not len(queue):
+            target = self._choose(case, relaxed=False)
+            if target is not None:
+                return target
+        if not self._targets.get(case.service):
+            case.reason = f"no target of {case.service} is known"
+            return None
+        waiter = queue.enter(case.route.priority)
+        if waiter is None:
+            case.reason = "too many requests wait"
+            return self._choose(case, relaxed=True)
+        try:
+            return await self._wait(case, queue, waiter)
+        finally:
+            queue.leave(waiter)
+            queue.wake()
+
+    async def _wait(
+        self, case: _Case, queue: waiting_lib.Waiting, waiter
+    ) -> targets_lib.Target | None:
+        now = self._clock.now()
+        until = min(
+            now + case.route.objective_ms * WAIT_SHARE, case.order.until
+        )
+        while now < until:
+            if queue.is_first(waiter):
+                target = self._choose(case, relaxed=False)
+                if target is not None:
+                    return target
+            if not await queue.wait(waiter, until - now):
+                case.reason = "a more urgent request took its place"
+                return None
+            now = self._clock.now()
+        case.reason = f"no target of {case.service} is free"
+        return self._choose(case, relaxed=True)
+
+    # Ends.
+
+    def _give_up(self, case: _Case) -> messages.Response:
+        """Returns the answer of a request that no target answered."""
+        if case.failed is not None:
+            return case.failed
+        if not case.may_have_run:
+            return self._refuse(503, case.reason, case)
+        late = self._clock.now() >= case.order.until
+        return self._refuse(504 if late else 502, case.reason, case)
+
+    def _refuse(
+        self, status: int, reason: str, case: _Case | None = None
+    ) -> messages.Response:
+        headers = []
+        if status == 503:
+            expected = targets_lib.FIRST_WORK_MS
+            if case is not None:
+                expected = self._targets.expect_ms(case.service)
+            back_ms = expected * self._rng.uniform(
+                COME_BACK_LEAST, COME_BACK_MOST
+            )
+            name = self._names.retry_after.encode()
+            headers.append((name, b"%.3f" % clock.seconds(back_ms)))
+        if case is None:
+            self._log.refused(status, reason)
+        else:
+            self._log.failed(
+                status, reason, case.order, case.route, case.service, case.tried
+            )
+        body = reason.encode("utf-8", "replace")
+        headers.append((b"Content-Type", b"text/plain; charset=utf-8"))
+        return messages.Response(status, headers, body)
+
+    def _note_end(self, case: _Case, response: messages.Response) -> None:
+        took_ms = self._clock.now() - case.order.req.arrived
+        self._metrics.observe(
+            "request_ms",
+            "How long requests of callers took.",
+            took_ms,
+            service=case.service,
+        )
+        self._metrics.count(
+            "requests",
+            "Requests of callers, by how they ended.",
+            service=case.service,
+            status=str(response.status),
+        )
+
+    # Requests that crash targets.
+
+    def _fingerprint(self, req: messages.Request) -> bytes:
+        digest = hashlib.blake2b(digest_size=16)
+        for part in (
+            req.method.encode(),
+            req.get(b"host"),
+            req.target.encode(),
+            req.body,
+        ):
+            digest.update(len(part).to_bytes(8, "little"))
+            digest.update(part)
+        return digest.digest()
+
+    def _crashes_targets(self, case: _Case) -> bool:
+        crashes = self._session.view.crashes
+        if not crashes:
+            return False
+        found = crashes.get(self._fingerprint(case.order.req), 0)
+        return found >= CRASHES_ALLOWED
+
+    def _check_crash(self, case: _Case, target: targets_lib.Target) -> None:
+        task = asyncio.ensure_future(self._report_crash(case.order.req, target))
+        self._behind.add(task)
+        task.add_done_callback(self._behind.discard)
+
+    async def _report_crash(
+        self, req: messages.Request, target: targets_lib.Target
+    ) -> None:
+        """Tells the control group of a request whose target is down now."""
+        await asyncio.sleep(clock.seconds(CRASH_CHECK_MS))
+        if not await self._sender.is_refused(target):
+            return
+        fingerprint = self._fingerprint(req)
+        logger.warning(
+            "a request may have crashed a target",
+            target=target.address,
+            fingerprint=fingerprint.hex(),
+        )
+        await self._report(
+            control_pb2.Command(
+                report_crash=control_pb2.ReportCrash(
+                    fingerprint=fingerprint,
+                    target=f"{target.address} {target.record.instance}",
+                )
+            )
+        )
--- /dev/null
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -0,0 +1,168 @@
+"""Entries near each other tell each other what they run at which target.
+
+Each datagram holds all that its sender runs, so a lost one is made up for by
+the next. What a silent entry said last is dropped.
+"""
+
+import asyncio
+import collections.abc
+
+import loguru
+import orjson
+
+from cardamomkeel import clock
+
+# Changes that are this close to each other go out together.
+COLLECT_MS = 3.0
+# An entry without changes still says what it runs this often.
+REPEAT_MS = 400.0
+# What an entry said counts for so long: two repeats may be lost.
+KEEP_MS = 1300.0
+# After so long the control group has dropped an entry that is down.
+FORGET_MS = 10_000.0
+# More targets than this in one datagram would not fit one packet.
+MAX_TARGETS = 40
+
+logger = loguru.logger
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams on."""
+
+    def __init__(self, take: collections.abc.Callable[[bytes], None]):
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a datagram."""
+        self._take(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Passes over entries that are down; they are dropped by time."""
+
+
+class _Peer:
+    """What another entry said last."""
+
+    def __init__(self):
+        # The start of its process, and the number of its datagram.
+        self.number = (0, 0)
+        self.heard_at: clock.Millis = 0.0
+        self.running: dict[str, int] = {}
+
+
+class Gossip:
+    """Sends what this entry runs, and adds up what the others run.
+
+    Attributes:
+        running: How many requests of the others run, by target address.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clk: clock.Clock,
+        list_running: collections.abc.Callable[[], dict[str, int]],
+        on_change: collections.abc.Callable[[], None],
+    ):
+        self._name = name
+        self._clock = clk
+        self._list_running = list_running
+        self._on_change = on_change
+        self._start = int(clk.now())
+        self._number = 0
+        self._peers: dict[str, _Peer] = {}
+        # Since when an entry that was heard has been silent.
+        self._silent: dict[str, clock.Millis] = {}
+        self._addresses: list[tuple[str, int]] = []
+        self._transport: asyncio.DatagramTransport | None = None
+        self._due: asyncio.TimerHandle | None = None
+        self.running: dict[str, int] = {}
+
+    async def start(self, address: str) -> None:
+        """Listens at an address."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self._take), local_addr=(host, int(port))
+        )
+
+    def follow(self, addresses: list[str]) -> None:
+        """Sends to these entries from now on."""
+        self._addresses = []
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            self._addresses.append((host, int(port)))
+
+    def note_change(self) -> None:
+        """Has the others told soon of what this entry runs."""
+        if self._due is None and self._addresses:
+            self._due = asyncio.get_running_loop().call_later(
+                clock.seconds(COLLECT_MS), self._send
+            )
+
+    def _send(self) -> None:
+        self._due = None
+        if self._transport is None or not self._addresses:
+            return
+        self._number += 1
+        running = sorted(self._list_running().items())[:MAX_TARGETS]
+        data = orjson.dumps(
+            [self._name, self._start, self._number, dict(running)]
+        )
+        for address in self._addresses:
+            self._transport.sendto(data, address)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            name, start, number, running = orjson.loads(data)
+            counts = {str(a): int(n) for a, n in running.items()}
+        except (ValueError, TypeError, AttributeError) as exc:
+            logger.warning("passed over a datagram", reason=repr(exc))
+            return
+        peer = self._peers.setdefault(str(name), _Peer())
+        self._silent.pop(str(name), None)
+        if (start, number) <= peer.number:
+            return
+        peer.number = (start, number)
+        peer.heard_at = self._clock.now()
+        peer.running = counts
+        self._add_up()
+
+    def _add_up(self) -> None:
+        total: dict[str, int] = {}
+        for peer in self._peers.values():
+            for address, count in peer.running.items():
+                total[address] = total.get(address, 0) + count
+        self.running = total
+        self._on_change()
+
+    def is_silent(self, name: str) -> bool:
+        """Tells whether an entry has stopped saying what it runs."""
+        heard_at = self._silent.get(name)
+        return heard_at is not None
+
+    async def run(self) -> None:
+        """Repeats what this entry runs, and drops silent entries."""
+        while True:
+            await asyncio.sleep(clock.seconds(REPEAT_MS))
+            self._send()
+            now = self._clock.now()
+            silent = [
+                name
+                for name, peer in self._peers.items()
+                if now - peer.heard_at > KEEP_MS
+            ]
+            for name in silent:
+                del self._peers[name]
+                self._silent[name] = now
+            for name, since in list(self._silent.items()):
+                if now - since > FORGET_MS:
+                    del self._silent[name]
+            if silent:
+                self._add_up()
+
+    def close(self) -> None:
+        """Stops sending and listening."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
--- /dev/null
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -0,0 +1,378 @@
+"""Serves HTTP/1.1 to callers: pipelining, limits and a graceful end.
+
+Answers leave in the order of their requests. Requests that may run more than
+once are worked on while earlier ones are; others wait for their turn, since a
+caller sends again whatever stood behind an answer that ends the connection.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import http
+
+import httptools
+import loguru
+
+from cardamomkeel import clock
+from cardamomkeel.gateway import messages
+from cardamomkeel.routes import document as document_lib
+
+BACKLOG = 1024
+# Requests of one connection that are worked on or wait; more are not read.
+MAX_PIPELINED = 32
+MAX_HEADERS = 200
+# How long what is left of a refused request is read and dropped: a connection
+# that is closed with bytes unread loses the answer on its way.
+LINGER_MS = 500.0
+# A body counts as stalled after so long without a byte.
+BODY_STALL_MS = 10_000.0
+CLOSE_STEP_MS = 20.0
+
+_REPEATABLE = frozenset(["GET", "HEAD"])
+_NO_BODY = frozenset([204, 304])
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+
+logger = loguru.logger
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Turn:
+    """One request of a connection, from its last byte to its answer."""
+
+    req: messages.Request
+    keeps_alive: bool
+    task: asyncio.Task | None = None
+    response: messages.Response | None = None
+
+
+class _Refused(Exception):  # noqa: N818
+    """A request that breaks a limit.
+
+    Attributes:
+        status: The status that tells which.
+    """
+
+    def __init__(self, status: int):
+        super().__init__(status)
+        self.status = status
+
+
+class _Connection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: "HttpServer"):
+        self._server = server
+        self._clock = server.clk
+        self._limits = server.limits()
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._turns: collections.deque[_Turn] = collections.deque()
+        self._timer: asyncio.TimerHandle | None = None
+        self._paused = False
+        self._ending = False
+        self._reset_request()
+        self._receiving = False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes a connection."""
+        self._transport = transport
+        self._server.connections.add(self)
+        self._server.opened += 1
+        self._arm(self._limits.idle_ms, self._end_idle)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels what the caller no longer waits for."""
+        self._server.connections.discard(self)
+        self._disarm()
+        self._ending = True
+        for turn in self._turns:
+            if turn.task is not None:
+                turn.task.cancel()
+        self._turns.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of requests."""
+        if self._ending:
+            return
+        if self._receiving and self._headers_done:
+            self._arm(BODY_STALL_MS, self._end_slow)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # No other protocol is spoken here: what follows is not read.
+            self._ending = True
+        except httptools.HttpParserError as exc:
+            status = 400
+            if isinstance(exc.__context__, _Refused):
+                status = exc.__context__.status
+            self._refuse(status, str(exc))
+
+    # Called by the parser.
+
+    def _reset_request(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._headers_done = False
+        self._began = 0.0
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        self._reset_request()
+        self._receiving = True
+        self._limits = self._server.limits()
+        self._began = self._clock.now()
+        self._arm(self._limits.header_ms, self._end_slow)
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the path."""
+        self._count(len(url))
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._count(len(name) + len(value) + 4)
+        self._headers.append((name, value))
+
+    def _count(self, size: int) -> None:
+        self._header_bytes += size
+        too_many = len(self._headers) >= MAX_HEADERS
+        if self._header_bytes > self._limits.header_bytes or too_many:
+            raise _Refused(431)
+
+    def on_headers_complete(self) -> None:
+        """Checks what the header announces."""
+        self._headers_done = True
+        lengths = 0
+        for name, value in self._headers:
+            lowered = name.lower()
+            if lowered == b"content-length":
+                lengths += 1
+                if lengths > 1:
+                    raise _Refused(400)
+                if value.isdigit() and int(value) > self._limits.body_bytes:
+                    raise _Refused(413)
+            elif lowered == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._arm(BODY_STALL_MS, self._end_slow)
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.body_bytes:
+            raise _Refused(413)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Begins to work on a request, or has it wait for its turn."""
+        self._receiving = False
+        self._disarm()
+        req = messages.Request(
+            self._parser.get_method().decode("ascii"),
+            self._url.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+            self._began,
+        )
+        turn = _Turn(req, self._parser.should_keep_alive())
+        self._turns.append(turn)
+        self._body = []
+        self._start_due()
+        if len(self._turns) >= MAX_PIPELINED and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    # Working on requests.
+
+    def _start_due(self) -> None:
+        for place, turn in enumerate(self._turns):
+            if turn.task is None:
+                if place and turn.req.method not in _REPEATABLE:
+                    return
+                self._server.in_flight += 1
+                turn.task = self._loop.create_task(self._work(turn))
+            if turn.req.method not in _REPEATABLE:
+                return
+
+    async def _work(self, turn: _Turn) -> None:
+        try:
+            turn.response = await self._server.handler.handle(turn.req)
+        except asyncio.CancelledError:
+            return
+        except Exception:
+            logger.exception("a request failed", path=turn.req.path)
+            turn.response = messages.Response(500, closes=True)
+        finally:
+            self._server.in_flight -= 1
+        self._flush()
+
+    def _flush(self) -> None:
+        """Writes the answers whose turn it is."""
+        while self._turns and self._turns[0].response is not None:
+            turn = self._turns.popleft()
+            response = turn.response
+            last = (
+                response.closes
+                or not turn.keeps_alive
+                or (self._server.stopping and not self._turns)
+            )
+            self._write(turn.req, response, last)
+            if last:
+                self._end_after_answer()
+                return
+        if self._paused and len(self._turns) < MAX_PIPELINED:
+            self._paused = False
+            self._transport.resume_reading()
+        self._start_due()
+        if not self._turns and not self._receiving:
+            self._arm(self._limits.idle_ms, self._end_idle)
+
+    def _write(
+        self, req: messages.Request, response: messages.Response, last: bool
+    ) -> None:
+        parts = [
+            b"HTTP/1.1 %d %s\r\n"
+            % (
+                response.status,
+                _REASONS.get(response.status, "Status").encode(),
+            )
+        ]
+        parts.extend(b"%s: %s\r\n" % pair for pair in response.headers)
+        if response.status not in _NO_BODY and req.method != "HEAD":
+            parts.append(b"Content-Length: %d\r\n" % len(response.body))
+        if last:
+            parts.append(b"Connection: close\r\n")
+        parts.append(b"\r\n")
+        if response.status not in _NO_BODY and req.method != "HEAD":
+            parts.append(response.body)
+        self._transport.write(b"".join(parts))
+
+    def _end_after_answer(self) -> None:
+        """Ends the connection; what came behind the answer is not run."""
+        self._ending = True
+        for turn in self._turns:
+            if turn.task is not None:
+                turn.task.cancel()
+        self._turns.clear()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Ends this half, and drops what still comes for a moment."""
+        self._ending = True
+        if self._transport.is_closing():
+            return
+        if self._paused:
+            self._transport.resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._arm(LINGER_MS, self._transport.close)
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Answers what is no proper request, once earlier ones are."""
+        self._ending = True
+        self._receiving = False
+        self._disarm()
+        logger.info("refused a request", status=status, reason=reason)
+        req = messages.Request("GET", "", [], b"", self._clock.now())
+        turn = _Turn(req, False)
+        turn.response = messages.Response(status, closes=True)
+        self._turns.append(turn)
+        self._flush()
+
+    # Timers.
+
+    def _arm(
+        self,
+        delay_ms: clock.Millis,
+        callback: collections.abc.Callable[[], None],
+    ) -> None:
+        self._disarm()
+        self._timer = self._loop.call_later(clock.seconds(delay_ms), callback)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end_slow(self) -> None:
+        self._refuse(408, "the request did not arrive in time")
+
+    def _end_idle(self) -> None:
+        if not self._turns and not self._receiving:
+            self._transport.close()
+
+    def end_if_unused(self) -> None:
+        """Closes the connection where nothing is under way on it."""
+        if not self._turns and not self._receiving:
+            self._ending = True
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class HttpServer:
+    """Serves one handler at one address.
+
+    Attributes:
+        handler: Answers the requests.
+        limits: Returns what callers may send now.
+        clk: The clock.
+        connections: Those that are open.
+        opened: How many have been opened.
+        in_flight: How many requests are being worked on.
+        stopping: Whether each answer is to end its connection.
+    """
+
+    def __init__(
+        self,
+        handler: messages.Handler,
+        clk: clock.Clock,
+        limits: collections.abc.Callable[
+            [], document_lib.CallerLimits
+        ] = document_lib.CallerLimits,
+    ):
+        self.handler = handler
+        self.limits = limits
+        self.clk = clk
+        self.connections: set[_Connection] = set()
+        self.opened = 0
+        self.in_flight = 0
+        self.stopping = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listens at an address."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self), host, int(port), backlog=BACKLOG
+        )
+
+    def begin_stop(self) -> None:
+        """Has each answer end its connection from now on."""
+        self.stopping = True
+
+    def stop_listening(self) -> None:
+        """Takes no new connection, and closes those that are not in use."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for conn in list(self.connections):
+            conn.end_if_unused()
+
+    async def finish(self, until: clock.Millis) -> bool:
+        """Waits for the requests under way; False where some were cut."""
+        while self.connections and self.clk.now() < until:
+            await asyncio.sleep(clock.seconds(CLOSE_STEP_MS))
+        whole = not self.in_flight
+        for conn in list(self.connections):
+            conn.abort()
+        return whole
--- /dev/null
+++ b/src/cardamomkeel/gateway/names.py
@@ -0,0 +1,26 @@
+"""The headers by which callers, entries and targets understand each other."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class HeaderNames:
+    """Header names, in the case in which they are sent.
+
+    Attributes:
+        request_id: Names one attempt of a caller; targets repeat it.
+        deadline: How many milliseconds the caller, or the target, has.
+        instance: The start of a target that is meant, and no other.
+        seal: What targets put on every answer of their own.
+        load: How busy a target is.
+        not_run: Says that a target did not run the request.
+        retry_after: After how many seconds to come again.
+    """
+
+    request_id: str = "Request-Id"
+    deadline: str = "Deadline-Ms"
+    instance: str = "Expect-Instance"
+    seal: str = "Response-Seal"
+    load: str = "Server-Load"
+    not_run: str = "Not-Executed"
+    retry_after: str = "Retry-After"
--- /dev/null
+++ b/src/cardamomkeel/gateway/program.py
@@ -0,0 +1,170 @@
+"""The parts of an entry that sends to every target itself, put together."""
+
+import asyncio
+import random
+import typing
+
+import anyio
+import loguru
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.control import client as client_lib
+from cardamomkeel.gateway import gateway as gateway_lib
+from cardamomkeel.gateway import gossip as gossip_lib
+from cardamomkeel.gateway import http_server
+from cardamomkeel.gateway import sending
+from cardamomkeel.gateway import settings as settings_lib
+from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.gateway import upstream as upstream_lib
+from cardamomkeel.routing import session as session_lib
+from cardamomkeel.wire import control_pb2
+
+EXPIRE_EVERY_MS = 1000.0
+# How long the control group may take to learn that this entry stops.
+LEAVE_MS = 1500.0
+REPORT_MS = 3000.0
+
+logger = loguru.logger
+
+
+class Program:
+    """One entry.
+
+    Attributes:
+        session: Follows the control group.
+        gossip: Exchanges loads with the entries near this one.
+        targets: What is known of each target.
+        server: Serves callers.
+        stopping: Whether a planned stop has begun.
+    """
+
+    def __init__(self, cfg: settings_lib.GatewaySettings):
+        self.cfg = cfg
+        self.clk = clock.MonotonicClock()
+        self.metrics = metrics_lib.Metrics()
+        self.control = client_lib.ControlClient(
+            list(cfg.control.values()), cfg.reach, self.clk
+        )
+        self.session = session_lib.Session(
+            cfg, self.control, self.clk, self._follow, keeps_view=True
+        )
+        self.gossip = gossip_lib.Gossip(
+            cfg.name, self.clk, self._list_running, self._note_loads
+        )
+        self.targets = targets_lib.Targets(
+            cfg.data_centre, cfg.name, self.gossip, self.clk
+        )
+        self.upstream = upstream_lib.Upstream(
+            self.clk, cfg.headers.request_id.lower().encode(), cfg.body_bytes
+        )
+        sender = sending.Sender(
+            self.upstream, self.targets, cfg.headers, self.clk
+        )
+        self.gateway = gateway_lib.Gateway(
+            cfg,
+            self.session,
+            self.targets,
+            sender,
+            self._report,
+            self.metrics,
+            self.clk,
+            random.Random(),
+        )
+        self.server = http_server.HttpServer(
+            self.gateway, self.clk, lambda: self.session.view.table.limits
+        )
+        self.stopping = False
+
+    def is_ready(self) -> bool:
+        """Tells whether this entry takes callers."""
+        return not self.stopping and bool(self.session.view.table.number)
+
+    def _list_running(self) -> dict[str, int]:
+        return self.targets.list_running()
+
+    def _note_loads(self) -> None:
+        self.gateway.wake()
+
+    def _follow(self) -> None:
+        view = self.session.view
+        self.targets.follow(view)
+        self.gossip.follow(
+            [
+                entry.entries_address
+                for entry in view.entries.values()
+                if entry.data_centre == self.cfg.data_centre
+                and entry.name != self.cfg.name
+            ]
+        )
+        self.gateway.wake()
+
+    async def _report(self, command: control_pb2.Command) -> None:
+        await self.control.propose([command], timeout_ms=REPORT_MS)
+
+    async def run(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts serving; the tasks run until they are cancelled."""
+        await self.gossip.start(self.cfg.entries_address)
+        await self.server.start(self.cfg.callers_address)
+        tasks.start_soon(self.session.run)
+        tasks.start_soon(self.gossip.run)
+        tasks.start_soon(self._expire)
+        logger.info("runs", callers=self.cfg.callers_address)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(clock.seconds(EXPIRE_EVERY_MS))
+            self.upstream.expire()
+
+    async def stop(self) -> bool:
+        """Stops without cutting a request; False where it could not."""
+        began = self.clk.now()
+        until = began + self.cfg.stop_within_ms
+        self.stopping = True
+        self.server.begin_stop()
+        with anyio.move_on_after(clock.seconds(LEAVE_MS)):
+            await self._leave(finished=False)
+        listen_until = began + self.cfg.listen_on_ms
+        left_ms = max(0.0, listen_until - self.clk.now())
+        await asyncio.sleep(clock.seconds(left_ms))
+        self.server.stop_listening()
+        whole = await self.server.finish(until)
+        with anyio.move_on_after(clock.seconds(max(0, until - self.clk.now()))):
+            await self._leave(finished=True)
+        self.upstream.close()
+        self.gossip.close()
+        self.control.close()
+        if whole:
+            logger.info("has stopped")
+        else:
+            logger.warning(
+                "stopped with requests under way", count=self.server.in_flight
+            )
+        return whole
+
+    async def _leave(self, finished: bool) -> None:
+        if not self.session.id:
+            return
+        command = control_pb2.Command(
+            entry_leave=control_pb2.EntryLeave(
+                session=self.session.id, finished=finished
+            )
+        )
+        await self.control.propose([command], timeout_ms=LEAVE_MS)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Returns the state of this process."""
+        view = self.session.view
+        return {
+            "name": self.cfg.name,
+            "session": self.session.id,
+            "follows": self.session.follows,
+            "routes": view.table.number,
+            "version": view.version,
+            "stopping": self.stopping,
+            "entries": sorted(e.name for e in view.entries.values()),
+            "outs": sorted(view.outs),
+            "in_flight": self.server.in_flight,
+            "connections": len(self.server.connections),
+            "targets": self.targets.dump(),
+        }
--- /dev/null
+++ b/src/cardamomkeel/gateway/sending.py
@@ -0,0 +1,227 @@
+"""Sends one request to one target and says what became of it."""
+
+import asyncio
+import dataclasses
+import enum
+
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import http_headers
+from cardamomkeel.backend_servers import pool_connection
+from cardamomkeel.gateway import messages
+from cardamomkeel.gateway import names as names_lib
+from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.gateway import upstream as upstream_lib
+
+# Less time than this is not worth a send.
+LEAST_MS = 2.0
+# Statuses that promise that a request has not run.
+PROMISES = frozenset([408, 421, 429, 503])
+MISDIRECTED = 421
+
+
+class Fate(enum.Enum):
+    """What became of a request at a target."""
+
+    ANSWERED = "answered"
+    # Nothing was sent.
+    NOT_SENT = "not sent"
+    # The target said that it did not run it.
+    NOT_RUN = "not run"
+    # It may have run.
+    BROKEN = "broken"
+    LATE = "late"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """The end of one send.
+
+    Attributes:
+        fate: What became of the request.
+        reason: What was seen, for the log.
+        response: The target's answer, where there is one.
+    """
+
+    fate: Fate
+    reason: str = ""
+    response: messages.Response | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What is to be sent, to any target.
+
+    Attributes:
+        req: The request of the caller.
+        request_id: Its id.
+        idempotent: Whether it may run more than once.
+        until: When the caller, or the operators, no longer wait.
+    """
+
+    req: messages.Request
+    request_id: bytes
+    idempotent: bool
+    until: clock.Millis
+
+
+class Sender:
+    """Sends requests to targets."""
+
+    def __init__(
+        self,
+        upstream: upstream_lib.Upstream,
+        targets: targets_lib.Targets,
+        names: names_lib.HeaderNames,
+        clk: clock.Clock,
+    ):
+        self._upstream = upstream
+        self._targets = targets
+        self._clock = clk
+        self._id = names.request_id.encode()
+        self._deadline = names.deadline.encode()
+        self._instance = names.instance.encode()
+        self._seal = names.seal.lower().encode()
+        self._load = names.load.lower().encode()
+        self._not_run = names.not_run.lower().encode()
+        self._own = frozenset(
+            [
+                b"content-length",
+                b"expect",
+                self._deadline.lower(),
+                self._instance.lower(),
+            ]
+        )
+        self._kept_back = frozenset([b"content-length", self._load])
+
+    async def send(
+        self, order: Order, target: targets_lib.Target, again: bool
+    ) -> Sent:
+        """Sends a request; cancelling it ends the work at the target.
+
+        Args:
+            order: What to send.
+            target: Where to.
+            again: Whether it was sent to another target before.
+        """
+        self._targets.begin(target)
+        try:
+            return await self._send(order, target, again)
+        finally:
+            self._targets.end(target)
+
+    async def _send(
+        self, order: Order, target: targets_lib.Target, again: bool
+    ) -> Sent:
+        conn = self._upstream.take(
+            target.address, again or not order.idempotent
+        )
+        if conn is None:
+            left_ms = order.until - self._clock.now()
+            opened = await self._upstream.open(target.address, left_ms)
+            if not isinstance(opened, result.Success):
+                self._note_unreachable(target)
+                return Sent(Fate.NOT_SENT, opened.failure().message)
+            conn = opened.unwrap()
+            if target.was_down():
+                self._targets.suspect_cold(target, self._clock.now())
+        now = self._clock.now()
+        if not self._targets.is_current(target):
+            self._upstream.give_back(conn)
+            return Sent(Fate.NOT_SENT, "it left while a connection was opened")
+        left_ms = order.until - now
+        if left_ms < LEAST_MS:
+            self._upstream.give_back(conn)
+            return Sent(Fate.NOT_SENT, "no time is left")
+        head = self._encode(order, target, int(left_ms))
+        if head is None:
+            self._upstream.give_back(conn)
+            return Sent(Fate.NOT_SENT, "it can't be passed on safely")
+        conn.expect(order.request_id)
+        answer = conn.request(head, order.req.body, order.req.method == "HEAD")
+        try:
+            async with asyncio.timeout(clock.seconds(left_ms)):
+                got = await answer
+        except TimeoutError:
+            conn.close()
+            target.note_late(left_ms, self._clock.now())
+            return Sent(Fate.LATE, "no answer in time")
+        except pool_connection.ProtocolError as exc:
+            target.note_failure(self._clock.now())
+            return Sent(Fate.BROKEN, str(exc))
+        except asyncio.CancelledError:
+            conn.close()
+            raise
+        self._upstream.give_back(conn)
+        return self._classify(target, got, now)
+
+    async def is_refused(self, target: targets_lib.Target) -> bool:
+        """Tells whether nothing listens at a target's address any more."""
+        opened = await self._upstream.open(
+            target.address, upstream_lib.CONNECT_MS
+        )
+        if isinstance(opened, result.Success):
+            self._upstream.give_back(opened.unwrap())
+            return False
+        return opened.failure().refused
+
+    def _note_unreachable(self, target: targets_lib.Target) -> None:
+        now = self._clock.now()
+        target.note_down(now)
+        target.note_failure(now)
+        self._upstream.drop(target.address)
+
+    def _encode(
+        self, order: Order, target: targets_lib.Target, left_ms: int
+    ) -> bytes | None:
+        req = order.req
+        if not http_headers.is_safe_path(req.target):
+            return None
+        lines = [f"{req.method} {req.target} HTTP/1.1\r\n".encode()]
+        for name, value in http_headers.keep_end_to_end(req.headers, self._own):
+            if not http_headers.is_safe_header(name, value):
+                return None
+            lines.append(b"%s: %s\r\n" % (name, value))
+        lines.append(b"%s: %d\r\n" % (self._deadline, left_ms))
+        instance = target.record.instance.encode()
+        lines.append(b"%s: %s\r\n" % (self._instance, instance))
+        if req.body or req.method not in ("GET", "HEAD"):
+            lines.append(b"Content-Length: %d\r\n" % len(req.body))
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+    def _classify(
+        self, target: targets_lib.Target, got, sent_at: clock.Millis
+    ) -> Sent:
+        now = self._clock.now()
+        found = {name.lower(): value for name, value in got.headers}
+        load = found.get(self._load)
+        if load is not None:
+            told = targets_lib.parse_load(load)
+            if told is not None:
+                target.note_load(told, now)
+        status = got.status
+        if self._not_run in found or status == MISDIRECTED:
+            if status == MISDIRECTED:
+                # Something else listens at its address now.
+                target.note_down(now)
+            target.note_failure(now)
+            return Sent(Fate.NOT_RUN, f"the target said {status}")
+        is_success = 200 <= status < 300
+        if is_success and (
+            self._seal not in found or b"content-encoding" in found
+        ):
+            target.note_failure(now)
+            return Sent(Fate.BROKEN, "the answer is not the target's own")
+        if status in PROMISES:
+            # Passed on, it would promise what the target did not say.
+            target.note_failure(now)
+            return Sent(Fate.BROKEN, f"{status} without a promise")
+        if status >= 500:
+            target.note_failure(now)
+        else:
+            target.note_answer(now - sent_at, now)
+        headers = http_headers.keep_end_to_end(got.headers, self._kept_back)
+        response = messages.Response(status, headers, got.body)
+        return Sent(Fate.ANSWERED, f"status {status}", response)
--- /dev/null
+++ b/src/cardamomkeel/gateway/upstream.py
@@ -0,0 +1,167 @@
+"""Connections to targets, kept open between requests."""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import errors
+from cardamomkeel.gateway import upstream_connection
+
+# A target that takes longer to accept a connection counts as unreachable.
+CONNECT_MS = 250.0
+# Data that is not acknowledged for so long ends its connection.
+UNACKNOWLEDGED_MS = 1500
+# An unused connection is closed this long before the target would.
+IDLE_MARGIN_MS = 1500.0
+# For targets that do not say how long they keep an unused connection.
+IDLE_MS = 4000.0
+# A request that may not be sent twice goes over a connection heard from this
+# lately: one that has gone silent since can't be told from a slow target.
+PROVEN_MS = 2000.0
+# Kept unused connections for one target.
+MAX_UNUSED = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class ConnectError(errors.UnavailableError):
+    """No connection to a target; nothing was sent.
+
+    Attributes:
+        refused: Whether the other side refused, and did not just not answer.
+    """
+
+    refused: bool = False
+
+
+class Upstream:
+    """Connections to all targets, by address."""
+
+    def __init__(self, clk: clock.Clock, id_header: bytes, most_bytes: int):
+        """Makes an empty set of connections.
+
+        Args:
+            clk: The clock.
+            id_header: The header by which an answer names its request.
+            most_bytes: The longest body of an answer.
+        """
+        self._clock = clk
+        self._id_header = id_header
+        self._most_bytes = most_bytes
+        self._unused: dict[
+            str, collections.deque[upstream_connection.TargetConnection]
+        ] = collections.defaultdict(collections.deque)
+        self.opened = 0
+
+    def _is_good(
+        self, conn: upstream_connection.TargetConnection, proven: bool
+    ) -> bool:
+        if not conn.is_usable():
+            return False
+        unused_ms = self._clock.now() - conn.heard_at
+        kept_ms = IDLE_MS
+        if conn.idle_ms is not None:
+            kept_ms = max(conn.idle_ms - IDLE_MARGIN_MS, conn.idle_ms / 2)
+        return unused_ms < (min(kept_ms, PROVEN_MS) if proven else kept_ms)
+
+    def take(
+        self, address: str, proven: bool
+    ) -> upstream_connection.TargetConnection | None:
+        """Returns an unused connection, or None.
+
+        Args:
+            address: Host and port of the target.
+            proven: Whether it must have been heard from lately.
+        """
+        kept = self._unused.get(address)
+        while kept:
+            conn = kept.pop()
+            if self._is_good(conn, proven):
+                return conn
+            conn.close()
+        return None
+
+    async def open(
+        self, address: str, most_ms: clock.Millis
+    ) -> result.Result[upstream_connection.TargetConnection, ConnectError]:
+        """Opens a connection."""
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        limit_s = clock.seconds(min(CONNECT_MS, most_ms))
+        try:
+            async with asyncio.timeout(limit_s):
+                transport, conn = await loop.create_connection(
+                    lambda: upstream_connection.TargetConnection(
+                        address,
+                        self._clock,
+                        self._note_closed,
+                        self._id_header,
+                        self._most_bytes,
+                    ),
+                    host,
+                    int(port),
+                )
+        except TimeoutError:
+            return result.Failure(
+                ConnectError(
+                    f"{address} did not accept a connection",
+                    "see that the target runs and can be reached",
+                )
+            )
+        except OSError as exc:
+            refused = isinstance(exc, ConnectionError)
+            return result.Failure(
+                ConnectError(
+                    f"no connection to {address}: {exc!r}",
+                    "see that the target runs and can be reached",
+                    refused=refused,
+                )
+            )
+        self.opened += 1
+        _bound_silence(transport)
+        return result.Success(conn)
+
+    def give_back(self, conn: upstream_connection.TargetConnection) -> None:
+        """Keeps a connection for a later request, where it is good for one."""
+        if not conn.is_usable():
+            conn.close()
+            return
+        kept = self._unused[conn.address]
+        kept.append(conn)
+        while len(kept) > MAX_UNUSED:
+            kept.popleft().close()
+
+    def _note_closed(self, conn: upstream_connection.TargetConnection) -> None:
+        kept = self._unused.get(conn.address)
+        if kept is not None and conn in kept:
+            kept.remove(conn)
+
+    def drop(self, address: str) -> None:
+        """Closes the unused connections to an address."""
+        for conn in self._unused.pop(address, ()):
+            conn.close()
+
+    def expire(self) -> None:
+        """Closes the connections that the targets are about to close."""
+        for address, kept in list(self._unused.items()):
+            for conn in [c for c in kept if not self._is_good(c, False)]:
+                kept.remove(conn)
+                conn.close()
+            if not kept:
+                del self._unused[address]
+
+    def close(self) -> None:
+        """Closes all unused connections."""
+        for address in list(self._unused):
+            self.drop(address)
+
+
+def _bound_silence(transport: asyncio.BaseTransport) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        )
--- /dev/null
+++ b/src/cardamomkeel/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the platform: its settings, its calls, its programs."""
--- /dev/null
+++ b/src/cardamomkeel/platform/configurations.py
@@ -0,0 +1,221 @@
+"""Decodes the platform's configurations into routes.
+
+A configuration lists routes and services as columns and rows. Its names are
+decoded here and nowhere else; names that this program does not know are
+passed over.
+"""
+
+import dataclasses
+import hashlib
+import typing
+
+import orjson
+import pydantic
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import errors
+from cardamomkeel.routes import document as document_lib
+from cardamomkeel.settings import reader
+
+# Whether a request may run more than once, by the word for its kind.
+_IDEMPOTENT = {"safe": True, "unsafe": False}
+
+Number = typing.Annotated[float, pydantic.Field(strict=True)]
+Whole = typing.Annotated[int, pydantic.Field(strict=True)]
+Text = typing.Annotated[str, pydantic.Field(strict=True)]
+
+
+def _hyphen(name: str) -> str:
+    return name.replace("_", "-")
+
+
+class _Row(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        alias_generator=_hyphen, populate_by_name=True, extra="ignore"
+    )
+
+
+class _Part(_Row):
+    service: Text
+    weight: Number
+
+
+class _Route(_Row):
+    name: Text = ""
+    hostname: Text
+    path_prefix: Text
+    type: typing.Literal["safe", "unsafe"]
+    timeout_ms: Number
+    # When an answer is of full use, not a limit: "aim" on the wire.
+    aim_ms: Number
+    # 0 is the most urgent.
+    priority: Whole = 0
+    attempts: Whole
+    service: Text | None = None
+    traffic_split: list[_Part] | None = None
+
+
+class _Service(_Row):
+    name: Text
+    health_path: Text = "/health"
+    max_conns: Whole = 250
+    # "warmup" is the cold start: how long it lasts, and what it bears.
+    warmup_s: Number | None = None
+    warmup_per_s: Number | None = None
+
+
+class _Limits(_Row):
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 67_108_864
+    header_timeout_ms: Number = 3000
+    idle_timeout_ms: Number = 15_000
+
+
+class _Table(_Row):
+    columns: list[Text]
+    rows: list[list[typing.Any]]
+
+    def records(self) -> list[dict[str, typing.Any]]:
+        """Returns each row by column; null means that a value is left out.
+
+        Raises:
+            ValueError: A row does not fit the columns.
+        """
+        if len(set(self.columns)) != len(self.columns):
+            raise ValueError("a column is named twice")
+        for row in self.rows:
+            if len(row) != len(self.columns):
+                raise ValueError("a row does not fit the columns")
+        return [
+            {
+                name: value
+                for name, value in zip(self.columns, row, strict=True)
+                if value is not None
+            }
+            for row in self.rows
+        ]
+
+
+class _Configuration(_Row):
+    version: Text
+    base_version: Text | Whole
+    routes: _Table
+    services: _Table
+    limits: _Limits = _Limits()
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """A configuration that is valid by itself.
+
+    Attributes:
+        number: Its number.
+        base_number: The number of the one that it builds on; 0 for none.
+        document: What it says.
+        fingerprint: Tells it from another one of the same number.
+        source: The text as it came.
+    """
+
+    number: int
+    base_number: int
+    document: document_lib.RoutesDocument
+    fingerprint: bytes
+    source: bytes
+
+
+def parse_version(value: str | int) -> int:
+    """Returns a version, which is written as hexadecimal digits.
+
+    Raises:
+        ValueError: It is none.
+    """
+    if isinstance(value, int):
+        if value < 0:
+            raise ValueError("a version is below 0")
+        return value
+    if not value or not all(c in "0123456789abcdefABCDEF" for c in value):
+        raise ValueError(f"{value!r} is no version")
+    return int(value, 16)
+
+
+def _make_route(row: _Route) -> dict[str, typing.Any]:
+    if row.traffic_split is not None:
+        parts = [part.model_dump() for part in row.traffic_split]
+    elif row.service is not None:
+        parts = [{"service": row.service, "weight": 1.0}]
+    else:
+        raise ValueError("a route names no service")
+    return {
+        "name": row.name,
+        "host": row.hostname,
+        "prefix": row.path_prefix,
+        "parts": parts,
+        "idempotent": _IDEMPOTENT[row.type],
+        "attempts": row.attempts,
+        "timeout_ms": row.timeout_ms,
+        "objective_ms": row.aim_ms,
+        "priority": row.priority,
+    }
+
+
+def _make_services(rows: list[_Service]) -> dict[str, typing.Any]:
+    services: dict[str, typing.Any] = {}
+    for row in rows:
+        if row.name in services:
+            raise ValueError(f"the service {row.name} is listed twice")
+        services[row.name] = {
+            "health_path": row.health_path,
+            "connections": row.max_conns,
+            "cold_ms": (row.warmup_s or 0.0) * clock.MS_PER_SECOND,
+            "cold_per_s": row.warmup_per_s,
+        }
+    return services
+
+
+def _decode(raw: bytes) -> tuple[int, int, dict[str, typing.Any]]:
+    read = _Configuration.model_validate(orjson.loads(raw))
+    routes = [_Route.model_validate(row) for row in read.routes.records()]
+    services = [_Service.model_validate(r) for r in read.services.records()]
+    limits = read.limits
+    content = {
+        "routes": [_make_route(row) for row in routes],
+        "services": _make_services(services),
+        "limits": {
+            "header_bytes": limits.max_header_bytes,
+            "body_bytes": limits.max_body_bytes,
+            "header_ms": limits.header_timeout_ms,
+            "idle_ms": limits.idle_timeout_ms,
+        },
+    }
+    number = parse_version(read.version)
+    return number, parse_version(read.base_version), content
+
+
+def parse(raw: bytes) -> result.Result[Configuration, errors.Error]:
+    """Reads a configuration, or says why it is not valid."""
+    try:
+        number, base_number, content = _decode(raw)
+    except (ValueError, TypeError) as exc:
+        return result.Failure(
+            errors.SettingsError(
+                f"the configuration can't be read: {exc}",
+                "send it in full, as docs/operators/platform.md tells",
+            )
+        )
+    checked = reader.validate(
+        content, document_lib.RoutesDocument, "the configuration"
+    )
+    if not isinstance(checked, result.Success):
+        return result.Failure(checked.failure())
+    # White space and the order of fields do not make another one.
+    normal = orjson.dumps(orjson.loads(raw), option=orjson.OPT_SORT_KEYS)
+    return result.Success(
+        Configuration(
+            number,
+            base_number,
+            checked.unwrap(),
+            hashlib.sha256(normal).digest()[:16],
+            raw,
+        )
+    )
--- /dev/null
+++ b/src/cardamomkeel/platform/core.py
@@ -0,0 +1,206 @@
+"""The program on the VMs with a disk: control."""
+
+import pathlib
+import random
+
+import anyio
+from grpclib import server as grpc_server
+import loguru
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.control import follow
+from cardamomkeel.control import formation
+from cardamomkeel.control import group_calls
+from cardamomkeel.control import joining as joining_lib
+from cardamomkeel.control import node as node_lib
+from cardamomkeel.control import registrar as registrar_lib
+from cardamomkeel.control import service
+from cardamomkeel.daemons import start
+from cardamomkeel.gateway import http_server
+from cardamomkeel.platform import control_api
+from cardamomkeel.platform import process
+from cardamomkeel.platform import timings
+from cardamomkeel.replication import disk
+from cardamomkeel.replication import members
+from cardamomkeel.replication import replica
+from cardamomkeel.replication import storage
+from cardamomkeel.settings import process as process_settings
+from cardamomkeel.wire import control_pb2
+
+# Up to how many members the group grows by itself.
+MOST_MEMBERS = 7
+# After a disk failed, before it is tried again.
+DISK_PAUSE_MS = 500.0
+
+logger = loguru.logger
+
+
+class _Unavailable:
+    """Stands in for control while its disk can't be used."""
+
+    async def handle(self, req):
+        return control_api.unavailable()
+
+
+class Core:
+    """One control VM on the platform."""
+
+    def __init__(self, file: process.NodeFile):
+        read = file.read
+        self._file = file
+        self._clock = clock.MonotonicClock()
+        self._ip = read.own.ip
+        self._address = read.inner_address(self._ip, process.CONTROL_PORT)
+        self._folder = pathlib.Path(read.own.data_dir)
+        self._timings = timings.make_timings(read.timeouts.bounds)
+        self._server = http_server.HttpServer(_Unavailable(), self._clock)
+        self._stop = anyio.Event()
+
+    async def run(self) -> None:
+        """Runs until told to stop; starts anew where the disk has failed."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                process.wait_for_end, self._stop, self._file.read_again
+            )
+            tasks.start_soon(self._file.follow, lambda: None)
+            await self._server.start(self._file.read.network.listen.control)
+            tasks.start_soon(self._run_lives, tasks)
+            await self._stop.wait()
+
+    async def _run_lives(self, tasks: anyio.abc.TaskGroup) -> None:
+        while not self._stop.is_set():
+            try:
+                await self._live()
+            except* (storage.StorageFailedError, OSError) as group:
+                logger.error(
+                    "the disk has failed", reason=str(group.exceptions)
+                )
+            self._server.handler = _Unavailable()
+            if not self._stop.is_set():
+                await anyio.sleep(clock.seconds(DISK_PAUSE_MS))
+        self._server.stop_listening()
+        tasks.cancel_scope.cancel()
+
+    async def _live(self) -> None:
+        """Takes part in the group until told to stop or the disk fails."""
+        cfg = self._make_settings()
+        await self._prepare(cfg)
+        loaded = disk.load(self._folder)
+        if not isinstance(loaded, result.Success):
+            logger.error("the data folder is damaged", reason=str(loaded))
+            start.fail(loaded.failure())
+        stored = loaded.unwrap()
+        node = node_lib.ControlNode(
+            stored,
+            disk.DiskStorage(self._folder, stored),
+            replica.Timings(
+                cfg.timings.heartbeat_ms,
+                cfg.timings.election_least_ms,
+                cfg.timings.election_most_ms,
+            ),
+            cfg.timings.lease_ms,
+            {},
+            self._clock,
+            random.Random(),
+            MOST_MEMBERS,
+        )
+        await self._serve(cfg, node)
+
+    def _make_settings(self) -> process_settings.ControlSettings:
+        return process_settings.ControlSettings(
+            name=self._ip,
+            data_centre=self._file.read.own.zone,
+            data_folder=str(self._folder),
+            address=self._address,
+            operators_address=self._address,
+            secret_file="",
+            control={
+                address.rpartition(":")[0]: address
+                for address in self._file.control_addresses()
+            },
+            timings=self._timings,
+        )
+
+    async def _prepare(self, cfg: process_settings.ControlSettings) -> None:
+        """Forms the group with the others, or joins it with an empty disk."""
+        first = cfg.control
+        if disk.is_empty(self._folder):
+            if self._file.read.own.bootstrap and cfg.name in first:
+                own_id = members.member_id(cfg.name, members.FIRST_INCARNATION)
+                disk.create(
+                    self._folder,
+                    own_id,
+                    members.first_members(first),
+                    formed=len(first) == 1,
+                )
+            else:
+                formation.create_joining(self._folder, cfg.name)
+        stored = disk.load(self._folder)
+        if not isinstance(stored, result.Success):
+            return
+        state = stored.unwrap().hard_state
+        if not state.formed:
+            addresses = {
+                m.name: m.address
+                for m in stored.unwrap().snapshot.members.members
+            }
+            forming = formation.Formation(
+                self._folder, cfg.name, addresses, {}, state, self._clock
+            )
+            await forming.run()
+
+    def _list_known(self, node: node_lib.ControlNode) -> list[str]:
+        """Returns where other members may be: the seeds may be stale."""
+        known = dict.fromkeys(self._file.control_addresses())
+        return list(known | dict.fromkeys(node.list_addresses()))
+
+    async def _serve(
+        self, cfg: process_settings.ControlSettings, node: node_lib.ControlNode
+    ) -> None:
+        channels = channels_lib.Channels({}, self._clock)
+        registrar = registrar_lib.Registrar(node, self._clock)
+        followers = follow.Followers(cfg, node, self._clock)
+        calls = group_calls.GroupCalls(node, registrar, channels, self._clock)
+        own = control_pb2.Member(
+            id=node.replica.id, name=cfg.name, address=self._address
+        )
+        joining = joining_lib.Joining(
+            node, own, lambda: self._list_known(node), channels, self._clock
+        )
+        server = grpc_server.Server(
+            [
+                service.ReplicationService(node, self._clock),
+                service.ControlService(
+                    node, followers.hub, self._clock, registrar
+                ),
+            ]
+        )
+        read = self._file.read
+        await server.start(*channels_lib.split_address(self._address))
+        self._server.handler = control_api.ControlApi(
+            calls,
+            lambda: node.tables.routes(),
+            frozenset(read.network.zones),
+            read.network.listen.control.rpartition(":")[2],
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(node.run)
+                tasks.start_soon(followers.run)
+                tasks.start_soon(registrar.run)
+                tasks.start_soon(joining.run)
+                logger.info("runs", member=node.replica.id)
+                await self._stop.wait()
+                self._server.begin_stop()
+                await node.hand_over()
+                tasks.cancel_scope.cancel()
+        finally:
+            server.close()
+            channels.close()
+
+
+async def run() -> None:
+    """Runs until told to stop."""
+    await Core(process.NodeFile()).run()
--- /dev/null
+++ b/src/cardamomkeel/platform/front.py
@@ -0,0 +1,70 @@
+"""The program on the VMs that callers reach."""
+
+import anyio
+
+from cardamomkeel.gateway import http_server
+from cardamomkeel.gateway import operators
+from cardamomkeel.gateway import program as program_lib
+from cardamomkeel.gateway import settings as settings_lib
+from cardamomkeel.platform import directory as directory_lib
+from cardamomkeel.platform import process
+from cardamomkeel.platform import timings
+
+
+def make_settings(file: process.NodeFile) -> settings_lib.GatewaySettings:
+    """Returns the settings of the entry from the platform's file."""
+    read = file.read
+    bounds = read.timeouts.bounds
+    own = read.own
+    return settings_lib.GatewaySettings(
+        name=own.node_name,
+        data_centre=own.zone,
+        callers_address=read.network.listen.front,
+        entries_address=read.inner_address(own.ip, process.LOADS_PORT),
+        operators_address=read.inner_address(own.ip, process.OPERATORS_PORT),
+        control={address: address for address in file.control_addresses()},
+        timings=timings.make_timings(bounds),
+        resend_share=bounds.retry_budget_ratio,
+        resend_slack=bounds.retry_budget_slack,
+        resend_window_ms=bounds.budget_window_s * 1000,
+        stop_within_ms=timings.stop_within_ms(bounds),
+        listen_on_ms=timings.listen_on_ms(bounds),
+        keep_addresses_ms=timings.keep_addresses_ms(bounds),
+    )
+
+
+async def run() -> None:
+    """Runs until told to stop."""
+    file = process.NodeFile()
+    cfg = make_settings(file)
+    program = program_lib.Program(cfg)
+    stop = anyio.Event()
+    listen = file.read.network.listen
+
+    def follow_seeds() -> None:
+        program.session.add_members(file.control_addresses())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(process.wait_for_end, stop, file.read_again)
+        tasks.start_soon(file.follow, follow_seeds)
+        await program.run(tasks)
+        handlers = {
+            listen.ready: directory_lib.Readiness(program.is_ready),
+            listen.directory: directory_lib.Directory(
+                program.session, program.gossip, cfg.keep_addresses_ms
+            ),
+            cfg.operators_address: operators.Operators(
+                program.metrics, program.dump
+            ),
+        }
+        servers = []
+        for address, handler in handlers.items():
+            if address:
+                server = http_server.HttpServer(handler, program.clk)
+                await server.start(address)
+                servers.append(server)
+        await stop.wait()
+        await program.stop()
+        for server in servers:
+            server.stop_listening()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/cardamomkeel/platform/heartbeats.py
@@ -0,0 +1,79 @@
+"""Decodes what backend servers tell of themselves."""
+
+import typing
+
+import orjson
+import pydantic
+from returns import result
+
+from cardamomkeel import errors
+from cardamomkeel.platform import configurations
+from cardamomkeel.policy import incarnations
+from cardamomkeel.wire import control_pb2
+
+_STATES = {"ready": incarnations.READY, "draining": incarnations.DRAINING}
+_Count = typing.Annotated[int, pydantic.Field(strict=True, ge=0, lt=2**53)]
+
+
+class _Heartbeat(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        alias_generator=lambda name: name.replace("_", "-"), extra="ignore"
+    )
+
+    service: typing.Annotated[str, pydantic.Field(strict=True, min_length=1)]
+    address: typing.Annotated[
+        str, pydantic.Field(strict=True, pattern=r"^[0-9.]+:[0-9]{1,5}$")
+    ]
+    zone: configurations.Text
+    slots: typing.Annotated[int, pydantic.Field(strict=True, ge=1, lt=2**31)]
+    state: typing.Literal["ready", "draining"]
+    seq: _Count
+    # How much longer its cold start lasts: it is slow, and bears little.
+    warmup_left_ms: typing.Annotated[
+        float, pydantic.Field(strict=True, ge=0, lt=1e9)
+    ] = 0.0
+    # The Unix millisecond of its start, which tells two starts under one id
+    # from each other; it is no age.
+    born: _Count = 0
+
+
+def parse(
+    instance: str, raw: bytes, zones: typing.Collection[str]
+) -> result.Result[control_pb2.InstanceRecord, errors.Error]:
+    """Reads a heartbeat, or says why it names no backend server.
+
+    Args:
+        instance: The id in the path.
+        raw: The body.
+        zones: The data centres that there are; empty for not known.
+    """
+    try:
+        beat = _Heartbeat.model_validate(orjson.loads(raw))
+    except ValueError as exc:
+        return result.Failure(
+            errors.AnnouncementError(
+                f"the heartbeat of {instance} can't be read: {exc}",
+                "see what sends it",
+            )
+        )
+    if zones and beat.zone not in zones:
+        return result.Failure(
+            errors.AnnouncementError(
+                f"the heartbeat of {instance} names {beat.zone}, which is no "
+                "data centre of this deployment",
+                "see what sends it",
+            )
+        )
+    return result.Success(
+        control_pb2.InstanceRecord(
+            address=beat.address,
+            instance=instance,
+            born_ms=beat.born,
+            sequence=beat.seq,
+            service=beat.service,
+            data_centre=beat.zone,
+            slots=beat.slots,
+            state=_STATES[beat.state],
+            cold_ms=int(beat.warmup_left_ms),
+        )
+    )
--- /dev/null
+++ b/src/cardamomkeel/platform/timings.py
@@ -0,0 +1,53 @@
+"""Derives the times of this program from what the platform has agreed on.
+
+The table in docs/design/platform.md says which promise each of them serves.
+"""
+
+from cardamomkeel import clock
+from cardamomkeel.platform import node_file
+from cardamomkeel.settings import process
+
+# An entry asks for news so often that two questions that fail, and one that
+# is answered, fit into what a change may take.
+POLLS_PER_CHANGE = 4
+POLL_TIMEOUT_MS = 450
+HEARTBEAT_MS = 200
+ELECTION_LEAST_MS = 500
+ELECTION_MOST_MS = 900
+LEASE_MS = 2000
+# Of the time that a stop may take, for what has to happen after the last
+# answer.
+STOP_MARGIN_MS = 700
+# A stopping entry takes new connections for this share of a stop, since some
+# callers do not know yet that it stops.
+LISTEN_SHARE = 0.4
+# Callers keep an answer about entries for so long.
+KEEP_ADDRESSES_MS = 2000
+
+
+def make_timings(bounds: node_file.Bounds) -> process.Timings:
+    """Returns how long processes wait for each other."""
+    wait_ms = min(500, bounds.config_apply_ms / POLLS_PER_CHANGE)
+    return process.Timings(
+        heartbeat_ms=HEARTBEAT_MS,
+        election_least_ms=ELECTION_LEAST_MS,
+        election_most_ms=ELECTION_MOST_MS,
+        lease_ms=LEASE_MS,
+        poll_wait_ms=int(wait_ms),
+        poll_timeout_ms=POLL_TIMEOUT_MS,
+    )
+
+
+def stop_within_ms(bounds: node_file.Bounds) -> int:
+    """Returns how long a planned stop may take."""
+    return int(bounds.grace_s * clock.MS_PER_SECOND - STOP_MARGIN_MS)
+
+
+def listen_on_ms(bounds: node_file.Bounds) -> int:
+    """Returns for how long a stopping entry takes new connections."""
+    return int(bounds.grace_s * clock.MS_PER_SECOND * LISTEN_SHARE)
+
+
+def keep_addresses_ms(bounds: node_file.Bounds) -> int:
+    """Returns how long callers may keep an answer about entries."""
+    return int(min(KEEP_ADDRESSES_MS, bounds.ttl_max_s * clock.MS_PER_SECOND))
--- a/src/cardamomkeel/replication/members.py
+++ b/src/cardamomkeel/replication/members.py
@@ -60,16 +60,24 @@
 
 
 def with_learner(
-    members: control_pb2.Members, learner: control_pb2.Member
+    members: control_pb2.Members,
+    learner: control_pb2.Member,
+    most_members: int = 0,
 ) -> control_pb2.Members | None:
     """Returns the members with a learner added, in one single-step change.
 
     A member of the same name is replaced: it lost its disk, so its old vote
     must not count again. Returns None where the learner is not expected.
+
+    Args:
+        members: The members in force.
+        learner: The replica that joins.
+        most_members: Up to how many members any replica may join.
     """
     expected = set(members.expected)
     known = get_member_by_name(members, learner.name)
-    if known is None and learner.name not in expected:
+    is_open = len(members.members) < most_members
+    if known is None and learner.name not in expected and not is_open:
         return None
     changed = control_pb2.Members()
     changed.members.extend(
--- /dev/null
+++ b/src/cardamomkeel/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: which service answers which requests, and how."""
--- /dev/null
+++ b/src/cardamomkeel/routes/table.py
@@ -0,0 +1,69 @@
+"""Finds the route of a request, and the service that answers it."""
+
+import random
+
+from cardamomkeel.routes import document as document_lib
+
+
+class RouteTable:
+    """The routes in force, by host and prefix.
+
+    Attributes:
+        document: What the operators said.
+        number: Which of their documents it is; 0 for none.
+    """
+
+    def __init__(
+        self, document: document_lib.RoutesDocument | None, number: int
+    ):
+        self.document = document
+        self.number = number
+        self.limits = (
+            document_lib.CallerLimits() if document is None else document.limits
+        )
+        self._hosts: dict[str, list[document_lib.Route]] = {}
+        for route in document.routes if document else ():
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+
+    def match(self, host: str, path: str) -> document_lib.Route | None:
+        """Returns the route with the longest prefix that begins a path.
+
+        Args:
+            host: The host that the caller named, with or without a port.
+            path: The path, without its query.
+        """
+        name = host.lower()
+        routes = self._hosts.get(name)
+        if routes is None:
+            routes = self._hosts.get(name.rpartition(":")[0], ())
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def get_service(self, name: str) -> document_lib.RoutedService | None:
+        """Returns what the operators say of a service, or None."""
+        if self.document is None:
+            return None
+        return self.document.services.get(name)
+
+
+def pick_service(route: document_lib.Route, rng: random.Random) -> str | None:
+    """Returns a service of a route by weight; None where all weigh nothing."""
+    if len(route.parts) == 1:
+        return route.parts[0].service
+    total = sum(part.weight for part in route.parts)
+    if total <= 0:
+        return None
+    left = rng.random() * total
+    chosen = None
+    for part in route.parts:
+        if part.weight <= 0:
+            continue
+        chosen = part.service
+        left -= part.weight
+        if left < 0:
+            break
+    return chosen
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -42,7 +42,19 @@
         client: client_lib.ControlClient,
         clk: clock.Clock,
         on_change: typing.Callable[[], None],
+        keeps_view: bool = False,
     ):
+        """Makes a session that has not joined yet.
+
+        Args:
+            cfg: The settings of the process.
+            client: Reaches the leader.
+            clk: The clock.
+            on_change: Called when the view has changed.
+            keeps_view: Whether the view outlasts the session, for entries
+                that own no targets and need no lease.
+        """
+        self._keeps_view = keeps_view
         self._cfg = cfg
         self._client = client
         self._clock = clk
@@ -102,7 +114,8 @@
         self.id = done.unwrap()[0].session
         # Kept for resends only: the next session needs a name of its own.
         self._nonce = secrets.token_hex(8)
-        self.view = view_lib.View()
+        if not self._keeps_view:
+            self.view = view_lib.View()
         logger.info("joined", session=self.id)
 
     async def _poll(self) -> None:
@@ -177,17 +190,34 @@
 
     def _take(self, reply: control_pb2.FollowReply) -> None:
         """Takes the rows of a reply over."""
+        if reply.control_addresses:
+            self.follow_members(list(reply.control_addresses))
         if reply.version == self.view.version and not reply.whole:
             return
         self.view.take(reply)
         self._on_change()
 
+    def follow_members(self, addresses: list[str]) -> None:
+        """Turns to other control VMs, where the group has changed."""
+        if set(addresses) == set(self._addresses):
+            return
+        logger.info("follows other control VMs", addresses=addresses)
+        self._addresses = addresses
+        self._turn %= len(addresses)
+        self._client.follow_members(addresses)
+
+    def add_members(self, addresses: list[str]) -> None:
+        """Turns to further control VMs besides those that are known."""
+        known = dict.fromkeys([*self._addresses, *addresses])
+        self.follow_members(list(known))
+
     def _end(self) -> None:
         logger.warning("session has ended", session=self.id)
         self._link.close()
         self.id = 0
         self.lease_until = float("-inf")
-        self.view = view_lib.View()
+        if not self._keeps_view:
+            self.view = view_lib.View()
         self._on_change()
 
 
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -7,9 +7,12 @@
 from returns import result
 
 from cardamomkeel.policy import outs
+from cardamomkeel.routes import document as document_lib
+from cardamomkeel.routes import table as table_lib
 from cardamomkeel.settings import reader
 from cardamomkeel.settings import services as services_lib
 from cardamomkeel.state import settings_rows
+from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
 NO_MEASURING = "{}"
@@ -27,6 +30,9 @@
         services: What the settings text says of each service.
         measuring: What measuring load may cost.
         changes: How many replies have changed the rows.
+        table: The routes in force.
+        instances: What announced itself, by address.
+        crashes: How many targets a request has crashed, by fingerprint.
     """
 
     version: int = 0
@@ -48,6 +54,13 @@
     quarantines: dict[bytes, control_pb2.QuarantineRecord] = dataclasses.field(
         default_factory=dict
     )
+    table: table_lib.RouteTable = dataclasses.field(
+        default_factory=lambda: table_lib.RouteTable(None, 0)
+    )
+    instances: dict[str, control_pb2.InstanceRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    crashes: dict[bytes, int] = dataclasses.field(default_factory=dict)
     _by_service: dict[str, list[control_pb2.TargetRecord]] = dataclasses.field(
         default_factory=dict
     )
@@ -63,6 +76,8 @@
             self.entries.clear()
             self.outs.clear()
             self.quarantines.clear()
+            self.instances.clear()
+            self.crashes.clear()
         for record in reply.records:
             self._take_record(record)
         self.version = reply.version
@@ -82,6 +97,17 @@
             _set(self.entries, int(name), record.deleted, record.entry)
         elif kind == "out":
             _set(self.outs, name, record.deleted, record.out)
+        elif kind == "instance":
+            _set(self.instances, name, record.deleted, record.instance)
+        elif kind == "crash":
+            _set(
+                self.crashes,
+                bytes.fromhex(name),
+                record.deleted,
+                len(record.crash.targets),
+            )
+        elif record.key == tables_lib.ROUTES_KEY:
+            self._take_routes(record.routes)
         elif kind == "quarantine":
             _set(
                 self.quarantines,
@@ -99,6 +125,20 @@
         self.measuring = _or_before(measuring, self.measuring)
         self.revision = common.revision
 
+    def _take_routes(self, routes: control_pb2.RoutesRecord) -> None:
+        # Routes never go back, whichever control VM the rows came from.
+        if routes.number <= self.table.number:
+            return
+        parsed = reader.parse_json(
+            routes.document.decode(),
+            document_lib.RoutesDocument,
+            f"routes number {routes.number}",
+        )
+        document = _or_before(parsed, None)
+        if document is not None:
+            self.table = table_lib.RouteTable(document, routes.number)
+            logger.info("follows routes", number=routes.number)
+
     def _take_service(self, name: str, record: control_pb2.Record) -> None:
         if record.deleted:
             self.services.pop(name, None)
--- /dev/null
+++ b/src/cardamomkeel/state/commands/crashes.py
@@ -0,0 +1,34 @@
+"""Counts the backend servers that one request has crashed."""
+
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.wire import control_pb2
+
+# For how long a crash counts against a request that comes again.
+KEEP_MS = 60_000
+# More of them say nothing new.
+MAX_TARGETS = 8
+
+
+def report(
+    tables: tables_lib.Tables, cmd: control_pb2.ReportCrash, index: int
+) -> control_pb2.CommandResult:
+    """Notes that a request crashed a target; a resend changes nothing."""
+    key = tables_lib.crash_key(cmd.fingerprint)
+    record = tables.get(key)
+    row = control_pb2.CrashRecord(fingerprint=cmd.fingerprint)
+    if record is not None:
+        row.CopyFrom(record.crash)
+    if cmd.target not in row.targets and len(row.targets) < MAX_TARGETS:
+        row.targets.append(cmd.target)
+        row.expires_log_ms = tables.log_ms + KEEP_MS
+        tables.put(key, index, crash=row)
+    return control_pb2.CommandResult(
+        status=control_pb2.STATUS_OK, version=tables.version
+    )
+
+
+def sweep(tables: tables_lib.Tables, index: int) -> None:
+    """Drops what is older than it is kept for."""
+    for record in tables.rows("crash"):
+        if record.crash.expires_log_ms < tables.log_ms:
+            tables.delete(record.key, index)
--- /dev/null
+++ b/src/cardamomkeel/state/commands/routes.py
@@ -0,0 +1,53 @@
+"""The command by which operators replace the routes."""
+
+from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.wire import control_pb2
+
+
+def apply(
+    tables: tables_lib.Tables, cmd: control_pb2.ApplyRoutes, index: int
+) -> control_pb2.CommandResult:
+    """Puts routes in force that build on those in force now.
+
+    What was accepted once is accepted again, whatever came after it.
+    """
+    change_id = f"routes/{cmd.number}/{cmd.fingerprint.hex()}"
+    earlier = tables.changes.find(change_id, cmd.fingerprint)
+    if earlier is not None:
+        return earlier
+    current = tables.routes().number
+    if cmd.base_number != current:
+        return control_pb2.CommandResult(
+            status=control_pb2.STATUS_CONFLICT,
+            revision=current,
+            message=(
+                f"number {current} is in force, not {cmd.base_number}; build "
+                "on that one"
+            ),
+        )
+    if cmd.number <= current:
+        return control_pb2.CommandResult(
+            status=control_pb2.STATUS_REFUSED,
+            revision=current,
+            message=(
+                f"number {cmd.number} is not above {current}, which is in "
+                "force; use a higher one"
+            ),
+        )
+    tables.put(
+        tables_lib.ROUTES_KEY,
+        index,
+        routes=control_pb2.RoutesRecord(
+            number=cmd.number,
+            document=cmd.document,
+            fingerprint=cmd.fingerprint,
+            source=cmd.source,
+        ),
+    )
+    accepted = control_pb2.CommandResult(
+        status=control_pb2.STATUS_OK,
+        revision=cmd.number,
+        version=tables.version,
+    )
+    tables.changes.put(change_id, cmd.fingerprint, accepted)
+    return accepted
--- a/src/cardamomkeel/state/machine.py
+++ b/src/cardamomkeel/state/machine.py
@@ -3,8 +3,11 @@
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.state.commands import claims
 from cardamomkeel.state.commands import configuration
+from cardamomkeel.state.commands import crashes
 from cardamomkeel.state.commands import entries
+from cardamomkeel.state.commands import instances
 from cardamomkeel.state.commands import quarantine
+from cardamomkeel.state.commands import routes
 from cardamomkeel.state.commands import settings
 from cardamomkeel.state.commands import targets
 from cardamomkeel.wire import control_pb2
@@ -15,6 +18,8 @@
 ) -> control_pb2.CommandResult:
     claims.sweep(tables)
     quarantine.sweep(tables, index)
+    instances.sweep(tables, index)
+    crashes.sweep(tables, index)
     return control_pb2.CommandResult(status=control_pb2.STATUS_OK)
 
 
@@ -36,6 +41,10 @@
     "begin_probe": quarantine.begin_probe,
     "end_probe": quarantine.end_probe,
     "resolve": claims.resolve,
+    "apply_routes": routes.apply,
+    "instances_seen": instances.seen,
+    "instances_gone": instances.gone,
+    "report_crash": crashes.report,
     "sweep": _sweep,
 }
 
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -10,7 +10,9 @@
 MAX_DELETED_ROWS = 2000
 # A request that crashes backend servers is sent again at once, and what is
 # taken out gets work until entries know.
-URGENT_ROWS = ("quarantine/", "out/")
+URGENT_ROWS = ("quarantine/", "out/", "routes", "instance/", "crash/")
+# Of the routes in force.
+ROUTES_KEY = "routes"
 
 
 def entry_key(session: int) -> str:
@@ -28,6 +30,16 @@
     return f"out/{data_centre}/{address}"
 
 
+def instance_key(address: str) -> str:
+    """Returns the key of the row of what announces itself at an address."""
+    return f"instance/{address}"
+
+
+def crash_key(fingerprint: bytes) -> str:
+    """Returns the key of the row of a request that crashes targets."""
+    return f"crash/{fingerprint.hex()}"
+
+
 def quarantine_key(fingerprint: bytes) -> str:
     """Returns the key of the row of a request that breaks connections."""
     return f"quarantine/{fingerprint.hex()}"
@@ -82,6 +94,15 @@
         """Returns the rows of all sessions of entries."""
         return [record.entry for record in self.rows("entry")]
 
+    def instances(self) -> list[control_pb2.InstanceRecord]:
+        """Returns the rows of all that announced itself."""
+        return [record.instance for record in self.rows("instance")]
+
+    def routes(self) -> control_pb2.RoutesRecord:
+        """Returns the routes in force; number 0 before the first."""
+        record = self.get(ROUTES_KEY)
+        return control_pb2.RoutesRecord() if record is None else record.routes
+
     def sessions(self) -> list[int]:
         """Returns the sessions of all entries."""
         return [entry.session for entry in self.entries()]
--- a/src/cardamomkeel/wire/control_grpc.py
+++ b/src/cardamomkeel/wire/control_grpc.py
@@ -138,6 +138,10 @@
     async def ChangeMembers(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.ChangeMembersRequest, cardamomkeel.wire.control_pb2.ChangeMembersReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Announce(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.AnnounceRequest, cardamomkeel.wire.control_pb2.AnnounceReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamomkeel.wire.Control/Follow': grpclib.const.Handler(
@@ -164,6 +168,12 @@
                 cardamomkeel.wire.control_pb2.ChangeMembersRequest,
                 cardamomkeel.wire.control_pb2.ChangeMembersReply,
             ),
+            '/cardamomkeel.wire.Control/Announce': grpclib.const.Handler(
+                self.Announce,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomkeel.wire.control_pb2.AnnounceRequest,
+                cardamomkeel.wire.control_pb2.AnnounceReply,
+            ),
         }
 
 
@@ -194,3 +204,9 @@
             cardamomkeel.wire.control_pb2.ChangeMembersRequest,
             cardamomkeel.wire.control_pb2.ChangeMembersReply,
         )
+        self.Announce = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomkeel.wire.Control/Announce',
+            cardamomkeel.wire.control_pb2.AnnounceRequest,
+            cardamomkeel.wire.control_pb2.AnnounceReply,
+        )
