Ask targets how busy they are before one is chosen

Cause: work that begins on a machine slowed by others takes five times as long, in spans of 150 ms; what a target told with its last answer is older than that. Ruled out: busy targets (at most 3 of 54 slots in use), crossing data centres.

--- /dev/null
+++ b/src/cardamomkeel/gateway/asking.py
@@ -0,0 +1,90 @@
+"""Asks targets how busy they are, right before one of them is chosen.
+
+Answers load that shifts faster than requests come: what a target told with
+its last answer is too old to choose by.
+"""
+
+import asyncio
+
+from returns import result
+
+from cardamomkeel import clock
+from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.backend_servers import pool_connection
+from cardamomkeel.gateway import names as names_lib
+from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.gateway import upstream as upstream_lib
+
+# A target that has not said how busy it is after so long is not waited for.
+PATIENCE_MS = 20.0
+
+
+class Asker:
+    """Asks targets for their load over connections that requests use next."""
+
+    def __init__(
+        self,
+        upstream: upstream_lib.Upstream,
+        targets: targets_lib.Targets,
+        names: names_lib.HeaderNames,
+        metrics: metrics_lib.Metrics,
+        clk: clock.Clock,
+    ):
+        self._upstream = upstream
+        self._targets = targets
+        self._metrics = metrics
+        self._clock = clk
+        self._load = names.load.lower().encode()
+        self._told = names.instance_told.lower().encode()
+        self._cold = names.cold.lower().encode()
+
+    async def ask(self, targets: list[targets_lib.Target]) -> None:
+        """Asks several targets at once, and waits for a moment."""
+        asked = [self._begin(target) for target in targets]
+        if asked:
+            await asyncio.wait(asked, timeout=clock.seconds(PATIENCE_MS))
+
+    def _begin(self, target: targets_lib.Target) -> asyncio.Future:
+        if target.asked is None or target.asked.done():
+            target.asked = asyncio.ensure_future(self._ask(target))
+        return target.asked
+
+    async def _ask(self, target: targets_lib.Target) -> None:
+        self._metrics.count("probes", "Questions to targets for their load.")
+        conn = self._upstream.take(target.address, proven=False)
+        if conn is None:
+            opened = await self._upstream.open(
+                target.address, upstream_lib.CONNECT_MS
+            )
+            if not isinstance(opened, result.Success):
+                target.note_down(self._clock.now())
+                return
+            conn = opened.unwrap()
+            if target.was_down():
+                self._targets.suspect_cold(target, self._clock.now())
+        path = self._targets.health_path(target)
+        head = f"GET {path} HTTP/1.1\r\nHost: {target.address}\r\n\r\n"
+        conn.expect(b"")
+        answer = conn.request(head.encode(), b"", False)
+        try:
+            async with asyncio.timeout(clock.seconds(upstream_lib.CONNECT_MS)):
+                got = await answer
+        except TimeoutError:
+            conn.close()
+            target.note_mute(self._clock.now())
+            return
+        except pool_connection.ProtocolError:
+            target.note_failure(self._clock.now())
+            return
+        self._upstream.give_back(conn)
+        found = {name.lower(): value for name, value in got.headers}
+        told = found.get(self._told)
+        if told is not None and told != target.record.instance.encode():
+            # Something else listens at its address now.
+            target.note_down(self._clock.now())
+            return
+        now = self._clock.now()
+        targets_lib.take_load(target, found.get(self._load), now)
+        cold = found.get(self._cold, b"0")
+        if cold.isdigit() and int(cold):
+            self._targets.begin_cold(target, float(cold), now)
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -10,6 +10,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.gateway import asking
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import request_log
 from cardamomkeel.gateway import sending
@@ -25,6 +26,12 @@
 # A request may wait for a target for this share of its objective: one that
 # waits longer is better told at once to come back.
 WAIT_SHARE = 0.25
+# Targets that are asked together how busy they are, and how often before one
+# is chosen.
+ASKED_AT_ONCE = 3
+MOST_QUESTIONS = 4
+# How often a request that waits looks again for a target.
+LOOK_AGAIN_MS = 20.0
 # Targets that can't be reached before a request is given up.
 MOST_UNREACHABLE = 4
 # When a request that may run twice is sent to a second target: after this
@@ -85,6 +92,7 @@
         session: session_lib.Session,
         targets: targets_lib.Targets,
         sender: sending.Sender,
+        asker: asking.Asker,
         report: typing.Callable[[control_pb2.Command], typing.Awaitable],
         metrics: metrics_lib.Metrics,
         clk: clock.Clock,
@@ -94,6 +102,7 @@
         self._session = session
         self._targets = targets
         self._sender = sender
+        self._asker = asker
         self._report = report
         self._metrics = metrics
         self._clock = clk
@@ -223,7 +232,7 @@
             await asyncio.wait([first], timeout=clock.seconds(late_ms))
             if not first.done():
                 target.note_late(late_ms, self._clock.now())
-                second_target = self._find_second(case, target)
+                second_target = await self._find_second(case, target)
                 if second_target is not None:
                     case.tried.extend([target, second_target])
                     case.may_have_run = True
@@ -237,18 +246,13 @@
             for task in both:
                 task.cancel()
 
-    def _find_second(
+    async def _find_second(
         self, case: _Case, target: targets_lib.Target
     ) -> targets_lib.Target | None:
+        case.tried.append(target)
+        found = await self._choose(case, relaxed=False)
+        case.tried.remove(target)
         now = self._clock.now()
-        found = self._targets.choose(
-            case.service,
-            [target],
-            case.useful_until - now,
-            case.order.until - now,
-            False,
-            self._rng,
-        )
         if found is None or not self._get_resends(case.service).take(now):
             return None
         self._metrics.count("hedges", "Requests sent to a second target.")
@@ -281,9 +285,9 @@
 
     # Waiting for a target.
 
-    def _choose(self, case: _Case, relaxed: bool) -> targets_lib.Target | None:
+    def _rank(self, case: _Case, relaxed: bool) -> list[targets_lib.Target]:
         now = self._clock.now()
-        return self._targets.choose(
+        return self._targets.rank(
             case.service,
             case.tried + case.unreachable,
             case.useful_until - now,
@@ -292,11 +296,37 @@
             self._rng,
         )
 
+    async def _choose(
+        self, case: _Case, relaxed: bool
+    ) -> targets_lib.Target | None:
+        """Returns the best target, once it has said how busy it is."""
+        for _ in range(MOST_QUESTIONS):
+            ranked = self._rank(case, relaxed)
+            if not ranked:
+                return None
+            now = self._clock.now()
+            if not self._is_asked_first(ranked[0], now):
+                return ranked[0]
+            asked = [t for t in ranked if self._is_asked_first(t, now)]
+            await self._asker.ask(asked[:ASKED_AT_ONCE])
+        ranked = self._rank(case, relaxed)
+        return ranked[0] if ranked else None
+
+    def _is_asked_first(
+        self, target: targets_lib.Target, now: clock.Millis
+    ) -> bool:
+        """Tells whether it has to be known first how busy a target is."""
+        return (
+            target.tells_load is not False
+            and not target.is_fresh(now)
+            and not target.is_cold(now)
+        )
+
     async def _place(self, case: _Case) -> targets_lib.Target | None:
         """Returns a target, after a short wait where none is free."""
         queue = self._waiting[case.service]
         if not len(queue):
-            target = self._choose(case, relaxed=False)
+            target = await self._choose(case, relaxed=False)
             if target is not None:
                 return target
         if not self._targets.get(case.service):
@@ -305,7 +335,7 @@
         waiter = queue.enter(case.route.priority)
         if waiter is None:
             case.reason = "too many requests wait"
-            return self._choose(case, relaxed=True)
+            return await self._choose(case, relaxed=True)
         try:
             return await self._wait(case, queue, waiter)
         finally:
@@ -321,15 +351,15 @@
         )
         while now < until:
             if queue.is_first(waiter):
-                target = self._choose(case, relaxed=False)
+                target = await self._choose(case, relaxed=False)
                 if target is not None:
                     return target
-            if not await queue.wait(waiter, until - now):
+            if not await queue.wait(waiter, min(until - now, LOOK_AGAIN_MS)):
                 case.reason = "a more urgent request took its place"
                 return None
             now = self._clock.now()
         case.reason = f"no target of {case.service} is free"
-        return self._choose(case, relaxed=True)
+        return await self._choose(case, relaxed=True)
 
     # Ends.
 
--- a/src/cardamomkeel/gateway/names.py
+++ b/src/cardamomkeel/gateway/names.py
@@ -15,6 +15,8 @@
         load: How busy a target is.
         not_run: Says that a target did not run the request.
         retry_after: After how many seconds to come again.
+        instance_told: The start of a target that answers about its health.
+        cold: How many milliseconds its cold start lasts yet.
     """
 
     request_id: str = "Request-Id"
@@ -24,3 +26,5 @@
     load: str = "Server-Load"
     not_run: str = "Not-Executed"
     retry_after: str = "Retry-After"
+    instance_told: str = "Instance-Id"
+    cold: str = "Warmup-Ms"
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -10,6 +10,7 @@
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.gateway import asking
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import http_server
@@ -66,6 +67,13 @@
             self.session,
             self.targets,
             sender,
+            asking.Asker(
+                self.upstream,
+                self.targets,
+                cfg.headers,
+                self.metrics,
+                self.clk,
+            ),
             self._report,
             self.metrics,
             self.clk,
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -13,6 +13,7 @@
 from cardamomkeel.gateway import names as names_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
+from cardamomkeel.routing import messages as routing_messages
 
 # Less time than this is not worth a send.
 LEAST_MS = 2.0
@@ -138,6 +139,7 @@
         if head is None:
             self._upstream.give_back(conn)
             return Sent(Fate.NOT_SENT, "it can't be passed on safely")
+        slow = target.slow_now(now)
         conn.expect(order.request_id)
         answer = conn.request(head, order.req.body, order.req.method == "HEAD")
         try:
@@ -154,7 +156,7 @@
             conn.close()
             raise
         self._upstream.give_back(conn)
-        return self._classify(target, got, now)
+        return self._classify(target, got, now, slow)
 
     async def is_refused(self, target: targets_lib.Target) -> bool:
         """Tells whether nothing listens at a target's address any more."""
@@ -192,15 +194,15 @@
         return b"".join(lines)
 
     def _classify(
-        self, target: targets_lib.Target, got, sent_at: clock.Millis
+        self,
+        target: targets_lib.Target,
+        got: routing_messages.Answer,
+        sent_at: clock.Millis,
+        slow: float,
     ) -> Sent:
         now = self._clock.now()
         found = {name.lower(): value for name, value in got.headers}
-        load = found.get(self._load)
-        if load is not None:
-            told = targets_lib.parse_load(load)
-            if told is not None:
-                target.note_load(told, now)
+        targets_lib.take_load(target, found.get(self._load), now)
         status = got.status
         if self._not_run in found or status == MISDIRECTED:
             if status == MISDIRECTED:
@@ -221,7 +223,7 @@
         if status >= 500:
             target.note_failure(now)
         else:
-            target.note_answer(now - sent_at, now)
+            target.note_answer(now - sent_at, slow, now)
         headers = http_headers.keep_end_to_end(got.headers, self._kept_back)
         response = messages.Response(status, headers, got.body)
         return Sent(Fate.ANSWERED, f"status {status}", response)
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -1,5 +1,6 @@
 """What an entry knows of each target that it may send to."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import random
@@ -28,6 +29,12 @@
 DOWN_MOST_MS = 1600.0
 # What a target says of its load is worth something for so long.
 LOAD_KEEP_MS = 300.0
+# Load shifts within some hundred milliseconds: what was said in the last of
+# these is relied on, and a slow target counts as slow for the second.
+LOAD_FRESH_MS = 25.0
+SLOW_KEEP_MS = 100.0
+# One answer moves the mean by no more than this multiple of it.
+MOST_ONE_ANSWER = 1.5
 # How long work takes before anything is measured.
 FIRST_WORK_MS = 100.0
 
@@ -111,6 +118,10 @@
         self._down_ms = 0.0
         self._load: Load | None = None
         self._load_at = float("-inf")
+        # Whether its answers tell its load; None before the first.
+        self.tells_load: bool | None = None
+        # What it told is not asked for twice at the same time.
+        self.asked: asyncio.Future | None = None
 
     @property
     def address(self) -> str:
@@ -152,17 +163,36 @@
             return known
         left = 1 - (now - self._load_at) / LOAD_KEEP_MS
         told = (self._load.running + self._load.waiting) * left
-        return known if self.near else max(known, told)
+        return max(known, told)
+
+    def is_fresh(self, now: clock.Millis) -> bool:
+        """Tells whether it said a moment ago how busy it is."""
+        return now - self._load_at <= LOAD_FRESH_MS
+
+    def slow_now(self, now: clock.Millis) -> float:
+        """Returns what it said last of how long work takes there now."""
+        if self._load is None or now - self._load_at > SLOW_KEEP_MS:
+            return 1.0
+        return self._load.slow
 
     def work_ms(self, now: clock.Millis) -> clock.Millis:
         """Returns how long a request is expected to take there."""
-        return self._work.expect_ms() * self.slow(now)
+        return self._work.expect_ms() * self.slow(now) * self.slow_now(now)
+
+    def note_answer(
+        self, took_ms: clock.Millis, slow: float, now: clock.Millis
+    ) -> None:
+        """Counts an answer of the target's own.
 
-    def note_answer(self, took_ms: clock.Millis, now: clock.Millis) -> None:
-        """Counts an answer of the target's own."""
+        Args:
+            took_ms: How long it took.
+            slow: What it had said of how long work takes, when it was sent.
+            now: The time.
+        """
         expected = self._work.expect_ms()
+        took_ms /= max(1.0, slow)
         ratio = min(MOST_SLOW, max(0.2, took_ms / expected))
-        self._work.note(min(took_ms, expected * MOST_SLOW))
+        self._work.note(min(took_ms, expected * MOST_ONE_ANSWER))
         slow = self.slow(now)
         self._failures = self.failures(now) * (1 - FAILURE_SHARE)
         self._slow = slow + LATENCY_SHARE * (ratio - slow)
@@ -192,12 +222,27 @@
         self._down_ms = min(DOWN_MOST_MS, doubled)
         self._down_until = now + self._down_ms
 
+    def note_mute(self, now: clock.Millis) -> None:
+        """Leaves a target alone that does not say how busy it is."""
+        self.note_failure(now)
+        self.note_down(now)
+
     def note_load(self, load: Load, now: clock.Millis) -> None:
         """Takes what the target said of its load."""
+        self.tells_load = True
         self._load = load
         self._load_at = now
 
 
+def take_load(target: Target, value: bytes | None, now: clock.Millis) -> None:
+    """Takes what an answer of a target tells of its load, if it does."""
+    load = None if value is None else parse_load(value)
+    if load is not None:
+        target.note_load(load, now)
+    elif target.tells_load is None:
+        target.tells_load = False
+
+
 class Targets:
     """All targets, by address, as the view tells of them."""
 
@@ -247,15 +292,16 @@
             near = record.data_centre == self._data_centre
             work = self._work.setdefault(record.service, Work())
             known = self._by_address[address] = Target(record, near, work, now)
-            self._begin_cold(known, record.cold_ms, now)
+            self.begin_cold(known, record.cold_ms, now)
         elif known.record is not record:
             if record.cold_ms:
-                self._begin_cold(known, record.cold_ms, now)
+                self.begin_cold(known, record.cold_ms, now)
             known.record = record
 
-    def _begin_cold(
+    def begin_cold(
         self, target: Target, cold_ms: clock.Millis, now: clock.Millis
     ) -> None:
+        """Counts a target as in cold start for some time."""
         if cold_ms:
             target.cold_until = max(target.cold_until, now + cold_ms)
 
@@ -272,7 +318,12 @@
         """Counts a target that may have started anew as in cold start."""
         service = self._view.table.get_service(target.record.service)
         if service is not None:
-            self._begin_cold(target, service.cold_ms, now)
+            self.begin_cold(target, service.cold_ms, now)
+
+    def health_path(self, target: Target) -> str:
+        """Returns where a target tells its health."""
+        service = self._view.table.get_service(target.record.service)
+        return "/" if service is None else service.health_path
 
     def is_current(self, target: Target) -> bool:
         """Tells whether a target may still be sent to."""
@@ -298,7 +349,7 @@
         work = self._work.get(service)
         return FIRST_WORK_MS if work is None else work.expect_ms()
 
-    def choose(
+    def rank(
         self,
         service: str,
         without: collections.abc.Container[Target],
@@ -306,8 +357,8 @@
         left_ms: clock.Millis,
         relaxed: bool,
         rng: random.Random,
-    ) -> Target | None:
-        """Returns the target to send a request to, or None for none now."""
+    ) -> list[Target]:
+        """Returns the targets that a request may be sent to, best first."""
         now = self._clock.now()
         targets = [
             target
@@ -317,23 +368,26 @@
         usable = [t for t in targets if not t.is_down(now)]
         if relaxed and not usable:
             usable = targets
-        options = []
-        for index, target in enumerate(usable):
-            if target.is_cold(now) and not self._bears_more(target, now):
-                continue
-            others = self._gossip.running.get(target.address, 0)
-            options.append(
-                placement.Option(
-                    index,
-                    target.near,
-                    max(1, target.record.slots),
-                    target.estimate_running(others, now),
-                    target.work_ms(now),
-                    target.failures(now),
-                )
-            )
-        chosen = placement.choose(options, objective_ms, left_ms, relaxed, rng)
-        return None if chosen is None else usable[chosen.index]
+        options = [
+            self._make_option(index, target, now)
+            for index, target in enumerate(usable)
+            if not target.is_cold(now) or self._bears_more(target, now)
+        ]
+        ranked = placement.rank(options, objective_ms, left_ms, relaxed, rng)
+        return [usable[option.index] for option in ranked]
+
+    def _make_option(
+        self, index: int, target: Target, now: clock.Millis
+    ) -> placement.Option:
+        others = self._gossip.running.get(target.address, 0)
+        return placement.Option(
+            index,
+            target.near,
+            max(1, target.record.slots),
+            target.estimate_running(others, now),
+            target.work_ms(now),
+            target.failures(now),
+        )
 
     def _bears_more(self, target: Target, now: clock.Millis) -> bool:
         """Tells whether a target in cold start may get one more request."""
@@ -381,6 +435,7 @@
                 "others": self._gossip.running.get(address, 0),
                 "slow": round(target.slow(now), 2),
                 "failures": round(target.failures(now), 2),
+                "slow_now": target.slow_now(now),
                 "cold": target.is_cold(now),
                 "down": target.is_down(now),
             }
--- a/src/cardamomkeel/gateway/upstream_connection.py
+++ b/src/cardamomkeel/gateway/upstream_connection.py
@@ -39,7 +39,11 @@
         super().__init__(address, clk, on_closed, buffers.unlimited())
 
     def expect(self, request_id: bytes) -> None:
-        """Names the request whose answer is to be taken next."""
+        """Names the request whose answer is to be taken next.
+
+        Args:
+            request_id: Its id; empty for one that has none.
+        """
         self._wanted = request_id
 
     def _begin(self, is_head: bool) -> None:
@@ -100,6 +104,9 @@
         for name, value in self._headers:
             if name.lower() == self._id_header:
                 return value == self._wanted
+        if not self._wanted:
+            # A question about its health has no id.
+            return True
         # What refuses a request before it has read its id can't name it.
         return self._status >= 300
 
--- a/src/cardamomkeel/policy/placement.py
+++ b/src/cardamomkeel/policy/placement.py
@@ -19,13 +19,15 @@
 NEARLY_FULL_FACTOR = 1.5
 # What crossing to another data centre counts as, in objectives.
 FAR_COST = 0.35
+# What a target with all slots taken counts as, in objectives.
+SHARED_COST = 0.1
 # Equal costs differ by chance up to this share, so that entries spread.
 JITTER_SHARE = 0.05
 # Requests that may wait at a target where the caller would be refused else.
 WAITING_AT_TARGET = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Option:
     """What is known of one target that may be sent to.
 
@@ -57,24 +59,27 @@
     return expected
 
 
-def choose(
-    options: collections.abc.Sequence[Option],
+def rank(
+    options: collections.abc.Iterable[Option],
     objective_ms: clock.Millis,
     left_ms: clock.Millis,
     relaxed: bool,
     rng: random.Random,
-) -> Option | None:
-    """Returns the target to send to, or None where it is better to wait.
+) -> list[Option]:
+    """Returns the targets that may be sent to, the best first.
 
     Args:
-        options: The targets that may be sent to.
+        options: The targets that are known.
         objective_ms: What is left of the time in which an answer is of use.
         left_ms: What is left before the caller gives up.
         relaxed: Whether a late answer is better than none.
         rng: Decides between equals.
+
+    Returns:
+        None of them where it is better to wait.
     """
-    best, best_cost = None, float("inf")
     useful_ms = max(objective_ms, 1.0)
+    ranked = []
     for option in options:
         room = option.slots + (WAITING_AT_TARGET if relaxed else 0)
         if option.running >= room:
@@ -84,10 +89,9 @@
             continue
         cost = expected / useful_ms / max(0.05, 1 - option.failures) ** 2
         # An idle slot of another target is better than a shared one.
-        cost += 0.1 * option.running / option.slots
+        cost += SHARED_COST * option.running / option.slots
         if not option.near:
             cost += FAR_COST
         cost *= 1 + rng.random() * JITTER_SHARE
-        if cost < best_cost:
-            best, best_cost = option, cost
-    return best
+        ranked.append((cost, option.index, option))
+    return [option for _, _, option in sorted(ranked)]
