End cold starts by the log's clock, and find a leader sooner

Cause: after a loss of power every entry read all rows anew and took each target that had ever started for one in cold start, so that few were sent to for 3 s; and control took 0.75 s to find a leader, while entries refuse everybody. Ruled out: slow targets (their work took as long as before), the entries' own start (0.5 s).

--- a/src/cardamomkeel/control/follow.py
+++ b/src/cardamomkeel/control/follow.py
@@ -41,6 +41,7 @@
             timings.lease_ms,
             clk,
             node.list_addresses,
+            node.estimate_log_ms,
         )
 
     async def run(self) -> None:
--- a/src/cardamomkeel/control/hub.py
+++ b/src/cardamomkeel/control/hub.py
@@ -63,7 +63,9 @@
         lease_ms: clock.Millis,
         clk: clock.Clock,
         members: typing.Callable[[], list[str]] = list,
+        log_ms: typing.Callable[[], int] = int,
     ):
+        self._log_ms = log_ms
         self._members = members
         self._rows = rows
         self._lessor = lessor
@@ -82,7 +84,7 @@
 
     async def serve(self, wire: grpc_server.Stream) -> None:
         """Serves one stream until it ends or has been silent for a lease."""
-        stream = streams.Stream(wire, self._rows, self._clock)
+        stream = streams.Stream(wire, self._rows, self._clock, self._log_ms)
         self._streams.append(stream)
         self._pace()
         try:
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -101,6 +101,7 @@
         )
         self.history = history_lib.History(clk)
         self.applied = 0
+        self._applied_at = clk.now()
         self._load_snapshot()
 
     # State.
@@ -118,6 +119,13 @@
         )
         return "" if member is None else member.address
 
+    def estimate_log_ms(self) -> int:
+        """Returns the log's clock, as far as this member can tell."""
+        if self.replica.is_ready:
+            return self._log_ms()
+        since = self._clock.now() - self._applied_at
+        return self.tables.log_ms + int(since)
+
     def list_addresses(self) -> list[str]:
         """Returns the addresses of all members of the group."""
         return [member.address for member in self.replica.members.members]
@@ -149,6 +157,7 @@
             done = machine.apply(self.tables, entry.command, entry.index)
             self.history.follow(entry.command, done, self.tables, entry.index)
         self.applied = entry.index
+        self._applied_at = self._clock.now()
         term, pending = self._waiting.pop(entry.index, (0, None))
         if pending is not None:
             pending.result = done if term == entry.term else None
--- a/src/cardamomkeel/control/streams.py
+++ b/src/cardamomkeel/control/streams.py
@@ -42,8 +42,13 @@
     """
 
     def __init__(
-        self, wire: Wire, rows: typing.Callable[[], Rows], clk: clock.Clock
+        self,
+        wire: Wire,
+        rows: typing.Callable[[], Rows],
+        clk: clock.Clock,
+        log_ms: typing.Callable[[], int] = int,
     ):
+        self._log_ms = log_ms
         self._wire = wire
         self._rows = rows
         self._clock = clk
@@ -109,6 +114,7 @@
             self._pushed_at = now
             reply.whole, records = rows.changed_since(self._sent)
             reply.records.extend(records)
+            reply.log_ms = self._log_ms()
         reply.version = self._sent = rows.version
         return reply
 
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -42,6 +42,9 @@
 # those who were refused together do not return together.
 COME_BACK_LEAST = 0.4
 COME_BACK_MOST = 1.6
+# When to come back to an entry that has just started: the control group may
+# have to find a leader first.
+START_BACK_MS = 500.0
 # A request that crashed so many targets is refused.
 CRASHES_ALLOWED = 2
 # How long a target that crashed may take to refuse connections.
@@ -124,7 +127,9 @@
         """Returns the answer to a caller's request."""
         view = self._session.view
         if view.table.document is None:
-            return self._refuse(503, "no routes are known yet")
+            return self._refuse(
+                503, "no routes are known yet", back_ms=START_BACK_MS
+            )
         host = req.get(b"host").decode("latin-1")
         route = view.table.match(host, req.path)
         if route is None:
@@ -373,16 +378,17 @@
         return self._refuse(504 if late else 502, case.reason, case)
 
     def _refuse(
-        self, status: int, reason: str, case: _Case | None = None
+        self,
+        status: int,
+        reason: str,
+        case: _Case | None = None,
+        back_ms: clock.Millis = 0.0,
     ) -> messages.Response:
         headers = []
         if status == 503:
-            expected = targets_lib.FIRST_WORK_MS
             if case is not None:
-                expected = self._targets.expect_ms(case.service)
-            back_ms = expected * self._rng.uniform(
-                COME_BACK_LEAST, COME_BACK_MOST
-            )
+                back_ms = self._targets.expect_ms(case.service)
+            back_ms *= self._rng.uniform(COME_BACK_LEAST, COME_BACK_MOST)
             name = self._names.retry_after.encode()
             headers.append((name, b"%.3f" % clock.seconds(back_ms)))
         if case is None:
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -292,17 +292,23 @@
             near = record.data_centre == self._data_centre
             work = self._work.setdefault(record.service, Work())
             known = self._by_address[address] = Target(record, near, work, now)
-            self.begin_cold(known, record.cold_ms, now)
+            self.begin_cold(known, self._cold_left(record), now)
         elif known.record is not record:
-            if record.cold_ms:
-                self.begin_cold(known, record.cold_ms, now)
+            self.begin_cold(known, self._cold_left(record), now)
             known.record = record
 
+    def _cold_left(self, record: control_pb2.InstanceRecord) -> clock.Millis:
+        """Returns how long a cold start lasts from when rows were sent."""
+        if not record.cold_ms:
+            return 0.0
+        left_ms = record.cold_until_log_ms - self._view.log_ms
+        return float(min(record.cold_ms, left_ms))
+
     def begin_cold(
         self, target: Target, cold_ms: clock.Millis, now: clock.Millis
     ) -> None:
         """Counts a target as in cold start for some time."""
-        if cold_ms:
+        if cold_ms > 0:
             target.cold_until = max(target.cold_until, now + cold_ms)
 
     def _follow_outs(self, view: view_lib.View, now: clock.Millis) -> None:
--- a/src/cardamomkeel/platform/timings.py
+++ b/src/cardamomkeel/platform/timings.py
@@ -11,9 +11,11 @@
 # is answered, fit into what a change may take.
 POLLS_PER_CHANGE = 4
 POLL_TIMEOUT_MS = 450
-HEARTBEAT_MS = 200
-ELECTION_LEAST_MS = 500
-ELECTION_MOST_MS = 900
+# Entries without routes serve nobody after a loss of power, so a leader has to
+# be there soon.
+HEARTBEAT_MS = 100
+ELECTION_LEAST_MS = 300
+ELECTION_MOST_MS = 600
 LEASE_MS = 2000
 # Of the time that a stop may take, for what has to happen after the last
 # answer.
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -33,6 +33,7 @@
         table: The routes in force.
         instances: What announced itself, by address.
         crashes: How many targets a request has crashed, by fingerprint.
+        log_ms: The log's clock when the newest rows were sent.
     """
 
     version: int = 0
@@ -60,6 +61,7 @@
     instances: dict[str, control_pb2.InstanceRecord] = dataclasses.field(
         default_factory=dict
     )
+    log_ms: int = 0
     crashes: dict[bytes, int] = dataclasses.field(default_factory=dict)
     _by_service: dict[str, list[control_pb2.TargetRecord]] = dataclasses.field(
         default_factory=dict
@@ -78,6 +80,8 @@
             self.quarantines.clear()
             self.instances.clear()
             self.crashes.clear()
+        if reply.records:
+            self.log_ms = reply.log_ms
         for record in reply.records:
             self._take_record(record)
         self.version = reply.version
