--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -17,6 +17,7 @@
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import waiting as waiting_lib
+from cardamomkeel.policy import placement
 from cardamomkeel.policy import resends as resends_lib
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routes import table as table_lib
@@ -26,9 +27,8 @@
 # A request may wait for a target for this share of its objective: one that
 # waits longer is better told at once to come back.
 WAIT_SHARE = 0.25
-# Targets that are asked together how busy they are, and how often before one
-# is chosen.
-ASKED_AT_ONCE = 3
+# How often targets are asked how busy they are before one is chosen: each
+# time one more than the time before.
 MOST_QUESTIONS = 4
 # How often a request that waits looks again for a target.
 LOOK_AGAIN_MS = 20.0
@@ -255,7 +255,7 @@
         self, case: _Case, target: targets_lib.Target
     ) -> targets_lib.Target | None:
         case.tried.append(target)
-        found = await self._choose(case, relaxed=False)
+        found = await self._choose(case)
         case.tried.remove(target)
         now = self._clock.now()
         if found is None or not self._get_resends(case.service).take(now):
@@ -290,7 +290,9 @@
 
     # Waiting for a target.
 
-    def _rank(self, case: _Case, relaxed: bool) -> list[targets_lib.Target]:
+    def _rank(
+        self, case: _Case, relaxed: bool, far: bool
+    ) -> list[targets_lib.Target]:
         now = self._clock.now()
         return self._targets.rank(
             case.service,
@@ -298,23 +300,24 @@
             case.useful_until - now,
             case.order.until - now,
             relaxed,
+            far,
             self._rng,
         )
 
     async def _choose(
-        self, case: _Case, relaxed: bool
+        self, case: _Case, relaxed: bool = False, far: bool = True
     ) -> targets_lib.Target | None:
         """Returns the best target, once it has said how busy it is."""
-        for _ in range(MOST_QUESTIONS):
-            ranked = self._rank(case, relaxed)
+        for asked_before in range(MOST_QUESTIONS):
+            ranked = self._rank(case, relaxed, far)
             if not ranked:
                 return None
             now = self._clock.now()
             if not self._is_asked_first(ranked[0], now):
                 return ranked[0]
             asked = [t for t in ranked if self._is_asked_first(t, now)]
-            await self._asker.ask(asked[:ASKED_AT_ONCE])
-        ranked = self._rank(case, relaxed)
+            await self._asker.ask(asked[: 1 + asked_before])
+        ranked = self._rank(case, relaxed, far)
         return ranked[0] if ranked else None
 
     def _is_asked_first(
@@ -330,8 +333,9 @@
     async def _place(self, case: _Case) -> targets_lib.Target | None:
         """Returns a target, after a short wait where none is free."""
         queue = self._waiting[case.service]
+        near = self._targets.has_near(case.service)
         if not len(queue):
-            target = await self._choose(case, relaxed=False)
+            target = await self._choose(case, far=not near)
             if target is not None:
                 return target
         if not self._targets.get(case.service):
@@ -340,7 +344,9 @@
         waiter = queue.enter(case.route.priority)
         if waiter is None:
             case.reason = "too many requests wait"
-            return await self._choose(case, relaxed=True)
+            return await self._choose(case) or await self._choose(
+                case, relaxed=True
+            )
         try:
             return await self._wait(case, queue, waiter)
         finally:
@@ -350,13 +356,18 @@
     async def _wait(
         self, case: _Case, queue: waiting_lib.Waiting, waiter
     ) -> targets_lib.Target | None:
+        """Waits for a target near this entry, then for any."""
         now = self._clock.now()
         until = min(
             now + case.route.objective_ms * WAIT_SHARE, case.order.until
         )
+        near_until = now + placement.may_wait_near_ms(
+            case.useful_until - now, self._targets.expect_ms(case.service)
+        )
         while now < until:
             if queue.is_first(waiter):
-                target = await self._choose(case, relaxed=False)
+                far = now >= near_until - LOOK_AGAIN_MS
+                target = await self._choose(case, far=far)
                 if target is not None:
                     return target
             if not await queue.wait(waiter, min(until - now, LOOK_AGAIN_MS)):
@@ -364,7 +375,9 @@
                 return None
             now = self._clock.now()
         case.reason = f"no target of {case.service} is free"
-        return await self._choose(case, relaxed=True)
+        return await self._choose(case) or await self._choose(
+            case, relaxed=True
+        )
 
     # Ends.
 
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -342,6 +342,14 @@
         """Returns the targets of a service."""
         return self._by_service.get(service, [])
 
+    def has_near(self, service: str) -> bool:
+        """Tells whether a target in this data centre may be sent to."""
+        now = self._clock.now()
+        return any(
+            target.near and self.is_current(target) and not target.is_down(now)
+            for target in self.get(service)
+        )
+
     def list_running(self) -> dict[str, int]:
         """Returns how many requests of this entry run, by address."""
         return {
@@ -362,6 +370,7 @@
         objective_ms: clock.Millis,
         left_ms: clock.Millis,
         relaxed: bool,
+        far: bool,
         rng: random.Random,
     ) -> list[Target]:
         """Returns the targets that a request may be sent to, best first."""
@@ -379,7 +388,9 @@
             for index, target in enumerate(usable)
             if not target.is_cold(now) or self._bears_more(target, now)
         ]
-        ranked = placement.rank(options, objective_ms, left_ms, relaxed, rng)
+        ranked = placement.rank(
+            options, objective_ms, left_ms, relaxed, far, rng
+        )
         return [usable[option.index] for option in ranked]
 
     def _make_option(
--- a/src/cardamomkeel/policy/placement.py
+++ b/src/cardamomkeel/policy/placement.py
@@ -23,6 +23,8 @@
 SHARED_COST = 0.1
 # Equal costs differ by chance up to this share, so that entries spread.
 JITTER_SHARE = 0.05
+# Work takes up to this multiple of the expected time as a rule.
+SPREAD_FACTOR = 1.6
 # Requests that may wait at a target where the caller would be refused else.
 WAITING_AT_TARGET = 1
 
@@ -64,6 +66,7 @@
     objective_ms: clock.Millis,
     left_ms: clock.Millis,
     relaxed: bool,
+    far: bool,
     rng: random.Random,
 ) -> list[Option]:
     """Returns the targets that may be sent to, the best first.
@@ -73,6 +76,7 @@
         objective_ms: What is left of the time in which an answer is of use.
         left_ms: What is left before the caller gives up.
         relaxed: Whether a late answer is better than none.
+        far: Whether targets of other data centres may be chosen.
         rng: Decides between equals.
 
     Returns:
@@ -82,7 +86,7 @@
     ranked = []
     for option in options:
         room = option.slots + (WAITING_AT_TARGET if relaxed else 0)
-        if option.running >= room:
+        if option.running >= room or not (far or option.near):
             continue
         expected = expect_ms(option)
         if expected > (left_ms if relaxed else useful_ms):
@@ -95,3 +99,18 @@
         cost *= 1 + rng.random() * JITTER_SHARE
         ranked.append((cost, option.index, option))
     return [option for _, _, option in sorted(ranked)]
+
+
+def may_wait_near_ms(
+    objective_ms: clock.Millis, work_ms: clock.Millis
+) -> clock.Millis:
+    """Returns how long to wait for a target near this entry.
+
+    An answer of a target that becomes free after so long is still in time,
+    and a request that crosses to another data centre costs its bytes.
+
+    Args:
+        objective_ms: What is left of the time in which an answer is of use.
+        work_ms: How long a request is expected to take.
+    """
+    return objective_ms - work_ms * SPREAD_FACTOR
