Have entries follow the control VM of their own data centre

Cause: rows and polls of 17 entries crossed data centres two times in three, and carried the configuration twice, as routes and as it was sent.

--- a/src/cardamomkeel/control/follow.py
+++ b/src/cardamomkeel/control/follow.py
@@ -42,6 +42,7 @@
             clk,
             node.list_addresses,
             node.estimate_log_ms,
+            cfg.data_centre,
         )
 
     async def run(self) -> None:
--- a/src/cardamomkeel/control/group_calls.py
+++ b/src/cardamomkeel/control/group_calls.py
@@ -12,6 +12,7 @@
 from cardamomkeel.control import channels as channels_lib
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.control import registrar as registrar_lib
+from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
@@ -102,18 +103,18 @@
         req = control_pb2.AnnounceRequest(instances=[told])
         return await self._repeat(here, "Announce", req) is not None
 
-    async def read_routes(self) -> control_pb2.RoutesRecord | None:
+    async def read_routes(self) -> control_pb2.RoutesSource | None:
         """Returns the newest routes; None where that is not certain."""
 
-        async def here() -> control_pb2.RoutesRecord | None:
+        async def here() -> control_pb2.RoutesSource | None:
             if not await self._node.confirm(self._clock.now()):
                 return None
-            return self._node.tables.routes()
+            return self._node.tables.routes_source()
 
-        req = control_pb2.ReadRequest(key="routes")
+        req = control_pb2.ReadRequest(key=tables_lib.ROUTES_SOURCE_KEY)
         done = await self._repeat(here, "Read", req)
-        if done is None or isinstance(done, control_pb2.RoutesRecord):
+        if done is None or isinstance(done, control_pb2.RoutesSource):
             return done
         for record in done.records:
-            return record.routes
-        return control_pb2.RoutesRecord()
+            return record.routes_source
+        return control_pb2.RoutesSource()
--- a/src/cardamomkeel/control/hub.py
+++ b/src/cardamomkeel/control/hub.py
@@ -64,7 +64,9 @@
         clk: clock.Clock,
         members: typing.Callable[[], list[str]] = list,
         log_ms: typing.Callable[[], int] = int,
+        data_centre: str = "",
     ):
+        self._data_centre = data_centre
         self._log_ms = log_ms
         self._members = members
         self._rows = rows
@@ -138,6 +140,7 @@
             answer = _answer(req, grant, stream.pause_ms)
             if not req.without_rows:
                 answer.control_addresses.extend(self._members())
+                answer.data_centre = self._data_centre
             stream.answer(answer)
         return True
 
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -22,6 +22,8 @@
 # Between polls of different control VMs, and once all have been asked twice.
 RETRY_PAUSE_MS = 50.0
 LONG_RETRY_PAUSE_MS = 250.0
+# A control VM that did not answer is not preferred for so long.
+AVOID_MS = 3000.0
 
 logger = loguru.logger
 
@@ -65,6 +67,9 @@
         # Entries spread over the control VMs.
         self._turn = secrets.randbelow(len(self._addresses))
         self._failures = 0
+        # Where each control VM said that it is, and when one last failed.
+        self._places: dict[str, str] = {}
+        self._failed_at: dict[str, clock.Millis] = {}
         self._is_early = False
         self._early = signal.Signal()
         self._answered = signal.Signal()
@@ -120,7 +125,7 @@
 
     async def _poll(self) -> None:
         confirmed = self.view.version
-        address = self._addresses[self._turn]
+        address = self._pick_address()
         asked = self._clock.now()
         # Asked for early from now on is not yet part of this poll.
         self._is_early = False
@@ -135,6 +140,7 @@
             self._end()
             return
         self._failures = 0
+        self._places[address] = reply.data_centre
         self.lease_until = asked + reply.lease_ms * (1 - DRIFT_SHARE)
         self._confirm(poll, reply)
         if self.view.version == confirmed and self._link.is_open:
@@ -143,6 +149,20 @@
         if left > 0 and not self._is_early:
             await self._early.wait(clock.seconds(left))
 
+    def _pick_address(self) -> str:
+        """Returns a control VM of the own data centre where one is known."""
+        since = self._clock.now() - AVOID_MS
+        good = [
+            address
+            for address in self._addresses
+            if self._failed_at.get(address, float("-inf")) < since
+        ]
+        for place in (self._cfg.data_centre, None):
+            for address in good:
+                if self._places.get(address) == place:
+                    return address
+        return self._addresses[self._turn]
+
     async def _wait_for_news(self, most_ms: clock.Millis) -> None:
         if not self._is_early:
             await self._link.news.wait(clock.seconds(most_ms))
@@ -182,6 +202,7 @@
         if not self._failures:
             logger.warning("no lease", control=address)
         self._failures += 1
+        self._failed_at[address] = self._clock.now()
         count = len(self._addresses)
         self._turn = (self._turn + 1) % count
         asked_all = self._failures >= 2 * count
--- a/src/cardamomkeel/state/commands/routes.py
+++ b/src/cardamomkeel/state/commands/routes.py
@@ -41,7 +41,13 @@
             number=cmd.number,
             document=cmd.document,
             fingerprint=cmd.fingerprint,
-            source=cmd.source,
+        ),
+    )
+    tables.put(
+        tables_lib.ROUTES_SOURCE_KEY,
+        index,
+        routes_source=control_pb2.RoutesSource(
+            number=cmd.number, source=cmd.source
         ),
     )
     accepted = control_pb2.CommandResult(
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -13,6 +13,8 @@
 URGENT_ROWS = ("quarantine/", "out/", "routes", "instance/", "crash/")
 # Of the routes in force.
 ROUTES_KEY = "routes"
+# The same as operators sent them, for operators who read them back.
+ROUTES_SOURCE_KEY = "routes-source"
 
 
 def entry_key(session: int) -> str:
@@ -103,6 +105,13 @@
         record = self.get(ROUTES_KEY)
         return control_pb2.RoutesRecord() if record is None else record.routes
 
+    def routes_source(self) -> control_pb2.RoutesSource:
+        """Returns the routes as they were sent; number 0 for none yet."""
+        record = self.get(ROUTES_SOURCE_KEY)
+        if record is None:
+            return control_pb2.RoutesSource()
+        return record.routes_source
+
     def sessions(self) -> list[int]:
         """Returns the sessions of all entries."""
         return [entry.session for entry in self.entries()]
@@ -187,13 +196,18 @@
         necessary where deleted rows are no longer listed.
         """
         if version == 0 or version < self.floor:
-            live = [r for r in self._rows.values() if not r.deleted]
+            live = [
+                record
+                for key, record in self._rows.items()
+                if not record.deleted and key != ROUTES_SOURCE_KEY
+            ]
             return True, live
         changed = []
         for record in reversed(self._rows.values()):
             if record.version <= version:
                 break
-            changed.append(record)
+            if record.key != ROUTES_SOURCE_KEY:
+                changed.append(record)
         changed.reverse()
         return False, changed
 
