Count a request at its target when it is placed, and test the gateway

Cause: a lookup was counted once its task ran, so that requests placed in the same turn of the loop took the same free slot; six lookups at two targets of three slots ran 4 and 2. Ruled out: what targets tell of their load (it was right when they were asked).

--- /dev/null
+++ b/bench/platform_targets.py
@@ -0,0 +1,249 @@
+"""Stand-ins for the platform's backend servers, each on a loopback address.
+
+They speak from the published pages: they seal their answers, repeat the id of
+a request, refuse requests that are meant for another start, and tell their
+load. A behaviour set by a test has them fail in one of the published ways.
+"""
+
+import asyncio
+import dataclasses
+import threading
+import time
+
+import httptools
+
+BODY = b"the whole answer of a target"
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request that reached a target."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    at: float
+    ran: bool = False
+    ended: bool = False
+    left: bool = False
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, target):
+        self.target = target
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport = None
+        self.tasks = set()
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.target.connections.add(self)
+        self.target.opened += 1
+
+    def connection_lost(self, exc):
+        self.target.connections.discard(self)
+        for task in self.tasks:
+            task.cancel()
+
+    def data_received(self, data):
+        if not self.target.is_silent:
+            self.parser.feed_data(data)
+
+    def on_message_begin(self):
+        self.url, self.headers, self.body = b"", {}, b""
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_header(self, name, value):
+        self.headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, body):
+        self.body += body
+
+    def on_message_complete(self):
+        arrival = Arrival(
+            self.headers.get("request-id", ""),
+            self.parser.get_method().decode(),
+            self.url.decode(),
+            self.headers,
+            self.body,
+            time.monotonic(),
+        )
+        job = self.target.serve(self, arrival)
+        task = asyncio.get_running_loop().create_task(job)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def write(self, status, headers, body, request_id=None):
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        if request_id is not None:
+            lines.append(f"Request-Id: {request_id}")
+        lines.extend(f"{name}: {value}" for name, value in headers.items())
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        self.transport.write(head.encode() + body)
+
+
+class Target:
+    """One backend server.
+
+    Attributes:
+        address: Host and port.
+        instance: The id of its start.
+        work_s: How long a request takes.
+        slow: What it tells of how long work takes, in percent.
+        behaviours: What it does with the next requests, in their order;
+            without one, or with "ok", it answers as it should.
+        always: What it does with every request that has no behaviour of its
+            own.
+        arrivals: The requests that reached it, health checks aside.
+    """
+
+    def __init__(self, farm, host, instance, slots=3):
+        self.farm = farm
+        self.host = host
+        self.instance = instance
+        self.slots = slots
+        self.work_s = 0.02
+        self.slow = 100
+        self.warmup_ms = 0
+        self.is_silent = False
+        self.behaviours = []
+        self.always = "ok"
+        self.arrivals = []
+        self.asked = 0
+        self.opened = 0
+        self.running = 0
+        self.connections = set()
+        self.server = None
+        self.address = ""
+
+    async def start(self, port=0):
+        """Listens."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: _Connection(self), self.host, port
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{self.host}:{port}"
+
+    async def stop(self):
+        """Ends all connections and listens no more."""
+        self.server.close()
+        for conn in list(self.connections):
+            conn.transport.abort()
+
+    def load(self):
+        """Returns the header that tells its load."""
+        return {"Server-Load": f"{self.running},0,{self.slots},{self.slow}"}
+
+    async def serve(self, conn, arrival):
+        """Answers one request."""
+        if arrival.path == "/health":
+            self.asked += 1
+            told = {"Instance-Id": self.instance, **self.load()}
+            if self.warmup_ms:
+                told["Warmup-Ms"] = str(self.warmup_ms)
+            conn.write(200, told, b"")
+            return
+        self.arrivals.append(arrival)
+        wanted = arrival.headers.get("expect-instance", self.instance)
+        if wanted != self.instance:
+            conn.write(421, {"Not-Executed": "1"}, b"", arrival.request_id)
+            return
+        behaviour = self.behaviours.pop(0) if self.behaviours else self.always
+        arrival.ran = behaviour != "full"
+        self.running += 1
+        try:
+            await self._behave(conn, arrival, behaviour)
+            arrival.ended = True
+        except asyncio.CancelledError:
+            arrival.left = True
+            raise
+        finally:
+            self.running -= 1
+
+    async def _behave(self, conn, arrival, behaviour):
+        seal = {"Response-Seal": f"seal-{arrival.request_id}", **self.load()}
+        request_id = arrival.request_id
+        if behaviour == "full":
+            conn.write(503, {"Not-Executed": "1"}, b"", request_id)
+            return
+        if behaviour == "hang":
+            await asyncio.sleep(30)
+        await asyncio.sleep(self.work_s)
+        if behaviour == "reset":
+            conn.transport.abort()
+        elif behaviour == "error":
+            conn.write(500, seal, b"failed", request_id)
+        elif behaviour == "unpromised 503":
+            conn.write(503, seal, b"failed", request_id)
+        elif behaviour == "unsealed":
+            conn.write(200, {}, BODY, request_id)
+        elif behaviour == "encoded":
+            seal["Content-Encoding"] = "gzip"
+            conn.write(200, seal, BODY, request_id)
+        elif behaviour == "cut":
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(BODY)}\r\n"
+            conn.transport.write(f"{head}\r\n".encode() + BODY[:5])
+            conn.transport.close()
+        elif behaviour == "unframed":
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+            head += f"Response-Seal: {seal['Response-Seal']}\r\n\r\n"
+            conn.transport.write(head.encode() + BODY)
+            conn.transport.close()
+        elif behaviour == "stray first":
+            conn.write(200, seal, b"of another", "another-request")
+            conn.write(200, seal, BODY, request_id)
+        elif behaviour == "twice":
+            conn.write(200, seal, BODY, request_id)
+            conn.write(200, seal, BODY, request_id)
+        elif behaviour == "crash":
+            await self.stop()
+        else:
+            conn.write(200, seal, BODY, request_id)
+
+
+class Farm:
+    """Runs targets on a loop of their own, in a thread."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.targets = []
+        self._thread = threading.Thread(
+            target=self.loop.run_forever, daemon=True
+        )
+        self._thread.start()
+
+    def do(self, job):
+        """Runs a coroutine on the loop, and returns what it returns."""
+        return asyncio.run_coroutine_threadsafe(job, self.loop).result(30)
+
+    def add(self, host, instance, slots=3):
+        """Starts a target."""
+        target = Target(self, host, instance, slots)
+        self.do(target.start())
+        self.targets.append(target)
+        return target
+
+    def close(self):
+        """Ends all targets."""
+
+        async def stop_all():
+            for target in self.targets:
+                await target.stop()
+            waits = [
+                task
+                for task in asyncio.all_tasks()
+                if task is not asyncio.current_task()
+            ]
+            for task in waits:
+                task.cancel()
+            await asyncio.gather(*waits, return_exceptions=True)
+
+        self.do(stop_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+        self.loop.close()
--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,163 @@
+Feature: An entry that sends to every target itself
+
+  Background:
+    Given an entry with routes for lookups and bookings
+
+  Scenario: A request gets the whole answer of a target
+    Given 2 targets
+    When a lookup is sent
+    Then it got the whole answer with its seal
+    And the target had its id, its start and at most its time
+
+  Scenario Outline: A lookup whose first target fails is answered by another
+    Given 2 targets
+    And the next request at any target ends with "<behaviour>"
+    When a lookup is sent
+    Then it got the whole answer with its seal
+    And targets ran it at most 2 times
+
+    Examples:
+      | behaviour      |
+      | reset          |
+      | error          |
+      | unsealed       |
+      | encoded        |
+      | cut            |
+      | full           |
+      | unpromised 503 |
+
+  Scenario Outline: A booking is not sent again once it may have run
+    Given 2 targets
+    And the next request at any target ends with "<behaviour>"
+    When a booking is sent
+    Then its status is <status>
+    And targets ran it at most 1 time
+
+    Examples:
+      | behaviour      | status |
+      | reset          | 502    |
+      | unsealed       | 502    |
+      | cut            | 502    |
+      | error          | 500    |
+      | unpromised 503 | 502    |
+
+  Scenario: A booking that a target did not run is sent to another
+    Given 2 targets
+    And the next request at any target ends with "full"
+    When a booking is sent
+    Then it got the whole answer with its seal
+
+  Scenario: A booking that no target ran is refused with a true promise
+    Given 2 targets
+    And every request at any target ends with "full"
+    When a booking is sent
+    Then its status is 503
+    And it was told when to come back
+    And targets ran it at most 0 times
+
+  Scenario Outline: Bytes that belong to no request reach nobody
+    Given 1 target
+    And the next request at any target ends with "<behaviour>"
+    When a lookup is sent
+    Then it got the whole answer with its seal
+    When a lookup is sent
+    Then it got the whole answer with its seal
+
+    Examples:
+      | behaviour   |
+      | stray first |
+      | twice       |
+      | unframed    |
+
+  Scenario: Answers leave in the order of their requests
+    Given 2 targets
+    And one connection
+    When 5 lookups are sent on it one behind the other
+    Then 5 whole answers came in their order
+
+  Scenario: A caller that leaves has its request stopped
+    Given 1 target
+    And every request at any target ends with "hang"
+    And one connection
+    When a lookup is sent on it and its caller leaves
+    Then the target saw it leave within 500 ms
+
+  Scenario: A request is answered when its time is over
+    Given 1 target
+    And a timeout of 300 ms
+    And every request at any target ends with "hang"
+    When a booking is sent
+    Then its status is 504
+    And its answer took 300 to 800 ms
+
+  Scenario: A route that is not there is answered 404, an entry without routes 503
+    When a lookup is sent to "/none/1"
+    Then its status is 404
+    Given an entry without routes
+    When a lookup is sent
+    Then its status is 503
+    And it was told when to come back
+
+  Scenario: A service without targets is refused at once
+    When a lookup is sent
+    Then its status is 503
+    And its answer took 0 to 200 ms
+
+  Scenario: A target that drains, is taken out or is gone gets nothing
+    Given 2 targets
+    When the first target drains
+    And 10 lookups are sent
+    Then the first target got none of them
+    When the data centre is taken out
+    And a lookup is sent
+    Then its status is 503
+
+  Scenario: What listens at a target's address now is not taken for it
+    Given 2 targets
+    When another start takes the place of the first target
+    And 10 lookups are sent
+    Then all of them were answered whole
+    And the first target ran none of them
+
+  Scenario: A slow machine is passed over while it is slow
+    Given 2 targets
+    And the first target tells that work takes 5 times as long
+    When 10 lookups are sent
+    Then the first target got none of them
+
+  Scenario: A far target is used where no near one is left
+    Given 1 target
+    And 1 target in "vannes"
+    When 10 lookups are sent
+    Then the second target got none of them
+    When the first target drains
+    And 10 lookups are sent
+    Then all of them were answered whole
+
+  Scenario: Targets get no more at a time than they have slots
+    Given 2 targets
+    And work of 100 ms
+    When 6 lookups are sent side by side
+    Then no target ran more than 3 at a time
+
+  Scenario: A target in cold start gets few requests a second
+    Given 1 target in cold start that bears 4 a second
+    And 1 target in "vannes"
+    When 40 lookups are sent
+    Then all of them were answered whole
+    And the first target got at most 6 in any second
+
+  Scenario: A request that crashes its targets is refused
+    Given 2 targets
+    When the control group tells that a lookup crashed 2 targets
+    And that lookup is sent
+    Then its status is 503
+    And targets ran it at most 0 times
+
+  Scenario: A stop ends connections after their answers and cuts none
+    Given 1 target
+    And work of 500 ms
+    And one connection
+    When a lookup is sent on it and the entry is stopped
+    Then it got the whole answer with its seal
+    And the connection ends with it
--- /dev/null
+++ b/features/steps/gateway.py
@@ -0,0 +1,298 @@
+"""Steps of an entry that sends to every target itself."""
+
+import asyncio
+import collections
+import hashlib
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import gateway as gateway_lib
+from bench import platform_targets
+from cardamomkeel.wire import control_pb2
+
+
+def all_arrivals(context):
+    return [a for t in context.rig.farm.targets for a in t.arrivals]
+
+
+@given("an entry with routes for lookups and bookings")
+def start(context):
+    start_without_routes(context)
+    context.rig.set_routes(gateway_lib.ROUTES, 1)
+
+
+@given("{count:d} targets")
+@given("{count:d} target")
+def add_targets(context, count):
+    for _ in range(count):
+        context.rig.add_target()
+
+
+@given('{count:d} target in "{data_centre}"')
+def add_far_target(context, count, data_centre):
+    for _ in range(count):
+        context.rig.add_target(data_centre)
+
+
+@given("1 target in cold start that bears {rate:d} a second")
+def add_cold_target(context, rate):
+    services = {"dossier": {"cold_ms": 3000, "cold_per_s": rate}}
+    context.rig.set_routes(gateway_lib.ROUTES, 2, services)
+    context.rig.add_target(cold_ms=10_000, cold_until_log_ms=11_000)
+
+
+@given('the next request at any target ends with "{behaviour}"')
+def set_next(context, behaviour):
+    pending = [behaviour]
+    for target in context.rig.farm.targets:
+        target.behaviours = pending
+
+
+@given('every request at any target ends with "{behaviour}"')
+def set_always(context, behaviour):
+    for target in context.rig.farm.targets:
+        target.always = behaviour
+
+
+@given("work of {work_ms:d} ms")
+def set_work(context, work_ms):
+    for target in context.rig.farm.targets:
+        target.work_s = work_ms / 1000
+
+
+@given("a timeout of {timeout_ms:d} ms")
+def set_timeout(context, timeout_ms):
+    routes = [
+        route | {"timeout_ms": timeout_ms} for route in gateway_lib.ROUTES
+    ]
+    context.rig.set_routes(routes, 2)
+
+
+@given("the first target tells that work takes {times:d} times as long")
+def set_slow(context, times):
+    context.rig.farm.targets[0].slow = 100 * times
+
+
+@given("one connection")
+def open_connection(context):
+    context.conn = context.rig.connect()
+    context.add_cleanup(context.conn.close)
+
+
+@given("an entry without routes")
+def start_without_routes(context):
+    context.rig = gateway_lib.Rig()
+    context.add_cleanup(context.rig.close)
+
+
+@when("a lookup is sent")
+@when("that lookup is sent")
+def look_up(context):
+    context.answers = [context.rig.call()]
+
+
+@when('a lookup is sent to "{path}"')
+def look_up_at(context, path):
+    context.answers = [context.rig.call(path=path)]
+
+
+@when("a booking is sent")
+def book(context):
+    context.answers = [context.rig.call("POST", "/book/1", b"an urn")]
+
+
+@when("{count:d} lookups are sent")
+def look_up_often(context, count):
+    context.first = len(all_arrivals(context))
+    for target in context.rig.farm.targets:
+        target.arrivals.clear()
+    context.answers = [context.rig.call() for _ in range(count)]
+
+
+@when("{count:d} lookups are sent side by side")
+def look_up_together(context, count):
+    context.peaks = collections.Counter()
+    stop = time.monotonic() + 0.6
+    futs = context.rig._pool.submit(context.rig.call_many, count)  # noqa: SLF001
+    while time.monotonic() < stop:
+        for target in context.rig.farm.targets:
+            peak = max(context.peaks[target.instance], target.running)
+            context.peaks[target.instance] = peak
+        time.sleep(0.002)
+    context.answers = futs.result(10)
+
+
+@when("{count:d} lookups are sent on it one behind the other")
+def pipeline(context, count):
+    paths = [f"/look/{number}" for number in range(count)]
+    context.ids = [context.conn.send(path=path) for path in paths]
+
+
+@when("a lookup is sent on it and its caller leaves")
+def leave(context):
+    context.conn.send()
+    target = context.rig.farm.targets[0]
+    until = time.monotonic() + 5
+    while not target.arrivals and time.monotonic() < until:
+        time.sleep(0.005)
+    context.conn.close()
+    context.left_at = time.monotonic()
+
+
+@when("the first target drains")
+def drain(context):
+    target = context.rig.farm.targets[0]
+    context.rig.announce(target, state="draining")
+
+
+@when("the data centre is taken out")
+def take_out(context):
+    context.rig.take(
+        [
+            control_pb2.Record(
+                key=f"out/{gateway_lib.HERE}/",
+                out=control_pb2.OutRecord(data_centre=gateway_lib.HERE),
+            )
+        ]
+    )
+
+
+@when("another start takes the place of the first target")
+def replace(context):
+    context.rig.farm.targets[0].instance = "i-other"
+
+
+@when("the control group tells that a lookup crashed {count:d} targets")
+def tell_crash(context, count):
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (b"GET", b"desk.example", b"/look/1", b""):
+        digest.update(len(part).to_bytes(8, "little"))
+        digest.update(part)
+    names = [f"target-{number}" for number in range(count)]
+    context.rig.take(
+        [
+            control_pb2.Record(
+                key=f"crash/{digest.hexdigest()}",
+                crash=control_pb2.CrashRecord(targets=names),
+            )
+        ]
+    )
+
+
+@when("a lookup is sent on it and the entry is stopped")
+def stop_entry(context):
+    context.conn.send()
+    target = context.rig.farm.targets[0]
+    until = time.monotonic() + 5
+    while not target.arrivals and time.monotonic() < until:
+        time.sleep(0.005)
+    stopping = asyncio.run_coroutine_threadsafe(
+        context.rig.program.stop(), context.rig.loop
+    )
+    context.answers = [context.conn.receive()]
+    assert stopping.result(10), "a request was cut"
+
+
+@then("it got the whole answer with its seal")
+def check_whole(context):
+    (got,) = context.answers
+    assert got.status == 200, got
+    assert got.body == platform_targets.BODY, got
+    request_id = got.headers["request-id"]
+    assert got.headers["response-seal"] == f"seal-{request_id}", got
+
+
+@then("the target had its id, its start and at most its time")
+def check_forwarded(context):
+    (arrival,) = all_arrivals(context)
+    (got,) = context.answers
+    assert arrival.request_id == got.headers["request-id"]
+    assert arrival.headers["expect-instance"].startswith("i-")
+    assert 0 < int(arrival.headers["deadline-ms"]) <= 2000
+    assert arrival.headers["host"] == "desk.example"
+
+
+@then("targets ran it at most {count:d} times")
+@then("targets ran it at most {count:d} time")
+def check_runs(context, count):
+    ran = [arrival for arrival in all_arrivals(context) if arrival.ran]
+    assert len(ran) <= count, ran
+
+
+@then("its status is {status:d}")
+def check_status(context, status):
+    (got,) = context.answers
+    assert got.status == status, got
+
+
+@then("it was told when to come back")
+def check_come_back(context):
+    (got,) = context.answers
+    assert 0 < float(got.headers["retry-after"]) < 2, got
+
+
+@then("its answer took {least_ms:d} to {most_ms:d} ms")
+def check_time(context, least_ms, most_ms):
+    (got,) = context.answers
+    assert least_ms <= got.took_s * 1000 <= most_ms, got
+
+
+@then("{count:d} whole answers came in their order")
+def check_order(context, count):
+    got = [context.conn.receive() for _ in range(count)]
+    assert [a.headers["request-id"] for a in got] == context.ids, got
+    assert all(a.body == platform_targets.BODY for a in got), got
+
+
+@then("the target saw it leave within {most_ms:d} ms")
+def check_left(context, most_ms):
+    (arrival,) = context.rig.farm.targets[0].arrivals
+    while not arrival.left:
+        waited_ms = (time.monotonic() - context.left_at) * 1000
+        assert waited_ms < most_ms, "the target still works"
+        time.sleep(0.005)
+
+
+@then("the first target got none of them")
+def check_none(context):
+    assert not context.rig.farm.targets[0].arrivals
+
+
+@then("the second target got none of them")
+def check_second_none(context):
+    assert not context.rig.farm.targets[1].arrivals
+
+
+@then("the first target ran none of them")
+def check_ran_none(context):
+    assert not any(a.ran for a in context.rig.farm.targets[0].arrivals)
+
+
+@then("all of them were answered whole")
+def check_all_whole(context):
+    statuses = collections.Counter(a.status for a in context.answers)
+    assert set(statuses) == {200}, statuses
+
+
+@then("no target ran more than {most:d} at a time")
+def check_slots(context, most):
+    assert max(context.peaks.values()) <= most, context.peaks
+    assert {answer.status for answer in context.answers} == {200}
+
+
+@then("the first target got at most {most:d} in any second")
+def check_rate(context, most):
+    times = [a.at for a in context.rig.farm.targets[0].arrivals]
+    for start in times:
+        count = sum(start <= at < start + 1 for at in times)
+        assert count <= most, count
+
+
+@then("the connection ends with it")
+def check_ended(context):
+    (got,) = context.answers
+    assert got.headers["connection"] == "close", got
+    assert context.conn.is_ended()
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -230,7 +230,7 @@
     ) -> sending.Sent:
         """Sends to a second target too where the first is late."""
         order = case.order
-        first = asyncio.ensure_future(self._sender.send(order, target, False))
+        first = self._sender.start(order, target, False)
         both = [first]
         try:
             late_ms = self._hedge_ms(case)
@@ -241,11 +241,7 @@
                 if second_target is not None:
                     case.tried.extend([target, second_target])
                     case.may_have_run = True
-                    both.append(
-                        asyncio.ensure_future(
-                            self._sender.send(order, second_target, True)
-                        )
-                    )
+                    both.append(self._sender.start(order, second_target, True))
             return await self._first_answer(both)
         finally:
             for task in both:
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -112,6 +112,18 @@
         finally:
             self._targets.end(target)
 
+    def start(
+        self, order: Order, target: targets_lib.Target, again: bool
+    ) -> asyncio.Task[Sent]:
+        """Starts to send a request that is counted at its target at once.
+
+        Requests that are placed before the loop runs the task see it.
+        """
+        self._targets.begin(target)
+        task = asyncio.ensure_future(self._send(order, target, again))
+        task.add_done_callback(lambda _: self._targets.end(target))
+        return task
+
     async def _send(
         self, order: Order, target: targets_lib.Target, again: bool
     ) -> Sent:
