Run the platform's programs in tests, and close used connections only

The programs had no test without the bench. bench/platform.py starts them as processes on loopback addresses with stand-in targets and an operator.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -189,7 +189,7 @@
         async def stop():
             self.scope.cancel()
             await asyncio.gather(self.task, return_exceptions=True)
-            self.program.server.stop_listening()
+            await self.program.server.stop_listening()
             for conn in list(self.program.server.connections):
                 conn.abort()
             self.program.upstream.close()
--- /dev/null
+++ b/bench/platform.py
@@ -0,0 +1,254 @@
+"""Runs the platform's programs as processes, as the platform would.
+
+Each VM is a loopback address of its own; ports are the same on all of them.
+"""
+
+import itertools
+import json
+import os
+import pathlib
+import secrets
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpx
+
+from bench import platform_targets
+
+ZONES = ("brest", "vannes", "rennes")
+START_WITHIN_S = 60.0
+_nets = itertools.count(os.getpid() % 200)
+
+SERVICES = ["dossier", "keepsake"]
+
+
+def make_config(number, base=0, **changes):
+    """Returns a configuration as the platform's operator writes it."""
+    routes = [
+        ["look", "desk.example", "/look/", "safe", 2000, 600, 1, None, 2]
+        + ["dossier"],
+        ["book", "desk.example", "/book/", "unsafe", 2000, 600, 0, None, 2]
+        + ["keepsake"],
+    ]
+    columns = ["name", "hostname", "path-prefix", "type", "timeout-ms"]
+    columns += ["aim-ms", "priority", "traffic-split", "attempts", "service"]
+    service = ["/health", 260, "h1", False, 3.0, 4.0]
+    return {
+        "version": f"{number:08x}",
+        "base-version": f"{base:08x}",
+        "routes": {"columns": columns, "rows": routes},
+        "services": {
+            "columns": ["name", "health-path", "max-conns", "protocol"]
+            + ["tls", "warmup-s", "warmup-per-s"],
+            "rows": [[name, *service] for name in SERVICES],
+        },
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout-ms": 1000,
+            "idle-timeout-ms": 15000,
+        },
+    } | changes
+
+
+class Vm:
+    """One VM with its program."""
+
+    def __init__(self, fleet, name, role, zone, ip):
+        self.fleet = fleet
+        self.name = name
+        self.role = role
+        self.zone = zone
+        self.ip = ip
+        self.bootstrap = True
+        self.folder = fleet.folder / name
+        self.folder.mkdir()
+        self.process = None
+
+    def start(self):
+        """Writes the settings file and starts the program."""
+        fleet = self.fleet
+        listen = {"control": f"{self.ip}:{fleet.port}"}
+        if self.role == "front":
+            listen = {
+                "front": f"{self.ip}:{fleet.port}",
+                "ready": f"{self.ip}:{fleet.port + 1}",
+                "directory": f"{self.ip}:{fleet.port + 2}",
+            }
+        path = self.folder / "node.json"
+        data = self.folder / "data"
+        path.write_text(
+            json.dumps(
+                {
+                    "self": {
+                        "node-name": self.name,
+                        "role": self.role,
+                        "ip": self.ip,
+                        "zone": self.zone,
+                        "bootstrap": self.bootstrap,
+                        "data-dir": None if self.role == "front" else str(data),
+                    },
+                    "network": {
+                        "listen": listen,
+                        "port-range": [fleet.port + 3, fleet.port + 8],
+                        "seeds": [f"{ip}:{fleet.port}" for ip in fleet.seeds],
+                        "zones": dict.fromkeys(ZONES, "breizh"),
+                    },
+                    "new-table": {"new-field": 1},
+                }
+            ),
+            encoding="utf-8",
+        )
+        log = open(self.folder / "log", "ab")  # noqa: SIM115
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "cardamomkeel.platform", self.role],
+            env={**os.environ, "CARDAMOMKEEL_NODE_FILE": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.bootstrap = False
+
+    def kill(self, number=signal.SIGKILL):
+        """Ends the program, and waits until it is gone."""
+        self.process.send_signal(number)
+        return self.process.wait(20)
+
+    def lose_disk(self):
+        """Empties the disk."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+    def log(self):
+        """Returns what the program has written."""
+        return (self.folder / "log").read_text(encoding="utf-8")
+
+    def url(self, path, offset=0):
+        """Returns where the VM serves something."""
+        return f"http://{self.ip}:{self.fleet.port + offset}{path}"
+
+
+class Fleet:
+    """A small deployment on the platform.
+
+    Attributes:
+        cores: The control VMs.
+        fronts: The entry VMs.
+    """
+
+    def __init__(self, fronts=2):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
+        self.net = f"127.{10 + next(_nets) % 200}.{secrets.randbelow(250)}"
+        self.port = 20000 + secrets.randbelow(8000)
+        self.seeds = [f"{self.net}.{n}" for n in (11, 12, 13)]
+        self.cores = [
+            Vm(self, f"core-{zone}", "core", zone, ip)
+            for zone, ip in zip(ZONES, self.seeds, strict=True)
+        ]
+        self.fronts = [
+            Vm(self, f"front-{n}", "front", ZONES[0], f"{self.net}.{20 + n}")
+            for n in range(fronts)
+        ]
+        self.farm = platform_targets.Farm()
+        self.client = httpx.Client(timeout=2.0)
+
+    def start(self):
+        """Starts all programs."""
+        for vm in self.cores + self.fronts:
+            vm.start()
+
+    def close(self):
+        """Ends all."""
+        for vm in self.cores + self.fronts:
+            if vm.process is not None and vm.process.poll() is None:
+                vm.process.kill()
+                vm.process.wait()
+        self.farm.close()
+        self.client.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # The operator.
+
+    def order(self, method, path, body=None, raw=None, within_s=20.0):
+        """Has an order answered clearly by any control VM."""
+        until = time.monotonic() + within_s
+        for vm in itertools.cycle(self.cores):
+            if time.monotonic() > until:
+                raise TimeoutError(f"{method} {path} got no clear answer")
+            got = self.ask(vm, method, path, body, raw)
+            if got is not None and got.status_code < 500:
+                return got
+            time.sleep(0.05)
+        return None
+
+    def ask(self, vm, method, path, body=None, raw=None):
+        """Asks one control VM; None where it does not answer."""
+        content = raw if raw is not None else None
+        if body is not None:
+            content = json.dumps(body).encode()
+        try:
+            return self.client.request(method, vm.url(path), content=content)
+        except httpx.HTTPError:
+            return None
+
+    # Backend servers.
+
+    def add_target(self, service, zone=ZONES[0]):
+        """Starts a target and has it announce itself."""
+        number = len(self.farm.targets) + 1
+        target = self.farm.add(f"{self.net}.{100 + number}", f"i-{number}")
+        target.service, target.zone, target.seq = service, zone, 0
+        target.born = int(time.time() * 1000)
+        self.announce(target)
+        return target
+
+    def announce(self, target, state="ready", **changes):
+        """Sends a heartbeat of a target."""
+        target.seq += 1
+        beat = {
+            "service": target.service,
+            "address": target.address,
+            "zone": target.zone,
+            "version": "v1",
+            "slots": target.slots,
+            "state": state,
+            "warmup-left-ms": 0,
+            "seq": target.seq,
+            "born": target.born,
+        } | changes
+        path = f"/-/instances/{target.instance}"
+        return self.order("PUT", path, beat)
+
+    # Callers.
+
+    def call(self, path="/look/1", method="GET", body=b"", front=0):
+        """Sends a request to an entry."""
+        vm = self.fronts[front]
+        headers = {
+            "host": "desk.example",
+            "request-id": secrets.token_hex(8),
+            "deadline-ms": "4000",
+        }
+        return self.client.request(
+            method, vm.url(path), headers=headers, content=body
+        )
+
+    def wait_for(self, check, within_s=START_WITHIN_S):
+        """Waits until something holds."""
+        until = time.monotonic() + within_s
+        while True:
+            try:
+                if check():
+                    return
+            except httpx.HTTPError:
+                pass
+            if time.monotonic() > until:
+                raise TimeoutError("it does not hold yet")
+            time.sleep(0.05)
+
+    def is_ready(self, vm):
+        """Tells whether an entry says that it is ready."""
+        return self.client.get(vm.url("/-/ready", 1)).status_code == 200
--- a/features/environment.py
+++ b/features/environment.py
@@ -10,6 +10,7 @@
 
 from bench import caller
 from bench import deployment as deployment_lib
+from bench import platform as platform_lib
 from bench import relay
 
 AR_GWENN_SKOUARN = deployment_lib.AR_GWENN_SKOUARN
@@ -109,6 +110,14 @@
     yield from _run(context, CART_COMMONS)
 
 
+@behave.fixture
+def platform(context):
+    context.fleet = platform_lib.Fleet()
+    context.fleet.start()
+    yield context.fleet
+    context.fleet.close()
+
+
 @behave.fixture
 def folder(context):
     context.folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
@@ -126,6 +135,7 @@
     "fixture.ar_gwenn_skouarn": ar_gwenn_skouarn,
     "fixture.cart_commons": cart_commons,
     "fixture.folder": folder,
+    "fixture.platform": platform,
 }
 
 
--- /dev/null
+++ b/features/steps/platform.py
@@ -0,0 +1,317 @@
+"""Steps of the programs on the platform."""
+
+import concurrent.futures
+import copy
+import json
+import signal
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import httpx
+
+from bench import platform as platform_lib
+from bench import platform_targets
+
+
+@when("the operator sends configuration {number:d} on {base:d}")
+def send_config(context, number, base):
+    config = platform_lib.make_config(number, base)
+    context.answer = context.fleet.order("PUT", "/-/config", config)
+
+
+@then("it is acknowledged with {status:d}")
+def check_ack(context, status):
+    assert context.answer.status_code == status, context.answer.text
+
+
+@given("a target of dossier and one of keepsake")
+def add_targets(context):
+    context.targets = [
+        context.fleet.add_target(service) for service in platform_lib.SERVICES
+    ]
+
+
+@given("a second target of dossier")
+def add_second(context):
+    context.second = context.fleet.add_target("dossier")
+
+
+@then("every entry is ready")
+def check_ready(context):
+    fleet = context.fleet
+    for vm in fleet.fronts:
+        fleet.wait_for(lambda vm=vm: fleet.is_ready(vm))
+
+
+@then("a lookup and a booking are answered by their services")
+def check_served(context):
+    fleet = context.fleet
+    for vm in range(len(fleet.fronts)):
+        fleet.wait_for(
+            lambda vm=vm: (
+                fleet.call(front=vm).status_code == 200
+                and fleet.call("/book/1", "POST", b"x", vm).status_code == 200
+            )
+        )
+    # A target in cold start may have to refuse one that comes too early.
+    fleet.wait_for(lambda: fleet.call().content == platform_targets.BODY, 5)
+    dossier, keepsake = context.targets
+    assert {a.path for a in dossier.arrivals} == {"/look/1"}
+    assert {a.path for a in keepsake.arrivals} == {"/book/1"}
+
+
+def resolve(fleet, vm):
+    params = {"name": "desk.example", "region": "breizh", "zone": "brest"}
+    got = fleet.client.get(vm.url("/-/resolve", 2), params=params)
+    assert got.status_code == 200, got
+    return set(got.json()["addresses"])
+
+
+@then("the directory names every entry to callers")
+def check_directory(context):
+    fleet = context.fleet
+    wanted = {f"{vm.ip}:{fleet.port}" for vm in fleet.fronts}
+    for vm in fleet.fronts:
+        fleet.wait_for(lambda vm=vm: resolve(fleet, vm) == wanted)
+
+
+@then("the directory names only the other entry")
+def check_directory_without(context):
+    fleet = context.fleet
+    other = fleet.fronts[1]
+    wanted = {f"{other.ip}:{fleet.port}"}
+    fleet.wait_for(lambda: resolve(fleet, other) == wanted, 10)
+
+
+def read_back(fleet, vm):
+    got = fleet.ask(vm, "GET", "/-/config")
+    if got is None or got.status_code != 200:
+        return None
+    return int(got.json()["version"], 16)
+
+
+@then("every control VM reads back configuration {number:d}")
+def check_read_back(context, number):
+    fleet = context.fleet
+    for vm in fleet.cores:
+        fleet.wait_for(lambda vm=vm: read_back(fleet, vm) == number, 20)
+
+
+@then("it reads back configuration {number:d}")
+def check_read_first(context, number):
+    fleet = context.fleet
+    fleet.wait_for(lambda: read_back(fleet, fleet.cores[0]) == number, 20)
+
+
+def list_invalid():
+    """Returns configurations that the platform's pages call invalid."""
+    valid = platform_lib.make_config(9, 1)
+    columns = valid["routes"]["columns"]
+
+    def change(column, value):
+        config = copy.deepcopy(valid)
+        config["routes"]["rows"][0][columns.index(column)] = value
+        return config
+
+    same_place = copy.deepcopy(valid)
+    same_place["routes"]["rows"].append(same_place["routes"]["rows"][0])
+    split = [{"service": "dossier", "weight": -1}]
+    below_zero = change("traffic-split", split)
+    no_service = change("service", None)
+    short_row = copy.deepcopy(valid)
+    short_row["routes"]["rows"][0].pop()
+    return [
+        json.dumps(config).encode()
+        for config in (
+            change("service", "none"),
+            same_place,
+            below_zero,
+            no_service,
+            short_row,
+            change("timeout-ms", 600_001),
+            change("aim-ms", 62_000),
+            change("attempts", 0),
+            change("type", "other"),
+            change("timeout-ms", "2000"),
+            platform_lib.make_config(1, 1),
+            {k: v for k, v in valid.items() if k != "services"},
+        )
+    ] + [json.dumps(valid).encode()[:-20], b"", b"[]", b"\xff"]
+
+
+@then("each configuration that is not valid is answered 400")
+def check_invalid(context):
+    for raw in list_invalid():
+        got = context.fleet.order("PUT", "/-/config", raw=raw)
+        assert got.status_code == 400, (got, raw)
+
+
+@then("each heartbeat that names none is answered 400")
+def check_heartbeats(context):
+    target = context.targets[0]
+    changes = [
+        {"service": "none"},
+        {"service": 3},
+        {"state": "other"},
+        {"slots": "3"},
+        {"slots": None},
+        {"address": None},
+        {"address": "nowhere"},
+        {"zone": "none"},
+        {"born": 1.5},
+        {"born": True},
+        {"seq": -1},
+        {"warmup-left-ms": "3"},
+    ]
+    for change in changes:
+        got = context.fleet.announce(target, **change)
+        assert got.status_code == 400, (got, change)
+    for raw in (b"", b"{", b"[]", b"\xff\xfe"):
+        got = context.fleet.order("PUT", "/-/instances/i-1", raw=raw)
+        assert got.status_code == 400, (got, raw)
+
+
+@when("the second target says farewell and a late heartbeat follows")
+def farewell(context):
+    fleet, target = context.fleet, context.second
+    got = fleet.order("DELETE", f"/-/instances/{target.instance}")
+    assert got.status_code == 200, got
+    context.told_at = time.monotonic()
+    assert fleet.announce(target).status_code == 200
+
+
+@then("the second target gets nothing after {bound_ms:d} ms")
+def check_nothing_after(context, bound_ms):
+    until = context.told_at + bound_ms / 1000 + 1
+    while time.monotonic() < until:
+        for vm in range(len(context.fleet.fronts)):
+            assert context.fleet.call(front=vm).status_code == 200
+    late = context.told_at + bound_ms / 1000
+    assert not [a for a in context.second.arrivals if a.at > late]
+
+
+@when("the data centre is evacuated")
+def evacuate(context):
+    got = context.fleet.order("POST", "/-/evacuations/brest")
+    assert got.status_code == 200, got
+
+
+@when("the data centre is taken back")
+def take_back(context):
+    for _ in range(2):
+        got = context.fleet.order("DELETE", "/-/evacuations/brest")
+        assert got.status_code == 200, got
+
+
+@then("lookups are refused within {bound_ms:d} ms")
+def check_refused(context, bound_ms):
+    fleet = context.fleet
+    fleet.wait_for(lambda: fleet.call().status_code == 503, bound_ms / 1000)
+
+
+@when("the first control VM is killed and loses its disk")
+def kill_and_wipe(context):
+    vm = context.fleet.cores[0]
+    vm.kill()
+    vm.lose_disk()
+
+
+@when("the first control VM is started again")
+def start_again(context):
+    context.fleet.cores[0].start()
+
+
+@when("another control VM is killed")
+def kill_other(context):
+    fleet = context.fleet
+    # The repaired VM has a vote again before the next one may be lost.
+    fleet.wait_for(
+        lambda: any(
+            "makes a learner a voter" in vm.log() for vm in fleet.cores
+        ),
+        20,
+    )
+    fleet.cores[1].kill()
+
+
+@when("all programs are killed and started again")
+def restart_all(context):
+    fleet = context.fleet
+    vms = fleet.cores + fleet.fronts
+    for vm in vms:
+        if vm.process.poll() is None:
+            vm.kill()
+    for vm in vms:
+        vm.start()
+
+
+@when("the first control VM is replaced by an empty one elsewhere")
+def replace_core(context):
+    fleet = context.fleet
+    fleet.cores[0].kill()
+    new = platform_lib.Vm(fleet, "core-new", "core", "brest", f"{fleet.net}.14")
+    new.bootstrap = False
+    fleet.cores[0] = new
+    new.start()
+
+
+@then("the new one reads back configuration {number:d}")
+def check_new(context, number):
+    check_read_first(context, number)
+
+
+@then("the group has 3 members within {within_s:d} s")
+def check_members(context, within_s):
+    fleet = context.fleet
+    fleet.wait_for(
+        lambda: (
+            any("removed a silent member" in vm.log() for vm in fleet.cores)
+            and any("makes a learner a voter" in vm.log() for vm in fleet.cores)
+        ),
+        within_s,
+    )
+
+
+@when("an entry is stopped while lookups are sent to it")
+def stop_entry(context):
+    fleet = context.fleet
+    vm = fleet.fronts[0]
+    fleet.wait_for(lambda: fleet.call().status_code == 200)
+    context.results = []
+    stopping = time.monotonic() + 0.3
+
+    def look_up(number):
+        with httpx.Client(timeout=5.0) as client:
+            while vm.process.poll() is None:
+                headers = {"host": "desk.example"}
+                headers["request-id"] = f"{number}-{time.monotonic_ns()}"
+                try:
+                    got = client.get(vm.url("/look/1"), headers=headers)
+                except httpx.ConnectError:
+                    return
+                except httpx.HTTPError as exc:
+                    context.results.append(repr(exc))
+                else:
+                    context.results.append(got.status_code)
+
+    with concurrent.futures.ThreadPoolExecutor(3) as pool:
+        futs = [pool.submit(look_up, number) for number in range(3)]
+        time.sleep(max(0.0, stopping - time.monotonic()))
+        vm.process.send_signal(signal.SIGTERM)
+        vm.process.wait(20)
+        for fut in futs:
+            fut.result(20)
+
+
+@then("no lookup was cut")
+def check_not_cut(context):
+    assert len(context.results) > 10, context.results
+    assert set(context.results) == {200}, context.results
+
+
+@when("the entries get SIGHUP")
+def hang_up(context):
+    for vm in context.fleet.fronts:
+        vm.process.send_signal(signal.SIGHUP)
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -28,6 +28,9 @@
 # A body counts as stalled after so long without a byte.
 BODY_STALL_MS = 10_000.0
 CLOSE_STEP_MS = 20.0
+# A stopping process closes a connection that was not used for so long: a
+# request may be on its way on one that has just been opened.
+QUIET_MS = 300.0
 
 _REPEATABLE = frozenset(["GET", "HEAD"])
 _NO_BODY = frozenset([204, 304])
@@ -72,6 +75,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._paused = False
         self._ending = False
+        self._used_at = self._clock.now()
         self._reset_request()
         self._receiving = False
 
@@ -82,6 +86,7 @@
         self._transport = transport
         self._server.connections.add(self)
         self._server.opened += 1
+        self._used_at = self._clock.now()
         self._arm(self._limits.idle_ms, self._end_idle)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -231,6 +236,7 @@
             self._transport.resume_reading()
         self._start_due()
         if not self._turns and not self._receiving:
+            self._used_at = self._clock.now()
             self._arm(self._limits.idle_ms, self._end_idle)
 
     def _write(
@@ -308,8 +314,10 @@
             self._transport.close()
 
     def end_if_unused(self) -> None:
-        """Closes the connection where nothing is under way on it."""
-        if not self._turns and not self._receiving:
+        """Closes the connection where nothing has been under way lately."""
+        quiet_ms = self._clock.now() - self._used_at
+        unused = not self._turns and not self._receiving
+        if unused and quiet_ms >= QUIET_MS and not self._ending:
             self._ending = True
             self._transport.close()
 
@@ -360,17 +368,20 @@
         """Has each answer end its connection from now on."""
         self.stopping = True
 
-    def stop_listening(self) -> None:
-        """Takes no new connection, and closes those that are not in use."""
+    async def stop_listening(self) -> None:
+        """Takes no new connection."""
         if self._server is not None:
+            # What waits to be accepted would be reset.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
             self._server.close()
             self._server = None
-        for conn in list(self.connections):
-            conn.end_if_unused()
 
     async def finish(self, until: clock.Millis) -> bool:
         """Waits for the requests under way; False where some were cut."""
         while self.connections and self.clk.now() < until:
+            for conn in list(self.connections):
+                conn.end_if_unused()
             await asyncio.sleep(clock.seconds(CLOSE_STEP_MS))
         whole = not self.in_flight
         for conn in list(self.connections):
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -135,7 +135,7 @@
         listen_until = began + self.cfg.listen_on_ms
         left_ms = max(0.0, listen_until - self.clk.now())
         await asyncio.sleep(clock.seconds(left_ms))
-        self.server.stop_listening()
+        await self.server.stop_listening()
         whole = await self.server.finish(until)
         with anyio.move_on_after(clock.seconds(max(0, until - self.clk.now()))):
             await self._leave(finished=True)
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -80,7 +80,7 @@
             self._server.handler = _Unavailable()
             if not self._stop.is_set():
                 await anyio.sleep(clock.seconds(DISK_PAUSE_MS))
-        self._server.stop_listening()
+        await self._server.stop_listening()
         tasks.cancel_scope.cancel()
 
     async def _live(self) -> None:
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -66,5 +66,5 @@
         await stop.wait()
         await program.stop()
         for server in servers:
-            server.stop_listening()
+            await server.stop_listening()
         tasks.cancel_scope.cancel()
