--- a/features/run.py
+++ b/features/run.py
@@ -3,15 +3,23 @@
 Scenarios that KNOWN-RED.txt lists may fail; all others may not.
 """
 
+import concurrent.futures
+import dataclasses
 import json
+import os
 import pathlib
 import subprocess
 import sys
 import tempfile
+import time
 
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_FIELD = "test:"
+# Features that run side by side; each starts processes of its own.
+JOBS = int(os.environ.get("TEST_JOBS", "3"))
+# Those that take longest.
+LONG = frozenset(["ownership", "both_deployments", "lost_owner", "slots"])
 
 
 def read_known_red() -> set[str]:
@@ -25,18 +33,41 @@
     }
 
 
-def run_behave(args: list[str]) -> tuple[int, list[tuple[str, str]]]:
-    """Runs behave; returns its exit status and each scenario's status."""
+@dataclasses.dataclass
+class Run:
+    """How the scenarios of one run of behave ended.
+
+    Attributes:
+        feature: What was run.
+        status: Its exit status.
+        output: What it printed.
+        scenarios: Name and status of each scenario.
+        took_s: How long it took.
+    """
+
+    feature: str
+    status: int
+    output: str
+    scenarios: list[tuple[str, str]]
+    took_s: float
+
+
+def run_behave(feature: str, more: list[str]) -> Run:
+    """Runs one feature in a process of its own."""
+    began = time.monotonic()
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         done = subprocess.run(
             [
                 *[sys.executable, "-m", "behave", "--no-capture"],
                 *["--format", "json", "--outfile", report.name],
                 *["--format", "plain"],
-                *["--no-skipped", "--logging-level", "WARNING", *args],
+                *["--no-skipped", "--logging-level", "WARNING"],
+                *[feature, *more],
             ],
             cwd=ROOT,
             check=False,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
         )
         raw = report.read()
     features = json.loads(raw) if raw.strip() else []
@@ -46,13 +77,48 @@
         for element in feature.get("elements", [])
         if element["type"] != "background"
     ]
-    return done.returncode, scenarios
+    output = done.stdout.decode("utf-8", "replace")
+    took_s = time.monotonic() - began
+    return Run(feature, done.returncode, output, scenarios, took_s)
+
+
+def run_all(args: list[str]) -> list[Run]:
+    """Runs features side by side, and prints each once it has ended."""
+    features = [arg for arg in args if arg.endswith(".feature")]
+    more = [arg for arg in args if arg not in features]
+    if not features:
+        found = sorted((ROOT / "features").glob("*.feature"))
+        features = [str(path.relative_to(ROOT)) for path in found]
+    # Those that take long begin first, so that none is left for the end.
+    features.sort(key=lambda name: pathlib.Path(name).stem not in LONG)
+    runs = []
+    with concurrent.futures.ThreadPoolExecutor(JOBS) as pool:
+        futs = [pool.submit(run_behave, name, more) for name in features]
+        for fut in concurrent.futures.as_completed(futs):
+            run = fut.result()
+            runs.append(run)
+            print(run.output, flush=True)
+            print(f"{run.feature} took {run.took_s:.0f} s", flush=True)
+    return runs
+
+
+def count_broken(runs: list[Run]) -> int:
+    """Counts runs that failed though none of their scenarios did."""
+    broken = 0
+    for run in runs:
+        # A hook that failed leaves no failed scenario behind.
+        good = ("passed", "skipped", "untested")
+        if run.status != 0 and all(got in good for _, got in run.scenarios):
+            print(f"behave failed outside of scenarios: {run.feature}")
+            broken += 1
+    return broken
 
 
 def main() -> int:
     """Returns 0 where all passed that had to."""
     known_red = read_known_red()
-    status, scenarios = run_behave(sys.argv[1:])
+    runs = run_all(sys.argv[1:])
+    scenarios = [one for run in runs for one in run.scenarios]
     passed = [name for name, got in scenarios if got == "passed"]
     failed = [
         name
@@ -65,10 +131,7 @@
         print(f"known red: {name}")
     for name in new:
         print(f"failed: {name}")
-    # A hook that failed leaves no failed scenario behind.
-    broken = status != 0 and not failed
-    if broken:
-        print("behave failed outside of scenarios")
+    broken = count_broken(runs)
     print(f"{len(passed)} passed, {len(new) + broken} failed")
     return 0 if passed and not new and not broken else 1
 
