Name the steps of the gateway's lookups apart from others

Cause: 'N lookups are sent' is a step of the retries too, and the gateway's took its place; the scenario 'Retries keep to their share' ended in an error.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -106,7 +106,7 @@
   Scenario: A target that drains, is taken out or is gone gets nothing
     Given 2 targets
     When the first target drains
-    And 10 lookups are sent
+    And 10 lookups reach the entry
     Then the first target got none of them
     When the data centre is taken out
     And a lookup is sent
@@ -115,35 +115,35 @@
   Scenario: What listens at a target's address now is not taken for it
     Given 2 targets
     When another start takes the place of the first target
-    And 10 lookups are sent
+    And 10 lookups reach the entry
     Then all of them were answered whole
     And the first target ran none of them
 
   Scenario: A slow machine is passed over while it is slow
     Given 2 targets
     And the first target tells that work takes 5 times as long
-    When 10 lookups are sent
+    When 10 lookups reach the entry
     Then the first target got none of them
 
   Scenario: A far target is used where no near one is left
     Given 1 target
     And 1 target in "vannes"
-    When 10 lookups are sent
+    When 10 lookups reach the entry
     Then the second target got none of them
     When the first target drains
-    And 10 lookups are sent
+    And 10 lookups reach the entry
     Then all of them were answered whole
 
   Scenario: Targets get no more at a time than they have slots
     Given 2 targets
     And work of 100 ms
-    When 6 lookups are sent side by side
+    When 6 lookups reach the entry side by side
     Then no target ran more than 3 at a time
 
   Scenario: A target in cold start gets few requests a second
     Given 1 target in cold start that bears 4 a second
     And 1 target in "vannes"
-    When 40 lookups are sent
+    When 40 lookups reach the entry
     Then all of them were answered whole
     And the first target got at most 6 in any second
 
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -104,7 +104,7 @@
     context.answers = [context.rig.call("POST", "/book/1", b"an urn")]
 
 
-@when("{count:d} lookups are sent")
+@when("{count:d} lookups reach the entry")
 def look_up_often(context, count):
     context.first = len(all_arrivals(context))
     for target in context.rig.farm.targets:
@@ -112,7 +112,7 @@
     context.answers = [context.rig.call() for _ in range(count)]
 
 
-@when("{count:d} lookups are sent side by side")
+@when("{count:d} lookups reach the entry side by side")
 def look_up_together(context, count):
     context.peaks = collections.Counter()
     stop = time.monotonic() + 0.6
