--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -18,6 +18,13 @@
     return [a for t in context.rig.farm.targets for a in t.arrivals]
 
 
+def wait_for_arrival(context):
+    target = context.rig.farm.targets[0]
+    until = time.monotonic() + 5
+    while not target.arrivals and time.monotonic() < until:
+        time.sleep(0.005)
+
+
 @given("an entry with routes for lookups and bookings")
 def start(context):
     start_without_routes(context)
@@ -106,7 +113,6 @@
 
 @when("{count:d} lookups reach the entry")
 def look_up_often(context, count):
-    context.first = len(all_arrivals(context))
     for target in context.rig.farm.targets:
         target.arrivals.clear()
     context.answers = [context.rig.call() for _ in range(count)]
@@ -134,10 +140,7 @@
 @when("a lookup is sent on it and its caller leaves")
 def leave(context):
     context.conn.send()
-    target = context.rig.farm.targets[0]
-    until = time.monotonic() + 5
-    while not target.arrivals and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_for_arrival(context)
     context.conn.close()
     context.left_at = time.monotonic()
 
@@ -185,10 +188,7 @@
 @when("a lookup is sent on it and the entry is stopped")
 def stop_entry(context):
     context.conn.send()
-    target = context.rig.farm.targets[0]
-    until = time.monotonic() + 5
-    while not target.arrivals and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_for_arrival(context)
     stopping = asyncio.run_coroutine_threadsafe(
         context.rig.program.stop(), context.rig.loop
     )
