Have a leader that stops ask again where nobody took its place

The same holds where the request to stand is lost.

Now the queue has to be empty first, and a member is asked again after half of the time after which one stands by itself. features/hand_over.feature brings both about without processes: 3 of 4 cases fail before, all pass after, three times. A whole answer that is none prints its words now.

--- a/features/steps/streaming.py
+++ b/features/steps/streaming.py
@@ -80,7 +80,7 @@
     wanted = long_bodies.hash_body(context.size)
     for got in context.fetched:
         assert got.is_whole, got
-        assert got.outcome == "answered", got
+        assert got.outcome == "answered", (got, got.body[:MESSAGE_BYTES])
         assert got.body_hash == wanted, got
 
 
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -31,6 +31,9 @@
 TURNS_TO_SEND = 3
 HAND_OVER_MS = 2000.0
 HAND_OVER_STEP_MS = 10.0
+# A member that is asked to lead answers within a part of the time after which
+# the others would elect a leader themselves, so that it can be asked again.
+STAND_ATTEMPTS = 2
 # How long a leader that stops waits for another member to have its whole log.
 LEVEL_MS = 500.0
 PEER_PAUSE_MS = 100.0
@@ -288,32 +291,51 @@
         """Has another member lead, so that this one can stop."""
         # New entries would leave the other's log behind, and it would lose.
         self._hands_over = True
-        req = await self._find_successor()
-        if req is None:
-            return
-        await self._call_member(
-            req.to, "Stand", req, self._timings.election_least_ms
-        )
         until = self._clock.now() + HAND_OVER_MS
-        while self.replica.leader in ("", self.replica.id):
-            left = until - self._clock.now()
-            if left <= 0:
-                logger.warning("no other member leads", asked=req.to)
+        asked = await self._ask_successor()
+        while asked:
+            step_ms = min(until - self._clock.now(), self._stand_ms())
+            if await self._has_successor(step_ms):
+                logger.info("handed over", leader=self.replica.leader)
                 return
-            await anyio.sleep(clock.seconds(HAND_OVER_STEP_MS))
-        logger.info("handed over", leader=self.replica.leader)
+            if self._clock.now() >= until:
+                logger.warning("no other member leads", asked=asked)
+                return
+            # It lost the election, or was never reached.
+            asked = await self._ask_successor() or asked
+
+    def _stand_ms(self) -> clock.Millis:
+        """Returns how long a member that was asked to lead may take."""
+        return self._timings.election_least_ms / STAND_ATTEMPTS
+
+    async def _ask_successor(self) -> str:
+        """Asks the member with the newest log to lead; returns its id."""
+        req = await self._find_successor()
+        if req is None:
+            return ""
+        await self._call_member(req.to, "Stand", req, self._stand_ms())
+        return req.to
 
     async def _find_successor(self) -> control_pb2.StandRequest | None:
         """Waits for a moment until another member has the whole log."""
         until = self._clock.now() + LEVEL_MS
         while True:
             req = self.replica.hand_over()
-            if req is None or self.replica.is_level(req.to):
+            if req is None or self._clock.now() >= until:
                 return req
-            if self._clock.now() >= until:
+            if not self._pending and self.replica.is_level(req.to):
                 return req
             await anyio.sleep(clock.seconds(HAND_OVER_STEP_MS))
 
+    async def _has_successor(self, most_ms: clock.Millis) -> bool:
+        """Waits for a while until another member leads."""
+        until = self._clock.now() + most_ms
+        while self.replica.leader in ("", self.replica.id):
+            if self._clock.now() >= until:
+                return False
+            await anyio.sleep(clock.seconds(HAND_OVER_STEP_MS))
+        return True
+
     def _start_senders(self) -> None:
         if not self.replica.is_leader:
             return
