Follow the rows before the leader has written an entry down

An entry that owns no targets needs no lease to follow the rows, so it follows them while it joins. It also serves where it starts while no control VM leads, with the rows that it finds: the new scenario of platform.feature, which timed out before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -95,3 +95,12 @@
     Then every entry is ready
     When the entries get SIGHUP
     Then a lookup and a booking are answered by their services
+
+  @fixture.platform
+  Scenario: An entry that starts while no control VM leads serves all the same
+    When the operator sends configuration 1 on 0
+    Given a target of dossier and one of keepsake
+    Then every entry is ready
+    When all control VMs but one are killed
+    And an entry is killed and started again
+    Then a lookup and a booking are answered by their services
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -236,6 +236,19 @@
     fleet.cores[1].kill()
 
 
+@when("all control VMs but one are killed")
+def kill_majority(context):
+    for vm in context.fleet.cores[1:]:
+        vm.kill()
+
+
+@when("an entry is killed and started again")
+def restart_entry(context):
+    vm = context.fleet.fronts[0]
+    vm.kill()
+    vm.start()
+
+
 @when("all programs are killed and started again")
 def restart_all(context):
     fleet = context.fleet
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -92,10 +92,36 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._link.run)
             while True:
-                if self.id == 0:
-                    await self._join()
-                else:
+                if self.id:
                     await self._poll()
+                elif self._keeps_view:
+                    await self._follow_and_join()
+                else:
+                    await self._join()
+
+    async def _follow_and_join(self) -> None:
+        """Joins, and follows the rows meanwhile.
+
+        A join waits for the leader to write it down, rows do not.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_rows)
+            await self._join()
+            tasks.cancel_scope.cancel()
+
+    async def _follow_rows(self) -> None:
+        """Takes rows without a lease, until cancelled."""
+        while True:
+            address = self._pick_address()
+            poll = control_pb2.PollRequest(version=self.view.version)
+            reply = await self._link.ask(
+                address, _wrap(poll), self._cfg.timings.poll_timeout_ms
+            )
+            if reply is None:
+                await self._go_on(address)
+                continue
+            self._places[address] = reply.data_centre
+            await self._link.news.wait(clock.seconds(REJOIN_PAUSE_MS))
 
     async def _join(self) -> None:
         cfg = self._cfg
