Have requests wait at an entry that has just started for its routes

They wait now, for a quarter of the time that their caller has at most, and only in the first second of the entry. policy/starting.py decides; gateway.feature has the three cases, red before.

Names of headers are lowered once.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -98,6 +98,20 @@
     Then its status is 503
     And it was told when to come back
 
+  Scenario: A request to an entry that has just started waits for its routes
+    Given an entry without routes
+    When a lookup is sent, and 300 ms later the entry gets routes and a target
+    Then its status is 200
+    Given an entry without routes
+    When a lookup with a deadline of 800 ms is sent
+    Then its status is 503
+    And its answer took 0 to 300 ms
+    Given an entry without routes
+    When it has been without routes for 1100 ms
+    And a lookup is sent
+    Then its status is 503
+    And its answer took 0 to 100 ms
+
   Scenario: A service without targets is refused at once
     When a lookup is sent
     Then its status is 503
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import hashlib
+import threading
 import time
 
 from behave import given
@@ -101,6 +102,35 @@
     context.answers = [context.rig.call()]
 
 
+@when("a lookup with a deadline of {deadline_ms:d} ms is sent")
+def look_up_until(context, deadline_ms):
+    headers = {"deadline-ms": str(deadline_ms)}
+    context.answers = [context.rig.call(**headers)]
+
+
+@when(
+    "a lookup is sent, and {after_ms:d} ms later the entry gets routes and a "
+    "target"
+)
+def look_up_early(context, after_ms):
+    rig = context.rig
+
+    def start_late():
+        time.sleep(after_ms / 1000)
+        rig.add_target()
+        rig.set_routes(gateway_lib.ROUTES, 1)
+
+    late = threading.Thread(target=start_late)
+    late.start()
+    look_up(context)
+    late.join()
+
+
+@when("it has been without routes for {ms:d} ms")
+def wait_without_routes(context, ms):  # noqa: ARG001
+    time.sleep(ms / 1000)
+
+
 @when('a lookup is sent to "{path}"')
 def look_up_at(context, path):
     context.answers = [context.rig.call(path=path)]
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import hashlib
 import random
 import typing
@@ -19,6 +20,7 @@
 from cardamomkeel.gateway import waiting as waiting_lib
 from cardamomkeel.policy import placement
 from cardamomkeel.policy import resends as resends_lib
+from cardamomkeel.policy import starting
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routes import table as table_lib
 from cardamomkeel.routing import session as session_lib
@@ -49,7 +51,8 @@
 CRASHES_ALLOWED = 2
 # How long a target that crashed may take to refuse connections.
 CRASH_CHECK_MS = 50.0
-REPORT_MS = 3000.0
+# How long a caller waits that does not say so.
+NO_DEADLINE_MS = 1000.0
 
 logger = loguru.logger
 
@@ -112,21 +115,27 @@
         self._rng = rng
         self._log = request_log.RequestLog(metrics, clk)
         self._names = cfg.headers
+        self._id_name = cfg.headers.request_id.lower().encode()
+        self._deadline_name = cfg.headers.deadline.lower().encode()
         self._waiting: dict[str, waiting_lib.Waiting] = collections.defaultdict(
             waiting_lib.Waiting
         )
         self._resends: dict[str, resends_lib.Resends] = {}
         self._behind: set[asyncio.Task] = set()
+        self._started = clk.now()
+        self._has_routes = asyncio.Event()
 
     def wake(self) -> None:
         """Has waiting requests look for targets again."""
+        if self._session.view.table.document is not None:
+            self._has_routes.set()
         for queue in self._waiting.values():
             queue.wake()
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Returns the answer to a caller's request."""
         view = self._session.view
-        if view.table.document is None:
+        if view.table.document is None and not await self._wait_routes(req):
             return self._refuse(
                 503, "no routes are known yet", back_ms=START_BACK_MS
             )
@@ -134,7 +143,7 @@
         route = view.table.match(host, req.path)
         if route is None:
             return self._refuse(404, f"no route for {host}{req.path}")
-        request_id = req.get(self._names.request_id.lower().encode())
+        request_id = req.get(self._id_name)
         if not request_id:
             return self._refuse(400, "the request has no id")
         service = table_lib.pick_service(route, self._rng)
@@ -150,14 +159,29 @@
         self._note_end(case, response)
         return response
 
+    async def _wait_routes(self, req: messages.Request) -> bool:
+        """Waits where this entry has just started; False without routes."""
+        now = self._clock.now()
+        left_ms = self._read_deadline_ms(req, NO_DEADLINE_MS)
+        wait_ms = starting.may_wait_ms(now, self._started, left_ms)
+        if wait_ms:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(clock.seconds(wait_ms)):
+                    await self._has_routes.wait()
+        return self._has_routes.is_set()
+
+    def _read_deadline_ms(
+        self, req: messages.Request, unsaid_ms: clock.Millis
+    ) -> clock.Millis:
+        """Returns how long the caller waits, if it says so."""
+        told = req.get(self._deadline_name)
+        return float(told) if told.isdigit() else unsaid_ms
+
     def _read_until(
         self, req: messages.Request, route: document_lib.Route
     ) -> clock.Millis:
-        told = req.get(self._names.deadline.lower().encode())
-        allowed_ms = route.timeout_ms
-        if told.isdigit():
-            allowed_ms = min(allowed_ms, float(told))
-        return req.arrived + allowed_ms
+        told_ms = self._read_deadline_ms(req, route.timeout_ms)
+        return req.arrived + min(told_ms, route.timeout_ms)
 
     def _get_resends(self, service: str) -> resends_lib.Resends:
         resends = self._resends.get(service)
