Refuse settings texts that hold a name twice, and tell faults in their words

Cause: libraries for JSON keep the last of two equal names, so cardamomkeel check called a text well-formed and dropped a service. Names are found in the text itself, with the lines of both.

--- a/features/steps/settings_text.py
+++ b/features/steps/settings_text.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies
 import json5
 
+from cardamomkeel.settings import process
 from cardamomkeel.settings import reader
+from cardamomkeel.settings import services
 
 PIECES = strategies.lists(
     strategies.sampled_from(
@@ -55,3 +57,31 @@
 @then("the library for JSON with comments was not called")
 def check_not_called(context):
     context.slow.assert_not_called()
+
+
+@when("the settings text {text} is checked")
+def check_text(context, text):
+    text = text.replace("\\n", "\n")
+    context.checked = reader.parse(text, services.ServicesText, "the text")
+
+
+@then('it is refused with "{words}"')
+def check_refused_with(context, words):
+    assert words in str(context.checked.failure()), context.checked
+
+
+@then("it is read")
+def check_read(context):
+    context.checked.unwrap()
+
+
+@when("a process is given timings that do not fit each other")
+def check_timings(context):
+    context.checked = reader.parse(
+        '{"heartbeat_ms": 5000}', process.Timings, "the text"
+    )
+
+
+@then('it is refused without "{words}"')
+def check_refused_without(context, words):
+    assert words not in str(context.checked.failure()), context.checked
--- a/src/cardamomkeel/daemons/start.py
+++ b/src/cardamomkeel/daemons/start.py
@@ -28,7 +28,7 @@
 
 def read_settings(path: pathlib.Path, model: type[Settings]) -> Settings:
     """Returns checked settings, or ends the program."""
-    read = reader.read_file(path, model)
+    read = reader.read_file(path, model, "name it with --settings")
     if not isinstance(read, result.Success):
         fail(read.failure())
     cfg = read.unwrap()
--- a/src/cardamomkeel/settings/reader.py
+++ b/src/cardamomkeel/settings/reader.py
@@ -10,9 +10,12 @@
 from returns import result
 
 from cardamomkeel import errors
+from cardamomkeel.settings import repeats
 
 Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
 
+# What pydantic puts before the words of a check of our own.
+OWN_FAULT = "Value error, "
 # What holds no comment, in one run, or a comment of one of the two kinds.
 RUN_OR_COMMENT = re.compile(
     r"""((?:[^"/]++|"[^"\\]*+(?:\\.[^"\\]*+)*+"|/(?![/*]))++)"""
@@ -52,9 +55,9 @@
 
 
 def read_raw(text: str, source: str) -> result.Result[typing.Any, errors.Error]:
-    """Returns what a text holds, unchecked."""
+    """Returns what a text holds, unchecked but for names that stand twice."""
     try:
-        return result.Success(load(text))
+        raw = load(text)
     except ValueError as exc:
         return result.Failure(
             errors.SettingsError(
@@ -62,6 +65,16 @@
                 "correct the text at that place",
             )
         )
+    repeat = repeats.find(text)
+    if repeat is not None:
+        return result.Failure(
+            errors.SettingsError(
+                f"{source} holds {repeat.path} twice, on line "
+                f"{repeat.first_line} and on line {repeat.second_line}",
+                "remove one of them",
+            )
+        )
+    return result.Success(raw)
 
 
 def validate(
@@ -90,7 +103,7 @@
     faults = []
     for fault in exc.errors():
         path = ".".join(str(part) for part in fault["loc"]) or "(whole text)"
-        faults.append(f"{path}: {fault['msg']}")
+        faults.append(f"{path}: {fault['msg'].removeprefix(OWN_FAULT)}")
     return errors.SettingsError(
         f"{source} has wrong settings: " + "; ".join(faults),
         "correct the settings named here; docs/settings.md lists them all",
@@ -98,16 +111,24 @@
 
 
 def read_file(
-    path: pathlib.Path, model: type[Model]
+    path: pathlib.Path,
+    model: type[Model],
+    remedy: str = "name a readable file",
 ) -> result.Result[Model, errors.Error]:
-    """Reads settings from a file."""
+    """Reads settings from a file.
+
+    Args:
+        path: The file.
+        model: The model that the settings have to fit.
+        remedy: What to do where the file can't be read.
+    """
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         return result.Failure(
             errors.SettingsError(
                 f"{path} can't be read: {exc}",
-                "name a readable file with --settings",
+                remedy,
             )
         )
     return parse(text, model, str(path))
