Refuse at once a request whose every target here has failed it

It now ends as not run at once, so the retry moves on; who waits is looked at again whenever the entry's targets change. Ruled out: a missed wake-up (the slot count of the others was right).

--- a/features/slots_queue.feature
+++ b/features/slots_queue.feature
@@ -61,3 +61,11 @@
     Given an owner of 3 targets that hedges a share of 0.01
     When 1000 requests are sent, every 25th attempt of which is slow
     Then all were answered, with at most 21 attempts more than requests
+
+  Scenario: A request whose only targets failed it does not wait for them
+    Given an owner of 2 targets
+    When a request that the first has failed waits and the second leaves
+    Then it ends as not run within 200 ms
+    Given an owner of 2 targets
+    When a request that both have failed arrives
+    Then it ends as not run within 50 ms
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -116,12 +116,14 @@
     ended: list = dataclasses.field(default_factory=list)
     elapsed_ms: list = dataclasses.field(default_factory=list)
 
-    async def call(self, deadline_ms=DEADLINE_MS, path="/"):
+    async def call(
+        self, deadline_ms=DEADLINE_MS, path="/", excluded=frozenset()
+    ):
         started = self.clk.now()
         req = messages.Request(
             SERVICE, "GET", path, [], b"", started + deadline_ms
         )
-        ended = await self.owner.dispatch(req, frozenset())
+        ended = await self.owner.dispatch(req, excluded)
         self.ended.append((path, ended))
         self.elapsed_ms.append(self.clk.now() - started)
 
@@ -416,3 +418,50 @@
     # Timers of a busy machine may be late for some.
     share = context.bench.http.timed_out / context.bench.http.sent
     assert share < MOST_TIMED_OUT, share
+
+
+@given("an owner of {targets:d} targets")
+def make_owner_of_many(context, targets):
+    _make_owner(context, _Session(1, 300, targets))
+
+
+@when("a request that the first has failed waits and the second leaves")
+def leave(context):
+    context.bench.http.run_ms = 1000.0
+
+    async def scene(bench, calls):
+        session = bench.owner._session
+        first, second = list(session.view.targets)
+        failed = frozenset([first])
+        calls.start_soon(bench.call, DEADLINE_MS, "/busy", failed)
+        await anyio.sleep(clock.seconds(10))
+        calls.start_soon(bench.call, DEADLINE_MS, "/waits", failed)
+        await anyio.sleep(clock.seconds(100))
+        session.view.targets[second].state = "draining"
+        session.view.changes += 1
+        session.view._index_targets()
+        bench.owner.follow()
+
+    _play(context, scene)
+    context.path = "/waits"
+
+
+@when("a request that both have failed arrives")
+def arrive_excluded(context):
+    async def scene(bench, calls):
+        both = frozenset(bench.owner._session.view.targets)
+        calls.start_soon(bench.call, DEADLINE_MS, "/excluded", both)
+
+    _play(context, scene)
+    context.path = "/excluded"
+
+
+@then("it ends as not run within {most_ms:d} ms")
+def check_not_held(context, most_ms):
+    bench = context.bench
+    ends = zip(bench.ended, bench.elapsed_ms, strict=True)
+    ((end, took_ms),) = [
+        (end, took_ms) for (path, end), took_ms in ends if path == context.path
+    ]
+    assert end.outcome is messages.Outcome.NOT_RUN, end
+    assert took_ms <= most_ms, took_ms
--- a/src/cardamomkeel/routing/queueing.py
+++ b/src/cardamomkeel/routing/queueing.py
@@ -13,17 +13,33 @@
 
 @dataclasses.dataclass(eq=False)
 class _Waiter:
-    """A request that has no slot yet."""
+    """A request that has no slot yet.
+
+    Attributes:
+        req: The request.
+        excluded: Targets that already failed it.
+        grant: The slot that it got.
+        refused: How it ended where it could only wait in vain.
+        ready: Set once it got a slot or was refused.
+    """
 
     req: messages.Request
     excluded: frozenset[str]
     grant: targets_lib.Grant | None = None
-    granted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    refused: messages.Ended | None = None
+    ready: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
 _Queue = waiting.Queue[_Waiter]
 
 
+def _has_failed_all(service: str) -> messages.Ended:
+    return messages.not_run(
+        f"every target of {service} here has failed the request",
+        "send it again, or to another entry",
+    )
+
+
 class Queues:
     """The requests that wait for a slot, by service."""
 
@@ -58,6 +74,8 @@
             None where none came free before the deadline.
         """
         queue = self._queue(req.service)
+        if not self._may_get(req, excluded):
+            return _has_failed_all(req.service)
         if self._session.view.get_service(req.service) is not None:
             grant = self._take_free(req, excluded)
             if grant is not None:
@@ -67,7 +85,7 @@
             return refused
         waiter = _Waiter(req, excluded)
         await self._wait(waiter, queue)
-        return waiter.grant
+        return waiter.refused or waiter.grant
 
     def _refuse(
         self, req: messages.Request, queue: _Queue
@@ -104,6 +122,16 @@
             messages.Sign.FULL,
         )
 
+    def _may_get(self, req: messages.Request, excluded: frozenset[str]) -> bool:
+        """Tells whether a usable target has not failed a request yet.
+
+        Without any usable target it is for the caller to say why.
+        """
+        usable = self._targets.usable(req.service)
+        return not usable or any(
+            owned.candidate.address not in excluded for owned in usable
+        )
+
     def _take_free(
         self, req: messages.Request, excluded: frozenset[str]
     ) -> targets_lib.Grant | None:
@@ -125,7 +153,7 @@
         waiter.grant = self._take_free(waiter.req, waiter.excluded)
         if waiter.grant is not None:
             queue.remove(waiter)
-            waiter.granted.set()
+            waiter.ready.set()
 
     def serve(self, service: str) -> None:
         """Gives free slots to those that wait, and wakes only these."""
@@ -139,8 +167,13 @@
 
     def serve_all(self) -> None:
         """Gives free slots of all services to those that wait."""
-        for service in self._queues:
+        for service, queue in self._queues.items():
             self.serve(service)
+            for waiter in queue.items():
+                if not self._may_get(waiter.req, waiter.excluded):
+                    waiter.refused = _has_failed_all(service)
+                    queue.remove(waiter)
+                    waiter.ready.set()
 
     async def _wait(self, waiter: _Waiter, queue: _Queue) -> None:
         """Waits for a slot until the deadline."""
@@ -151,7 +184,7 @@
                 until = min(req.deadline, self._session.lease_until)
                 pause_ms = until - self._clock.now()
                 with anyio.move_on_after(clock.seconds(max(0.0, pause_ms))):
-                    await waiter.granted.wait()
+                    await waiter.ready.wait()
                     return
         except BaseException:
             if waiter.grant is not None:
