--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -18,6 +18,7 @@
 EVACUATIONS = "/-/evacuations/"
 CONFIG = "/-/config"
 OPERATOR = "platform"
+UNAVAILABLE = 503
 
 logger = loguru.logger
 
@@ -35,7 +36,9 @@
 
 def unavailable() -> messages.Response:
     """Returns the answer where nobody can tell now."""
-    return _answer(503, error="the control group can't tell now; try again")
+    return _answer(
+        UNAVAILABLE, error="the control group can't tell now; try again"
+    )
 
 
 class ControlApi:
@@ -64,6 +67,14 @@
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Answers one call."""
+        response = await self._handle(req)
+        if response.status == UNAVAILABLE:
+            logger.warning(
+                "no control VM could tell", method=req.method, path=req.path
+            )
+        return response
+
+    async def _handle(self, req: messages.Request) -> messages.Response:
         path = req.path
         if path.startswith(INSTANCES):
             return await self._handle_instance(req, path[len(INSTANCES) :])
