Join beside the rows without a nested scope, and start a session again

Where the followed stream fails at that moment, that cancellation leaks into the group around it, which takes it for its own: the session ended without an error and the entry followed nothing until it was restarted. Ruled out: the poll, the link, rows of a control VM that is behind.

--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -4,6 +4,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import loguru
 from returns import result
 
@@ -70,6 +71,7 @@
         # Where each control VM said that it is, and when one last failed.
         self._places: dict[str, str] = {}
         self._failed_at: dict[str, clock.Millis] = {}
+        self._is_joining = False
         self._is_early = False
         self._early = signal.Signal()
         self._answered = signal.Signal()
@@ -89,39 +91,41 @@
 
     async def run(self) -> None:
         """Joins, polls, and joins again where the session has ended."""
+        while True:
+            try:
+                await self._run_tasks()
+            except anyio.get_cancelled_exc_class():
+                await anyio.lowlevel.checkpoint_if_cancelled()
+            # A cancellation that was meant for a task that is over ends the
+            # others without an error. An entry that follows nothing must not
+            # stay so.
+            logger.error("the session's tasks have ended; starts them again")
+
+    async def _run_tasks(self) -> None:
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._link.run)
             while True:
-                if self.id:
-                    await self._poll()
-                elif self._keeps_view:
-                    await self._follow_and_join()
-                else:
-                    await self._join()
-
-    async def _follow_and_join(self) -> None:
-        """Joins, and follows the rows meanwhile.
+                await self._step(tasks)
 
-        A join waits for the leader to write it down, rows do not.
-        """
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow_rows)
+    async def _step(self, tasks: anyio.abc.TaskGroup) -> None:
+        if not self._keeps_view and self.id == 0:
             await self._join()
-            tasks.cancel_scope.cancel()
+            return
+        if self.id == 0 and not self._is_joining:
+            # A join waits until the leader has written it down; rows do not.
+            self._is_joining = True
+            tasks.start_soon(self._join_beside)
+        await self._poll()
 
-    async def _follow_rows(self) -> None:
-        """Takes rows without a lease, until cancelled."""
-        while True:
-            address = self._pick_address()
-            poll = control_pb2.PollRequest(version=self.view.version)
-            reply = await self._link.ask(
-                address, _wrap(poll), self._cfg.timings.poll_timeout_ms
-            )
-            if reply is None:
-                await self._go_on(address)
-                continue
-            self._places[address] = reply.data_centre
-            await self._link.news.wait(clock.seconds(REJOIN_PAUSE_MS))
+    async def _join_beside(self) -> None:
+        """Joins while the rows are followed without a lease."""
+        try:
+            await self._join()
+        finally:
+            self._is_joining = False
+        self._is_early = True
+        self._early.notify()
+        self._link.news.notify()
 
     async def _join(self) -> None:
         cfg = self._cfg
@@ -162,13 +166,14 @@
         if reply is None:
             await self._go_on(address)
             return
-        if self.id in reply.expired:
+        if self.id and self.id in reply.expired:
             self._end()
             return
         self._failures = 0
         self._places[address] = reply.data_centre
-        self.lease_until = asked + reply.lease_ms * (1 - DRIFT_SHARE)
-        self._confirm(poll, reply)
+        if poll.session:
+            self.lease_until = asked + reply.lease_ms * (1 - DRIFT_SHARE)
+            self._confirm(poll, reply)
         if self.view.version == confirmed and self._link.is_open:
             await self._wait_for_news(reply.next_ms)
         left = asked + reply.pause_ms - self._clock.now()
