--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -287,6 +287,10 @@
             self._start(self._ask_vote, vote)
         return bool(votes)
 
+    def close(self) -> None:
+        """Closes the connections to other control VMs."""
+        self._channels.close()
+
     async def hand_over(self) -> None:
         """Has another member lead, so that this one can stop."""
         # New entries would leave the other's log behind, and it would lose.
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -174,6 +174,7 @@
         await node.hand_over()
         server.close()
         control.close()
+        node.close()
         tasks.cancel_scope.cancel()
 
 
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -85,7 +85,6 @@
         """Takes a connection."""
         self._transport = transport
         self._server.connections.add(self)
-        self._server.opened += 1
         self._used_at = self._clock.now()
         self._arm(self._limits.idle_ms, self._end_idle)
 
@@ -335,7 +334,6 @@
         limits: Returns what callers may send now.
         clk: The clock.
         connections: Those that are open.
-        opened: How many have been opened.
         in_flight: How many requests are being worked on.
         stopping: Whether each answer is to end its connection.
     """
@@ -352,7 +350,6 @@
         self.limits = limits
         self.clk = clk
         self.connections: set[_Connection] = set()
-        self.opened = 0
         self.in_flight = 0
         self.stopping = False
         self._server: asyncio.Server | None = None
--- a/src/cardamomkeel/gateway/upstream.py
+++ b/src/cardamomkeel/gateway/upstream.py
@@ -54,7 +54,6 @@
         self._unused: dict[
             str, collections.deque[upstream_connection.TargetConnection]
         ] = collections.defaultdict(collections.deque)
-        self.opened = 0
 
     def _is_good(
         self, conn: upstream_connection.TargetConnection, proven: bool
@@ -120,7 +119,6 @@
                     refused=refused,
                 )
             )
-        self.opened += 1
         _bound_silence(transport)
         return result.Success(conn)
 
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -199,6 +199,7 @@
         finally:
             server.close()
             channels.close()
+            node.close()
 
 
 async def run() -> None:
