Have entries that know nothing ask different control VMs, and turn sooner

'Not known where' counted as 'is there', so the turn never mattered. They start at different places of the list now, and an entry without rows turns to the next one after 150 ms. Ruled out: processor time of the entries (a stream opens 5 ms after the question).

--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -14,3 +14,7 @@
     Given an entry that keeps its rows without a session, and control VMs that refuse
     When its task group is cancelled
     Then it asks nobody any more
+
+  Scenario: Entries that know nothing yet spread over the control VMs
+    When 60 entries begin
+    Then they ask each of 3 control VMs first at least 8 times
--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -1,6 +1,7 @@
 """Steps of an entry's session, with control VMs that cannot be reached."""
 
 import asyncio
+import collections
 
 import anyio
 from behave import given
@@ -17,16 +18,20 @@
 WAIT_S = 0.7
 
 
-def make_session(context, keeps_view):
-    cfg = process.EntrySettings(
+def make_settings(controls=(NOBODY,)):
+    return process.EntrySettings(
         name="entry-1",
         data_centre="brest",
         callers_address=NOBODY,
         entries_address=NOBODY,
         operators_address=NOBODY,
         secret_file="-",
-        control={"control-1": NOBODY},
+        control={address: address for address in controls},
     )
+
+
+def make_session(context, keeps_view):
+    cfg = make_settings()
     clk = clock.MonotonicClock()
     client = client_lib.ControlClient([NOBODY], {}, clk)
     session = session_lib.Session(
@@ -100,3 +105,21 @@
 def check_silent(context):
     assert context.before
     assert context.asked == context.before
+
+
+@when("{count:d} entries begin")
+def begin(context, count):
+    cfg = make_settings([f"127.0.0.1:{port}" for port in (1, 2, 3)])
+    clk = clock.MonotonicClock()
+    context.first = collections.Counter(
+        session_lib.Session(cfg, None, clk, lambda: None)._pick_address()
+        for _ in range(count)
+    )
+
+
+@then(
+    "they ask each of {controls:d} control VMs first at least {least:d} times"
+)
+def check_spread(context, controls, least):
+    assert len(context.first) == controls, context.first
+    assert min(context.first.values()) >= least, context.first
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -23,6 +23,8 @@
 # Between polls of different control VMs, and once all have been asked twice.
 RETRY_PAUSE_MS = 50.0
 LONG_RETRY_PAUSE_MS = 250.0
+# An entry without any rows turns to another control VM after so long.
+FIRST_ROWS_MS = 150.0
 # A control VM that did not answer is not preferred for so long.
 AVOID_MS = 3000.0
 
@@ -160,9 +162,11 @@
         # Asked for early from now on is not yet part of this poll.
         self._is_early = False
         poll = self._make_poll(asked)
-        reply = await self._link.ask(
-            address, _wrap(poll), self._cfg.timings.poll_timeout_ms
-        )
+        # A control VM that has lost its disk has no rows to give at first.
+        timeout_ms = self._cfg.timings.poll_timeout_ms
+        if not self.view.version:
+            timeout_ms = min(timeout_ms, FIRST_ROWS_MS)
+        reply = await self._link.ask(address, _wrap(poll), timeout_ms)
         if reply is None:
             await self._go_on(address)
             return
@@ -183,9 +187,11 @@
     def _pick_address(self) -> str:
         """Returns a control VM of the own data centre where one is known."""
         since = self._clock.now() - AVOID_MS
+        # Those whose place is not known yet are asked in turn.
+        in_turn = self._addresses[self._turn :] + self._addresses[: self._turn]
         good = [
             address
-            for address in self._addresses
+            for address in in_turn
             if self._failed_at.get(address, float("-inf")) < since
         ]
         for place in (self._cfg.data_centre, None):
