--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -1,14 +1,16 @@
 Feature: An entry goes on following the control group
 
-  Scenario Outline: A cancellation that nobody meant for it ends nothing
+  Scenario Outline: A cancellation or an error that nobody expects ends nothing
     Given an entry that <keeps> without a session, and control VMs that refuse
-    When its first attempt to join ends as if it were cancelled
+    When its first attempt to join ends with <error>
     Then it still asks control VMs
 
     Examples:
-      | keeps             |
-      | keeps its rows    |
-      | drops its rows    |
+      | keeps             | error          |
+      | keeps its rows    | CancelledError |
+      | drops its rows    | CancelledError |
+      | keeps its rows    | RuntimeError   |
+      | drops its rows    | RuntimeError   |
 
   Scenario: An entry ends where it is told to
     Given an entry that keeps its rows without a session, and control VMs that refuse
--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -61,17 +61,23 @@
     context.keeps = keeps == "keeps"
 
 
-@when("its first attempt to join ends as if it were cancelled")
-def cancel_join(context):
+ERRORS = {
+    "CancelledError": asyncio.CancelledError,
+    "RuntimeError": RuntimeError,
+}
+
+
+@when("its first attempt to join ends with {error}")
+def fail_join(context, error):
     async def run():
         session = make_session(context, context.keeps)
         propose = session._client.propose
 
-        async def cancelled(*args, **kwargs):  # noqa: ARG001
+        async def failing(*args, **kwargs):  # noqa: ARG001
             session._client.propose = propose
-            raise asyncio.CancelledError
+            raise ERRORS[error]
 
-        session._client.propose = cancelled
+        session._client.propose = failing
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(session.run)
             await asyncio.sleep(WAIT_S)
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -98,6 +98,10 @@
                 await self._run_tasks()
             except anyio.get_cancelled_exc_class():
                 await anyio.lowlevel.checkpoint_if_cancelled()
+            except Exception:
+                # What a library raises that nobody expects of it.
+                logger.exception("a task of the session has failed")
+                await anyio.sleep(clock.seconds(REJOIN_PAUSE_MS))
             # A cancellation that was meant for a task that is over ends the
             # others without an error. An entry that follows nothing must not
             # stay so.
