Look for names that stand twice where an operator's file is read only

Ruled out: a wrong line or path (both names were there). Nothing that runs on the platform reads settings this way.

--- a/features/steps/settings_text.py
+++ b/features/steps/settings_text.py
@@ -1,6 +1,8 @@
 """Steps of settings texts."""
 
 import json
+import pathlib
+import tempfile
 from unittest import mock
 
 from behave import then
@@ -62,7 +64,11 @@
 @when("the settings text {text} is checked")
 def check_text(context, text):
     text = text.replace("\\n", "\n")
-    context.checked = reader.parse(text, services.ServicesText, "the text")
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(text)
+        file.flush()
+        path = pathlib.Path(file.name)
+        context.checked = reader.read_file(path, services.ServicesText)
 
 
 @then('it is refused with "{words}"')
--- a/src/cardamomkeel/settings/reader.py
+++ b/src/cardamomkeel/settings/reader.py
@@ -55,9 +55,9 @@
 
 
 def read_raw(text: str, source: str) -> result.Result[typing.Any, errors.Error]:
-    """Returns what a text holds, unchecked but for names that stand twice."""
+    """Returns what a text holds, unchecked."""
     try:
-        raw = load(text)
+        return result.Success(load(text))
     except ValueError as exc:
         return result.Failure(
             errors.SettingsError(
@@ -65,16 +65,23 @@
                 "correct the text at that place",
             )
         )
+
+
+def check_repeats(text: str, source: str) -> result.Result[str, errors.Error]:
+    """Returns a text that holds no name twice in one object.
+
+    Texts that are in force are not checked: earlier versions took them.
+    """
     repeat = repeats.find(text)
-    if repeat is not None:
-        return result.Failure(
-            errors.SettingsError(
-                f"{source} holds {repeat.path} twice, on line "
-                f"{repeat.first_line} and on line {repeat.second_line}",
-                "remove one of them",
-            )
+    if repeat is None:
+        return result.Success(text)
+    return result.Failure(
+        errors.SettingsError(
+            f"{source} holds {repeat.path} twice, on line "
+            f"{repeat.first_line} and on line {repeat.second_line}",
+            "remove one of them",
         )
-    return result.Success(raw)
+    )
 
 
 def validate(
@@ -131,4 +138,9 @@
                 remedy,
             )
         )
-    return parse(text, model, str(path))
+    source = str(path)
+    # What can't be read at all is told first.
+    parsed = parse(text, model, source)
+    if not isinstance(parsed, result.Success):
+        return parsed
+    return check_repeats(text, source).bind(lambda _: parsed)
