--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -11,8 +11,12 @@
 from cardamomkeel import clock
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.policy import cold_rate
+from cardamomkeel.policy import crowding
+from cardamomkeel.policy import familiar
 from cardamomkeel.policy import incarnations
 from cardamomkeel.policy import placement
+from cardamomkeel.policy import typical_load
+from cardamomkeel.policy import work_time
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
 
@@ -33,10 +37,6 @@
 # these is relied on, and a slow target counts as slow for the second.
 LOAD_FRESH_MS = 25.0
 SLOW_KEEP_MS = 100.0
-# One answer moves the mean by no more than this multiple of it.
-MOST_ONE_ANSWER = 1.5
-# How long work takes before anything is measured.
-FIRST_WORK_MS = 100.0
 
 logger = loguru.logger
 
@@ -71,44 +71,41 @@
     return Load(parts[0], parts[1], slots, slow)
 
 
-class Work:
-    """How long requests of one service take, over all targets."""
-
-    def __init__(self):
-        self.mean_ms = 0.0
-
-    def note(self, took_ms: clock.Millis) -> None:
-        """Counts an answer."""
-        if not self.mean_ms:
-            self.mean_ms = took_ms
-        self.mean_ms += LATENCY_SHARE / 3 * (took_ms - self.mean_ms)
-
-    def expect_ms(self) -> clock.Millis:
-        """Returns how long a request is expected to take."""
-        return self.mean_ms or FIRST_WORK_MS
-
-
 class Target:
     """One start of a backend server, as this entry sees it.
 
     Attributes:
         record: What it announced.
+        address: Host and port.
+        data_centre: Where it runs.
+        slots: How many requests it runs at a time.
         near: Whether it is in the data centre of this entry.
+        is_out: Whether operators have taken it out of service.
+        is_familiar: Whether this entry turns to it as a rule.
+        place: Where it stands among those that this entry turns to.
         running: How many requests of this entry run there.
         cold_until: When its cold start ends, on the local clock.
+        suspected_at: When something last told that it may have started anew.
+        suspected_until: Until when it counts as in cold start for that.
     """
 
     def __init__(
         self,
         record: control_pb2.InstanceRecord,
-        near: bool,
-        work: Work,
+        own_data_centre: str,
+        work: work_time.WorkTime,
+        place: bytes,
         now: clock.Millis,
     ):
-        self.record = record
-        self.near = near
+        self.place = place
+        self._own_data_centre = own_data_centre
+        self.is_out = False
+        self.is_familiar = True
+        self.follow(record)
         self.running = 0
         self.cold_until = float("-inf")
+        self.suspected_at = float("-inf")
+        self.suspected_until = float("-inf")
         self.bucket: cold_rate.Bucket | None = None
         self._work = work
         self._slow = 1.0
@@ -118,15 +115,20 @@
         self._down_ms = 0.0
         self._load: Load | None = None
         self._load_at = float("-inf")
+        self._running_then = 0
         # Whether its answers tell its load; None before the first.
         self.tells_load: bool | None = None
         # What it told is not asked for twice at the same time.
         self.asked: asyncio.Future | None = None
 
-    @property
-    def address(self) -> str:
-        """Host and port."""
-        return self.record.address
+    def follow(self, record: control_pb2.InstanceRecord) -> None:
+        """Takes over what it announced last."""
+        self.record = record
+        # Each request reads these of every target; a row is slow to read.
+        self.address = record.address
+        self.data_centre = record.data_centre
+        self.slots = max(1, record.slots)
+        self.near = record.data_centre == self._own_data_centre
 
     def _fade(self, now: clock.Millis) -> float:
         return 0.5 ** ((now - self._learned_at) / FORGET_HALF_MS)
@@ -148,8 +150,12 @@
         return self._down_ms > 0
 
     def is_cold(self, now: clock.Millis) -> bool:
-        """Tells whether it is in cold start."""
-        return now < self.cold_until
+        """Tells whether it is in cold start, or may be."""
+        return now < max(self.cold_until, self.suspected_until)
+
+    def is_suspected(self, now: clock.Millis) -> bool:
+        """Tells whether it may be in cold start, and can say so itself."""
+        return self.cold_until <= now < self.suspected_until
 
     def estimate_running(self, others: int, now: clock.Millis) -> float:
         """Returns how many requests run there.
@@ -162,8 +168,10 @@
         if self._load is None or now - self._load_at > LOAD_KEEP_MS:
             return known
         left = 1 - (now - self._load_at) / LOAD_KEEP_MS
-        told = (self._load.running + self._load.waiting) * left
-        return max(known, told)
+        told = self._load.running + self._load.waiting
+        # What this entry has sent since, or got an answer to, is known.
+        told += self.running - self._running_then
+        return max(known, told * left)
 
     def is_fresh(self, now: clock.Millis) -> bool:
         """Tells whether it said a moment ago how busy it is."""
@@ -175,24 +183,41 @@
             return 1.0
         return self._load.slow
 
+    def useful_slots(self, now: clock.Millis) -> int:
+        """Returns with how many slots in use it answers most."""
+        return self._work.crowding.count_useful(self.slots, now)
+
+    def crowded_factor(self, now: clock.Millis) -> float:
+        """Returns how much longer work takes where it is nearly full."""
+        return self._work.crowding.factor(now)
+
     def work_ms(self, now: clock.Millis) -> clock.Millis:
         """Returns how long a request is expected to take there."""
         return self._work.expect_ms() * self.slow(now) * self.slow_now(now)
 
     def note_answer(
-        self, took_ms: clock.Millis, slow: float, now: clock.Millis
+        self,
+        took_ms: clock.Millis,
+        slow: float,
+        crowded: bool,
+        now: clock.Millis,
     ) -> None:
         """Counts an answer of the target's own.
 
         Args:
             took_ms: How long it took.
             slow: What it had said of how long work takes, when it was sent.
+            crowded: Whether it was nearly full then.
             now: The time.
         """
         expected = self._work.expect_ms()
         took_ms /= max(1.0, slow)
+        if crowded and self._work.is_known():
+            self._work.crowding.note(took_ms, expected, now)
+            took_ms /= self._work.crowding.factor(now)
+        else:
+            self._work.note(took_ms)
         ratio = min(MOST_SLOW, max(0.2, took_ms / expected))
-        self._work.note(min(took_ms, expected * MOST_ONE_ANSWER))
         slow = self.slow(now)
         self._failures = self.failures(now) * (1 - FAILURE_SHARE)
         self._slow = slow + LATENCY_SHARE * (ratio - slow)
@@ -228,19 +253,19 @@
         self.note_down(now)
 
     def note_load(self, load: Load, now: clock.Millis) -> None:
-        """Takes what the target said of its load."""
+        """Takes what the target said of its load.
+
+        What it says with an answer counts the request that it answers.
+        """
         self.tells_load = True
         self._load = load
         self._load_at = now
+        self._running_then = self.running
 
-
-def take_load(target: Target, value: bytes | None, now: clock.Millis) -> None:
-    """Takes what an answer of a target tells of its load, if it does."""
-    load = None if value is None else parse_load(value)
-    if load is not None:
-        target.note_load(load, now)
-    elif target.tells_load is None:
-        target.tells_load = False
+    def note_no_load(self) -> None:
+        """Counts an answer that says nothing of load."""
+        if self.tells_load is None:
+            self.tells_load = False
 
 
 class Targets:
@@ -259,43 +284,99 @@
         self._clock = clk
         self._by_address: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
-        self._work: dict[str, Work] = {}
+        self._work: dict[str, work_time.WorkTime] = {}
+        self._typical: dict[str, typical_load.TypicalLoad] = {}
         self._outs: set[str] = set()
+        # The number of the routes that were followed last.
+        self._routes = 0
         self._view: view_lib.View | None = None
 
-    def follow(self, view: view_lib.View) -> None:
-        """Takes a changed view over."""
+    def follow(self, view: view_lib.View, changes: view_lib.Changes) -> None:
+        """Takes a changed view over.
+
+        Args:
+            view: The rows as they are.
+            changes: Which of them have changed since the last call.
+        """
         now = self._clock.now()
         self._view = view
-        usable = {
-            address: record
-            for address, record in view.instances.items()
-            if record.state == incarnations.READY
-        }
-        for address in set(self._by_address) - set(usable):
+        self._follow_routes(view)
+        addresses = changes.instances
+        if changes.whole:
+            addresses = view.instances.keys() | self._by_address.keys()
+        changed = set()
+        for address in addresses:
+            changed |= self._follow_instance(address, now)
+        if changes.whole or changes.outs:
+            self._follow_outs(view, now)
+        for service in changed:
+            self._pick_familiar(self.get(service))
+
+    def _follow_instance(self, address: str, now: clock.Millis) -> set[str]:
+        """Takes over what is known of one address.
+
+        Returns:
+            The services of which other targets may be near now.
+        """
+        known = self._by_address.get(address)
+        record = self._view.instances.get(address)
+        if record is not None and record.state != incarnations.READY:
+            record = None
+        if known is not None and record is not None:
+            if known.record is record:
+                return set()
+            if incarnations.is_same_start(known.record, record):
+                return self._take_news(known, record, now)
+        changed = set()
+        if known is not None:
             del self._by_address[address]
-        for address, record in usable.items():
-            self._take(address, record, now)
-        self._follow_outs(view, now)
-        self._by_service = {}
-        for target in self._by_address.values():
-            service = target.record.service
-            self._by_service.setdefault(service, []).append(target)
-
-    def _take(
-        self, address: str, record: control_pb2.InstanceRecord, now
+            self._by_service[known.record.service].remove(known)
+            changed.add(known.record.service)
+        if record is not None:
+            self._add(record, now)
+            changed.add(record.service)
+        return changed
+
+    def _take_news(
+        self,
+        known: Target,
+        record: control_pb2.InstanceRecord,
+        now: clock.Millis,
+    ) -> set[str]:
+        """Takes over what one start of a target says of itself now."""
+        was_near = known.near
+        self.begin_cold(known, self._cold_left(record), now)
+        known.follow(record)
+        self._note_out(known)
+        return set() if known.near == was_near else {record.service}
+
+    def _add(
+        self, record: control_pb2.InstanceRecord, now: clock.Millis
     ) -> None:
-        known = self._by_address.get(address)
-        if known is None or not incarnations.is_same_start(
-            known.record, record
-        ):
-            near = record.data_centre == self._data_centre
-            work = self._work.setdefault(record.service, Work())
-            known = self._by_address[address] = Target(record, near, work, now)
-            self.begin_cold(known, self._cold_left(record), now)
-        elif known.record is not record:
-            self.begin_cold(known, self._cold_left(record), now)
-            known.record = record
+        target = Target(
+            record,
+            self._data_centre,
+            self._get_work(record.service),
+            familiar.place(self._name, record.address),
+            now,
+        )
+        self._by_address[record.address] = target
+        self._by_service.setdefault(record.service, []).append(target)
+        self.begin_cold(target, self._cold_left(record), now)
+        self._note_out(target)
+
+    def _note_out(self, target: Target) -> None:
+        target.is_out = self._view.is_server_out(
+            target.data_centre, target.address
+        )
+
+    def _pick_familiar(self, targets: list[Target]) -> None:
+        chosen = familiar.pick(
+            {target.address: target.place for target in targets if target.near}
+        )
+        for target in targets:
+            # Those of other data centres are rare, and bytes decide there.
+            target.is_familiar = not target.near or target.address in chosen
 
     def _cold_left(self, record: control_pb2.InstanceRecord) -> clock.Millis:
         """Returns how long a cold start lasts from when rows were sent."""
@@ -313,18 +394,41 @@
 
     def _follow_outs(self, view: view_lib.View, now: clock.Millis) -> None:
         """Counts targets that come back into service as in cold start."""
-        outs = {out.data_centre for out in view.outs.values()}
-        for back in self._outs - outs:
-            for target in self._by_address.values():
-                if target.record.data_centre == back:
-                    self.suspect_cold(target, now)
+        outs = {o.data_centre for o in view.outs.values() if not o.address}
+        back = self._outs - outs
+        for target in self._by_address.values():
+            was_out = target.is_out
+            self._note_out(target)
+            is_back = was_out and not target.is_out
+            if is_back or target.data_centre in back:
+                self.suspect_cold(target, now)
         self._outs = outs
 
     def suspect_cold(self, target: Target, now: clock.Millis) -> None:
         """Counts a target that may have started anew as in cold start."""
         service = self._view.table.get_service(target.record.service)
         if service is not None:
-            self.begin_cold(target, service.cold_ms, now)
+            target.suspected_at = now
+            target.suspected_until = now + service.cold_ms
+
+    def note_cold_told(
+        self,
+        target: Target,
+        cold_ms: clock.Millis,
+        asked_at: clock.Millis,
+        now: clock.Millis,
+    ) -> None:
+        """Takes what a target itself said of its cold start.
+
+        Args:
+            target: The target.
+            cold_ms: How long its cold start lasts yet; 0 for not at all.
+            asked_at: When it was asked.
+            now: The time.
+        """
+        self.begin_cold(target, cold_ms, now)
+        if asked_at >= target.suspected_at:
+            target.suspected_until = float("-inf")
 
     def health_path(self, target: Target) -> str:
         """Returns where a target tells its health."""
@@ -333,20 +437,21 @@
 
     def is_current(self, target: Target) -> bool:
         """Tells whether a target may still be sent to."""
-        record = target.record
-        return self._by_address.get(
-            record.address
-        ) is target and not self._view.is_data_centre_out(record.data_centre)
+        known = self._by_address.get(target.address)
+        return known is target and not target.is_out
 
     def get(self, service: str) -> list[Target]:
         """Returns the targets of a service."""
         return self._by_service.get(service, [])
 
     def has_near(self, service: str) -> bool:
-        """Tells whether a target in this data centre may be sent to."""
+        """Tells whether a target in this data centre is worth a wait."""
         now = self._clock.now()
         return any(
-            target.near and self.is_current(target) and not target.is_down(now)
+            target.near
+            and self.is_current(target)
+            and not target.is_down(now)
+            and not target.is_cold(now)
             for target in self.get(service)
         )
 
@@ -360,8 +465,18 @@
 
     def expect_ms(self, service: str) -> clock.Millis:
         """Returns how long a request of a service is expected to take."""
-        work = self._work.get(service)
-        return FIRST_WORK_MS if work is None else work.expect_ms()
+        return self._get_work(service).expect_ms()
+
+    def _get_work(self, service: str) -> work_time.WorkTime:
+        return self._work.setdefault(service, work_time.WorkTime())
+
+    def _follow_routes(self, view: view_lib.View) -> None:
+        """Takes over what the objectives of new routes tell of work."""
+        if view.table.number == self._routes:
+            return
+        self._routes = view.table.number
+        for service, objective_ms in view.table.list_objectives().items():
+            self._get_work(service).guess(objective_ms)
 
     def rank(
         self,
@@ -369,7 +484,7 @@
         without: collections.abc.Container[Target],
         objective_ms: clock.Millis,
         left_ms: clock.Millis,
-        relaxed: bool,
+        demand: placement.Demand,
         far: bool,
         rng: random.Random,
     ) -> list[Target]:
@@ -378,34 +493,72 @@
         targets = [
             target
             for target in self.get(service)
-            if target not in without and self.is_current(target)
+            if (far or target.near)
+            and not target.is_out
+            and target not in without
         ]
         usable = [t for t in targets if not t.is_down(now)]
-        if relaxed and not usable:
+        if demand is placement.Demand.LAST and not usable:
             usable = targets
+        typical = self._get_typical(service)
         options = [
-            self._make_option(index, target, now)
+            self._make_option(index, target, typical, now)
             for index, target in enumerate(usable)
             if not target.is_cold(now) or self._bears_more(target, now)
         ]
         ranked = placement.rank(
-            options, objective_ms, left_ms, relaxed, far, rng
+            options, objective_ms, left_ms, demand, far, rng
         )
         return [usable[option.index] for option in ranked]
 
     def _make_option(
-        self, index: int, target: Target, now: clock.Millis
+        self,
+        index: int,
+        target: Target,
+        typical: typical_load.TypicalLoad,
+        now: clock.Millis,
     ) -> placement.Option:
         others = self._gossip.running.get(target.address, 0)
+        is_asked = target.tells_load is False or target.is_fresh(now)
+        likely_running, likely_slow = 0.0, 1.0
+        if not is_asked:
+            likely_running = typical.busy * target.slots
+            likely_slow = max(1.0, typical.slow / target.slow_now(now))
         return placement.Option(
             index,
             target.near,
-            max(1, target.record.slots),
+            target.slots,
+            target.useful_slots(now),
             target.estimate_running(others, now),
             target.work_ms(now),
             target.failures(now),
+            is_asked,
+            likely_running,
+            likely_slow,
+            target.is_familiar,
+            target.crowded_factor(now),
         )
 
+    def is_crowded(self, target: Target) -> bool:
+        """Tells whether a target is nearly full, with what is sent to it."""
+        others = self._gossip.running.get(target.address, 0)
+        running = target.estimate_running(others, self._clock.now())
+        return running > crowding.count_fast(target.slots)
+
+    def take_load(self, target: Target, value: bytes | None) -> None:
+        """Takes what an answer of a target tells of its load, if it does."""
+        load = None if value is None else parse_load(value)
+        if load is None:
+            target.note_no_load()
+            return
+        target.note_load(load, self._clock.now())
+        slots = load.slots or target.slots
+        busy = (load.running + load.waiting) / slots
+        self._get_typical(target.record.service).note(busy, load.slow)
+
+    def _get_typical(self, service: str) -> typical_load.TypicalLoad:
+        return self._typical.setdefault(service, typical_load.TypicalLoad())
+
     def _bears_more(self, target: Target, now: clock.Millis) -> bool:
         """Tells whether a target in cold start may get one more request."""
         service = self._view.table.get_service(target.record.service)
@@ -415,7 +568,7 @@
             near = [
                 entry.name
                 for entry in self._view.entries.values()
-                if entry.data_centre == target.record.data_centre
+                if entry.data_centre == target.data_centre
             ]
             senders = cold_rate.pick_senders(target.address, near)
             per_s = service.cold_per_s / max(1, len(senders))
@@ -429,12 +582,16 @@
     def begin(self, target: Target) -> None:
         """Counts a request that is sent to a target."""
         target.running += 1
+        self.note_arrival(target)
+        self._gossip.note_change()
+
+    def note_arrival(self, target: Target) -> None:
+        """Counts what is sent to a target toward the rate of its cold start."""
         now = self._clock.now()
-        if target.is_cold(now) and target.bucket is not None:
-            target.bucket.take(now)
-        elif not target.is_cold(now):
+        if not target.is_cold(now):
             target.bucket = None
-        self._gossip.note_change()
+        elif target.bucket is not None:
+            target.bucket.take(now)
 
     def end(self, target: Target) -> None:
         """Counts a request that is over."""
--- a/src/cardamomkeel/gateway/upstream_connection.py
+++ b/src/cardamomkeel/gateway/upstream_connection.py
@@ -1,10 +1,12 @@
 """A connection to a target that marks its answers with the request's id."""
 
+import asyncio
 import collections.abc
 
 from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel.backend_servers import pool_connection
+from cardamomkeel.routing import messages
 
 _NO_BODY = frozenset([204, 304])
 
@@ -33,6 +35,7 @@
         self._most_bytes = most_bytes
         self._wanted = b""
         self._until_end = False
+        self._rest = b""
         self.idle_ms: clock.Millis | None = None
         self.served = 0
         self.strays = 0
@@ -46,6 +49,23 @@
         """
         self._wanted = request_id
 
+    def begin_request(
+        self, head: bytes, body: bytes
+    ) -> asyncio.Future[messages.Answer]:
+        """Writes a request but for its last byte, see `finish_request`."""
+        answer = self.request(head, body[:-1], False)
+        self._rest = body[-1:]
+        return answer
+
+    def finish_request(self) -> None:
+        """Writes what was kept back, also where an answer was there before.
+
+        The target takes the next bytes for the rest of that request.
+        """
+        rest, self._rest = self._rest, b""
+        if rest and not self._transport.is_closing():
+            self._transport.write(rest)
+
     def _begin(self, is_head: bool) -> None:
         super()._begin(is_head)
         self._until_end = False
--- a/src/cardamomkeel/gateway/waiting.py
+++ b/src/cardamomkeel/gateway/waiting.py
@@ -1,4 +1,4 @@
-"""Requests that wait for a target, the most urgent first."""
+"""Requests that wait for a target, those that can be in time first."""
 
 import asyncio
 import bisect
@@ -13,58 +13,77 @@
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class _Waiter:
-    """One request that waits."""
-
+class Waiter:
+    """One request that waits.
+
+    Attributes:
+        late: Whether it can't be answered in time any more.
+        priority: Its rank among those like it; 0 is the most urgent.
+        number: Tells which came first.
+        woken: Set to True where it is to look for a target, to False where
+            another has taken its place.
+    """
+
+    late: bool
     priority: int
     number: int
     woken: asyncio.Future[bool]
 
-    def rank(self) -> tuple[int, int]:
-        return self.priority, self.number
+    def rank(self) -> tuple[bool, int, int]:
+        """Returns what waiting requests are ordered by."""
+        return self.late, self.priority, self.number
 
 
 class Waiting:
     """The requests of one service that wait at this entry."""
 
     def __init__(self):
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[Waiter] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def enter(self, priority: int) -> _Waiter | None:
+    def enter(self, late: bool, priority: int) -> Waiter | None:
         """Joins the queue; None where it is full of more urgent requests.
 
         Args:
+            late: Whether the request can't be answered in time any more.
             priority: The rank of the request; 0 is the most urgent.
         """
-        waiter = _Waiter(
+        waiter = Waiter(
+            late,
             priority,
             next(self._numbers),
             asyncio.get_running_loop().create_future(),
         )
         if len(self._waiters) >= MOST_WAITING:
             last = self._waiters[-1]
-            if last.priority <= priority:
+            if (last.late, last.priority) <= (late, priority):
                 return None
             self._waiters.pop()
             if not last.woken.done():
                 last.woken.set_result(False)
-        bisect.insort(self._waiters, waiter, key=_Waiter.rank)
+        bisect.insort(self._waiters, waiter, key=Waiter.rank)
         return waiter
 
-    def leave(self, waiter: _Waiter) -> None:
+    def note_late(self, waiter: Waiter) -> None:
+        """Has a request wait behind all that can still be in time."""
+        waiter.late = True
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+            bisect.insort(self._waiters, waiter, key=Waiter.rank)
+
+    def leave(self, waiter: Waiter) -> None:
         """Leaves the queue."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def is_first(self, waiter: _Waiter) -> bool:
+    def is_first(self, waiter: Waiter) -> bool:
         """Tells whether no other request goes before."""
         return bool(self._waiters) and self._waiters[0] is waiter
 
-    async def wait(self, waiter: _Waiter, most_ms: clock.Millis) -> bool:
+    async def wait(self, waiter: Waiter, most_ms: clock.Millis) -> bool:
         """Waits for a change that may let the request go.
 
         Returns:
--- /dev/null
+++ b/src/cardamomkeel/log_lines/control.py
@@ -0,0 +1,116 @@
+"""Lines about the control group, and about what operators ask of it."""
+
+from cardamomkeel.log_lines import kinds
+
+KINDS = (
+    kinds.Kind(
+        "leads",
+        kinds.INFO,
+        ("term",),
+        "This VM leads the group.",
+    ),
+    kinds.Kind(
+        "follows",
+        kinds.INFO,
+        ("term",),
+        "This VM leads the group no longer.",
+    ),
+    kinds.Kind(
+        "handed over",
+        kinds.INFO,
+        ("leader",),
+        "A leader that stops has another lead first.",
+    ),
+    kinds.Kind(
+        "a control VM sent what can't be read",
+        kinds.ERROR,
+        ("control", "reason"),
+        "The stream to it is closed, another control VM is followed.",
+    ),
+    kinds.Kind(
+        "no other member leads",
+        kinds.WARNING,
+        ("asked",),
+        "A leader that stops found none; an election follows.",
+    ),
+    kinds.Kind(
+        "waits for the first members",
+        kinds.INFO,
+        ("missing",),
+        "The group forms once these are there.",
+    ),
+    kinds.Kind(
+        "the group has begun; joins it as a new member",
+        kinds.WARNING,
+        (),
+        "The disk of this VM is empty, the group goes on without it.",
+    ),
+    kinds.Kind(
+        "not joined yet",
+        kinds.INFO,
+        ("reason",),
+        "It asks again.",
+    ),
+    kinds.Kind(
+        "removed a silent member",
+        kinds.WARNING,
+        ("member",),
+        "Another VM takes its place.",
+    ),
+    kinds.Kind(
+        "makes a learner a voter",
+        kinds.INFO,
+        ("member",),
+        "It has caught up.",
+    ),
+    kinds.Kind(
+        "ends sessions of entries",
+        kinds.WARNING,
+        ("sessions",),
+        "They have not been heard for too long.",
+    ),
+    kinds.Kind(
+        "compacted the log",
+        kinds.INFO,
+        ("index",),
+        "What came before stands in a snapshot.",
+    ),
+    kinds.Kind(
+        "the disk has failed",
+        kinds.ERROR,
+        ("reason",),
+        "The replica starts anew from its disk; see to the disk where it goes"
+        " on.",
+    ),
+    kinds.Kind(
+        "the data folder is damaged",
+        kinds.ERROR,
+        ("reason",),
+        "Empty the folder: the VM joins as a new member.",
+    ),
+    kinds.Kind(
+        "was sent a configuration",
+        kinds.INFO,
+        ("number", "base", "status", "reason"),
+        "What it builds on, the status that was answered, and why.",
+    ),
+    kinds.Kind(
+        "refused a configuration",
+        kinds.WARNING,
+        ("reason",),
+        "It is not valid by itself.",
+    ),
+    kinds.Kind(
+        "evacuation",
+        kinds.INFO,
+        ("zone", "method", "reason"),
+        "A data centre is taken out of service or brought back.",
+    ),
+    kinds.Kind(
+        "no control VM could tell",
+        kinds.WARNING,
+        ("method", "path"),
+        "A call was answered 503: no leader, or no majority that answers.",
+        per_s=20,
+    ),
+)
--- /dev/null
+++ b/src/cardamomkeel/log_lines/programs.py
@@ -0,0 +1,102 @@
+"""Lines about the start and the end of a program."""
+
+from cardamomkeel.log_lines import kinds
+
+KINDS = (
+    kinds.Kind(
+        "runs",
+        kinds.INFO,
+        ("callers", "member"),
+        "It serves from now on.",
+    ),
+    kinds.Kind(
+        "stops",
+        kinds.INFO,
+        ("signal",),
+        "It was told to end.",
+    ),
+    kinds.Kind(
+        "stops at once",
+        kinds.WARNING,
+        ("signal",),
+        "It was told a second time.",
+    ),
+    kinds.Kind(
+        "is stopping already",
+        kinds.WARNING,
+        ("signal",),
+        "It was told a second time; it finishes first.",
+    ),
+    kinds.Kind(
+        "stopping",
+        kinds.INFO,
+        ("step", "in_flight", "owned"),
+        "A step of a stop, and what is left.",
+    ),
+    kinds.Kind(
+        "stops before it has finished",
+        kinds.WARNING,
+        ("step", "in_flight", "owned"),
+        "The time for a stop is over; this was left.",
+    ),
+    kinds.Kind(
+        "stopped with requests under way",
+        kinds.WARNING,
+        ("count",),
+        "The time for a stop is over; so many were cut.",
+    ),
+    kinds.Kind(
+        "closed connections in use",
+        kinds.WARNING,
+        ("count",),
+        "The time for a stop is over; so many were cut.",
+    ),
+    kinds.Kind(
+        "control is not told",
+        kinds.WARNING,
+        ("reason",),
+        "It learns by time that this entry has stopped.",
+    ),
+    kinds.Kind(
+        "has stopped",
+        kinds.INFO,
+        (),
+        "Nothing was cut.",
+    ),
+    kinds.Kind(
+        "was told that the settings changed",
+        kinds.INFO,
+        (),
+        "SIGHUP came.",
+    ),
+    kinds.Kind(
+        "read the settings file again",
+        kinds.INFO,
+        (),
+        "What changed is followed.",
+    ),
+    kinds.Kind(
+        "keeps what the settings file said",
+        kinds.WARNING,
+        ("reason",),
+        "It can not be read now; what was read before holds.",
+    ),
+    kinds.Kind(
+        "the settings file is gone",
+        kinds.WARNING,
+        ("reason",),
+        "What was read before holds.",
+    ),
+    kinds.Kind(
+        "metrics are not shown",
+        kinds.WARNING,
+        ("reason",),
+        "The port on which the platform fetches them is taken; all else runs.",
+    ),
+    kinds.Kind(
+        "a change failed",
+        kinds.ERROR,
+        ("reason",),
+        "A step of an experiment could not be carried out.",
+    ),
+)
--- /dev/null
+++ b/src/cardamomkeel/log_lines/requests.py
@@ -0,0 +1,137 @@
+"""Lines about single requests, at the entries."""
+
+from cardamomkeel.log_lines import kinds
+
+KINDS = (
+    kinds.Kind(
+        "failed",
+        kinds.INFO,
+        (
+            "request_id",
+            "status",
+            "reason",
+            "service",
+            "route",
+            "targets",
+            "took_ms",
+            "left_ms",
+            "spent_ms",
+        ),
+        "An entry answered with a failure of its own.",
+        per_s=20,
+    ),
+    kinds.Kind(
+        "refused",
+        kinds.INFO,
+        ("status", "reason"),
+        "No route fits the request, or there are no routes yet.",
+        per_s=20,
+    ),
+    kinds.Kind(
+        "refused a request",
+        kinds.INFO,
+        ("status", "reason"),
+        "What a caller sent is no request that can be read; it was answered.",
+        per_s=20,
+    ),
+    kinds.Kind(
+        "dropped lines",
+        kinds.WARNING,
+        ("count",),
+        "So many lines were left out: more came than a second may hold, or "
+        "nobody read them.",
+    ),
+    kinds.Kind(
+        "not answered",
+        kinds.INFO,
+        ("request_id", "service", "outcome", "target", "reason"),
+        "An entry that owns targets could not answer; the outcome says "
+        "whether the request may have run.",
+    ),
+    kinds.Kind(
+        "refused request",
+        kinds.INFO,
+        ("request_id", "reason", "peer"),
+        "What a caller sent was refused before it was given to a target.",
+    ),
+    kinds.Kind(
+        "a caller left before its request was whole",
+        kinds.INFO,
+        (),
+        "Nothing was sent to a target.",
+    ),
+    kinds.Kind(
+        "closed a connection whose answer is not read",
+        kinds.INFO,
+        (),
+        "A caller did not take its answer in time.",
+    ),
+    kinds.Kind(
+        "cancelled a request",
+        kinds.INFO,
+        ("path",),
+        "Its caller has left; the target is told.",
+    ),
+    kinds.Kind(
+        "an answer was cut",
+        kinds.INFO,
+        ("reason",),
+        "A target ended its answer early; the caller sees it as cut.",
+    ),
+    kinds.Kind(
+        "a request failed",
+        kinds.ERROR,
+        ("path", "service"),
+        "A fault of this program: report it with the lines before it.",
+    ),
+    kinds.Kind(
+        "a claimed request failed",
+        kinds.ERROR,
+        ("key",),
+        "A fault of this program: report it with the lines before it.",
+    ),
+    kinds.Kind(
+        "an attempt failed",
+        kinds.ERROR,
+        ("key",),
+        "A fault of this program: report it with the lines before it.",
+    ),
+    kinds.Kind(
+        "a forwarded request failed",
+        kinds.ERROR,
+        (),
+        "A fault of this program: report it with the lines before it.",
+    ),
+    kinds.Kind(
+        "the end of a request is not written down",
+        kinds.ERROR,
+        ("service", "key", "reason"),
+        "Control could not be told how a request with a key ended; who asks "
+        "again is told that it may have run.",
+    ),
+    kinds.Kind(
+        "a request may have crashed a target",
+        kinds.WARNING,
+        ("target", "fingerprint"),
+        "The request with this fingerprint is refused once two targets went "
+        "down under it.",
+    ),
+    kinds.Kind(
+        "a request is in quarantine",
+        kinds.ERROR,
+        ("service", "path", "fingerprint"),
+        "It crashed targets and is refused; find out what is wrong with it.",
+    ),
+    kinds.Kind(
+        "a break is not counted",
+        kinds.WARNING,
+        ("reason",),
+        "Control could not be told that a target broke a connection.",
+    ),
+    kinds.Kind(
+        "a probe is not ended",
+        kinds.WARNING,
+        ("reason",),
+        "Control could not be told how a trial of a quarantined request ended.",
+    ),
+)
--- /dev/null
+++ b/src/cardamomkeel/log_lines/targets.py
@@ -0,0 +1,62 @@
+"""Lines about backend servers."""
+
+from cardamomkeel.log_lines import kinds
+
+KINDS = (
+    kinds.Kind(
+        "a target announced itself",
+        kinds.INFO,
+        ("target", "instance", "service", "state", "cold_ms"),
+        "It is new, drains, or fell cold.",
+    ),
+    kinds.Kind(
+        "a target said farewell",
+        kinds.INFO,
+        ("instance",),
+        "It gets nothing from now on.",
+    ),
+    kinds.Kind(
+        "forgets silent targets",
+        kinds.WARNING,
+        ("targets",),
+        "They have not announced themselves for too long.",
+    ),
+    kinds.Kind(
+        "targets are gone",
+        kinds.WARNING,
+        ("count",),
+        "So many that this entry owned have not announced themselves for too "
+        "long.",
+    ),
+    kinds.Kind(
+        "passed over a heartbeat",
+        kinds.WARNING,
+        ("reason",),
+        "It names no backend server to use; the others hold.",
+        per_s=20,
+    ),
+    kinds.Kind(
+        "refused announcement",
+        kinds.WARNING,
+        ("reason",),
+        "What a backend server said of itself does not fit.",
+    ),
+    kinds.Kind(
+        "a target fell back into cold start",
+        kinds.INFO,
+        ("target", "service", "why"),
+        "It gets less until it has answered again.",
+    ),
+    kinds.Kind(
+        "a connection is silent",
+        kinds.WARNING,
+        ("address",),
+        "Its other end is not heard any more; it is replaced.",
+    ),
+    kinds.Kind(
+        "passed over a datagram",
+        kinds.WARNING,
+        ("reason",),
+        "What came on the port for loads is none of another entry.",
+    ),
+)
--- a/src/cardamomkeel/logs.py
+++ b/src/cardamomkeel/logs.py
@@ -6,9 +6,11 @@
 import orjson
 
 from cardamomkeel import journal
+from cardamomkeel.log_lines import sink
 
 
-def _format(record) -> str:
+def format_line(record: "loguru.Record") -> str:
+    """Returns the template of a line that is one JSON object."""
     line = {
         "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name.lower(),
@@ -35,7 +37,9 @@
     """
     loguru.logger.remove()
     loguru.logger.add(
-        sys.stderr, format=_format, level=level.upper(), colorize=False
+        sink.Sink(sys.stderr.fileno()).write,
+        format=format_line,
+        level=level.upper(),
     )
     loguru.logger.add(journal.RECENT.write, level="INFO", format="{message}")
     loguru.logger.configure(extra={"process_name": process})
--- a/src/cardamomkeel/metrics.py
+++ b/src/cardamomkeel/metrics.py
@@ -1,4 +1,7 @@
-"""Counters and gauges that every process shows under `/metrics`."""
+"""Counters and gauges that every process shows under `/metrics`.
+
+Names end as Prometheus wants them: counters with `_total`, times in seconds.
+"""
 
 import bisect
 import dataclasses
@@ -7,9 +10,12 @@
 
 import aioprometheus
 
+from cardamomkeel import clock
+
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Upper bounds of the buckets of histograms, in milliseconds.
 BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000]
+BUCKETS_S = [clock.seconds(bound) for bound in BUCKETS_MS]
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +66,7 @@
         self._readers.append(reader)
 
     def count(self, name: str, doc: str, by: float = 1, **labels) -> None:
-        """Adds to a counter."""
+        """Adds to a counter, shown as `NAME_total`."""
         key = (name, *labels.items())
         count = self._counts.get(key)
         if count is None:
@@ -72,7 +78,7 @@
         self._get(aioprometheus.Gauge, name, doc).set(labels, value)
 
     def observe(self, name: str, doc: str, value: float, **labels) -> None:
-        """Adds a value in milliseconds to a histogram."""
+        """Adds milliseconds to a histogram, shown as `NAME_seconds`."""
         key = (name, *labels.items())
         series = self._series.get(key)
         if series is None:
@@ -85,7 +91,9 @@
         for reader in self._readers:
             reader()
         for (name, *_), count in self._counts.items():
-            counter = self._get(aioprometheus.Counter, name, count.doc)
+            counter = self._get(
+                aioprometheus.Counter, f"{name}_total", count.doc
+            )
             counter.set(count.labels, count.value)
         for (name, *_), series in self._series.items():
             self._show_series(name, series)
@@ -94,12 +102,15 @@
 
     def _show_series(self, name: str, series: _Series) -> None:
         collector = self._get(
-            aioprometheus.Histogram, name, series.doc, buckets=BUCKETS_MS
+            aioprometheus.Histogram,
+            f"{name}_seconds",
+            series.doc,
+            buckets=BUCKETS_S,
         )
-        shown = aioprometheus.histogram.Histogram(*BUCKETS_MS)
+        shown = aioprometheus.histogram.Histogram(*BUCKETS_S)
         shown.buckets.update(
             zip(shown.buckets, itertools.accumulate(series.counts), strict=True)
         )
         shown.observations = sum(series.counts)
-        shown.sum = series.total
+        shown.sum = clock.seconds(series.total)
         collector.set_value(series.labels, shown)
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -7,12 +7,14 @@
 import typer
 
 from cardamomkeel import errors
+from cardamomkeel.log_lines import page as log_page_lib
 from cardamomkeel.operators import client
 from cardamomkeel.operators import commandline_options as options
 from cardamomkeel.operators import history_command
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
+from cardamomkeel.operators import routes_commands
 from cardamomkeel.operators import settings_commands
 from cardamomkeel.operators import status_command
 from cardamomkeel.settings import page
@@ -33,6 +35,7 @@
     help="Changes, checks and explains a running cardamomkeel.",
 )
 app.add_typer(member_commands.app, name="member")
+app.add_typer(routes_commands.app, name="routes")
 app.command()(status_command.status)
 app.command()(history_command.history)
 
@@ -155,6 +158,12 @@
     print(page.render(), end="")
 
 
+@app.command()
+def log_page() -> None:
+    """Prints the page that lists all kinds of log lines."""
+    print(log_page_lib.render(), end="")
+
+
 def main() -> None:
     """Runs the command line."""
     app()
--- a/src/cardamomkeel/operators/settings_calls.py
+++ b/src/cardamomkeel/operators/settings_calls.py
@@ -18,7 +18,7 @@
 from cardamomkeel.settings import process
 from cardamomkeel.settings import rows
 from cardamomkeel.state import change_results
-from cardamomkeel.state import settings_rows
+from cardamomkeel.state import keys
 from cardamomkeel.wire import control_pb2
 
 SOURCE = "the new settings text"
@@ -154,7 +154,7 @@
     async def _read(self) -> result.Result[_Known, errors.Error]:
         """Reads the text in force."""
         read = await self._control.read(
-            control_pb2.ReadRequest(key=settings_rows.SETTINGS_KEY),
+            control_pb2.ReadRequest(key=keys.SETTINGS_KEY),
             commits.COMMIT_TIMEOUT_MS,
         )
         if not isinstance(read, result.Success):
--- a/src/cardamomkeel/operators/settings_commands.py
+++ b/src/cardamomkeel/operators/settings_commands.py
@@ -26,12 +26,14 @@
     SERVICES = "services"
     ENTRY = "entry"
     CONTROL = "control"
+    GATEWAY = "gateway"
 
 
 MODELS: dict[Program, type[pydantic.BaseModel]] = {
     Program.SERVICES: services.ServicesText,
     Program.ENTRY: process.EntrySettings,
     Program.CONTROL: process.ControlSettings,
+    Program.GATEWAY: process.GatewaySettings,
 }
 
 
--- a/src/cardamomkeel/platform/__main__.py
+++ b/src/cardamomkeel/platform/__main__.py
@@ -4,15 +4,20 @@
 import takes count on small VMs.
 """
 
+import gc
 import importlib
 import sys
 
-import uvloop
+from cardamomkeel.platform import early
 
 PROGRAMS = {
     "front": "cardamomkeel.platform.front",
     "core": "cardamomkeel.platform.core",
 }
+# The one that callers reach.
+LISTENS_EARLY = "front"
+# Runs a program; it is imported late, since it takes long.
+LOADED = "cardamomkeel.platform.loaded"
 
 
 def main(args: list[str]) -> int:
@@ -25,9 +30,13 @@
             file=sys.stderr,
         )
         return 2
-    program = importlib.import_module(PROGRAMS[args[0]])
-    uvloop.run(program.run())
-    return 0
+    # Nothing that an import makes is garbage; to look for some takes a sixth of
+    # the time of a start. The loaded program looks again.
+    gc.disable()
+    if args[0] == LISTENS_EARLY:
+        early.listen()
+    loaded = importlib.import_module(LOADED)
+    return loaded.main(args[0], PROGRAMS[args[0]])
 
 
 if __name__ == "__main__":
--- a/src/cardamomkeel/platform/configurations.py
+++ b/src/cardamomkeel/platform/configurations.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import hashlib
 import typing
 
 import orjson
@@ -15,9 +14,11 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel.routes import change
 from cardamomkeel.routes import document as document_lib
-from cardamomkeel.settings import reader
+from cardamomkeel.settings import structs
 
+REMEDY = "send it in full, as docs/operators/platform.md tells"
 # Whether a request may run more than once, by the word for its kind.
 _IDEMPOTENT = {"safe": True, "unsafe": False}
 
@@ -200,22 +201,20 @@
         return result.Failure(
             errors.SettingsError(
                 f"the configuration can't be read: {exc}",
-                "send it in full, as docs/operators/platform.md tells",
+                REMEDY,
             )
         )
-    checked = reader.validate(
-        content, document_lib.RoutesDocument, "the configuration"
+    checked = structs.convert(
+        content, document_lib.RoutesDocument, "the configuration", REMEDY
     )
     if not isinstance(checked, result.Success):
         return result.Failure(checked.failure())
-    # White space and the order of fields do not make another one.
-    normal = orjson.dumps(orjson.loads(raw), option=orjson.OPT_SORT_KEYS)
     return result.Success(
         Configuration(
             number,
             base_number,
             checked.unwrap(),
-            hashlib.sha256(normal).digest()[:16],
+            change.make_fingerprint(orjson.loads(raw)),
             raw,
         )
     )
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -1,17 +1,22 @@
 """Serves the platform's calls to control: operators and backend servers."""
 
+import dataclasses
 import secrets
 
 import loguru
 import orjson
 from returns import result
 
+from cardamomkeel import clock
 from cardamomkeel.control import group_calls
 from cardamomkeel.gateway import messages
+from cardamomkeel.log_lines import limits
 from cardamomkeel.platform import configurations
 from cardamomkeel.platform import heartbeats
+from cardamomkeel.routes import change
 from cardamomkeel.routes import document as document_lib
-from cardamomkeel.settings import reader
+from cardamomkeel.routes import packing
+from cardamomkeel.settings import structs
 from cardamomkeel.wire import control_pb2
 
 INSTANCES = "/-/instances/"
@@ -41,6 +46,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where a control VM is.
+
+    Attributes:
+        data_centre: Its data centre.
+        address: Where it serves backend servers and operators.
+    """
+
+    data_centre: str
+    address: str
+
+
 class ControlApi:
     """Carries out what operators and backend servers ask for."""
 
@@ -49,7 +67,8 @@
         calls: group_calls.GroupCalls,
         get_routes,
         zones: frozenset[str],
-        control_port: str,
+        place: Place,
+        clk: clock.Clock,
     ):
         """Makes the handler of one control VM.
 
@@ -57,18 +76,21 @@
             calls: Reaches the control group.
             get_routes: Returns the routes as last known here.
             zones: The data centres that there are.
-            control_port: The port of `control`, the same on all VMs.
+            place: Where this control VM is.
+            clk: The clock.
         """
         self._calls = calls
         self._get_routes = get_routes
         self._zones = zones
-        self._control_port = control_port
+        self._place = place
+        self._unanswered = limits.Limit("no control VM could tell", clk)
+        self._passed_over = limits.Limit("passed over a heartbeat", clk)
         self._services: tuple[int, frozenset[str]] = (0, frozenset())
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Answers one call."""
         response = await self._handle(req)
-        if response.status == UNAVAILABLE:
+        if response.status == UNAVAILABLE and self._unanswered.may_write():
             logger.warning(
                 "no control VM could tell", method=req.method, path=req.path
             )
@@ -99,20 +121,19 @@
             return _answer(405, error="send PUT or DELETE")
         parsed = heartbeats.parse(instance, req.body, self._zones)
         if not isinstance(parsed, result.Success):
-            logger.warning(
-                "passed over a heartbeat", reason=str(parsed.failure())
-            )
+            self._pass_over(str(parsed.failure()))
             return _answer(400, error=parsed.failure().message)
         told = parsed.unwrap()
         if not self._is_known(told.service):
-            logger.warning(
-                "passed over a heartbeat",
-                reason=f"{instance} names service {told.service}",
-            )
+            self._pass_over(f"{instance} names service {told.service}")
             return _answer(400, error=f"there is no service {told.service}")
         if not await self._calls.announce(told):
             return unavailable()
-        return _answer(200, **self._name_leader())
+        return _answer(200, **self._name_next(told))
+
+    def _pass_over(self, reason: str) -> None:
+        if self._passed_over.may_write():
+            logger.warning("passed over a heartbeat", reason=reason)
 
     def _is_known(self, service: str) -> bool:
         """Tells whether a service is named by the routes in force."""
@@ -120,20 +141,22 @@
         if not routes.number:
             return True
         if self._services[0] != routes.number:
-            document = reader.parse_json(
-                routes.document.decode(),
+            document = structs.decode(
+                packing.unpack(routes.document),
                 document_lib.RoutesDocument,
                 "routes in force",
             ).unwrap()
             self._services = (routes.number, frozenset(document.services))
         return service in self._services[1]
 
-    def _name_leader(self) -> dict[str, str]:
-        """Returns where later heartbeats need no second hop."""
-        host, _, _ = self._calls.leader_address().rpartition(":")
-        if not host:
+    def _name_next(self, told: control_pb2.InstanceRecord) -> dict[str, str]:
+        """Returns where later heartbeats go, for one of this data centre.
+
+        Others try further control VMs until they find one of their own.
+        """
+        if told.data_centre != self._place.data_centre:
             return {}
-        return {"heartbeat-url": f"{host}:{self._control_port}"}
+        return {"heartbeat-url": self._place.address}
 
     async def _leave(self, instance: str) -> messages.Response:
         command = control_pb2.Command(
@@ -157,14 +180,12 @@
             )
             return _answer(400, error=parsed.failure().message)
         config = parsed.unwrap()
-        command = control_pb2.Command(
-            apply_routes=control_pb2.ApplyRoutes(
-                base_number=config.base_number,
-                number=config.number,
-                document=config.document.model_dump_json().encode(),
-                fingerprint=config.fingerprint,
-                source=config.source,
-            )
+        command = change.make_command(
+            config.number,
+            config.base_number,
+            config.document,
+            config.fingerprint,
+            config.source,
         )
         done = await self._calls.propose(command)
         if done is None:
@@ -186,7 +207,7 @@
             return unavailable()
         if not routes.number:
             return _answer(404, error="there is no configuration yet")
-        return messages.Response(200, [_JSON], routes.source)
+        return messages.Response(200, [_JSON], packing.unpack(routes.source))
 
     async def _evacuate(self, method: str, zone: str) -> messages.Response:
         if self._zones and zone not in self._zones:
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from cardamomkeel import clock
+from cardamomkeel import listening
 from cardamomkeel.control import channels as channels_lib
 from cardamomkeel.control import follow
 from cardamomkeel.control import formation
@@ -17,8 +18,11 @@
 from cardamomkeel.control import node as node_lib
 from cardamomkeel.control import registrar as registrar_lib
 from cardamomkeel.control import service
+from cardamomkeel.control import shown
 from cardamomkeel.daemons import start
 from cardamomkeel.gateway import http_server
+from cardamomkeel.gateway import messages
+from cardamomkeel.gateway import operators as operators_lib
 from cardamomkeel.platform import control_api
 from cardamomkeel.platform import process
 from cardamomkeel.platform import timings
@@ -29,6 +33,8 @@
 from cardamomkeel.settings import process as process_settings
 from cardamomkeel.wire import control_pb2
 
+# Fields of the settings file without which there is nothing to serve.
+NEEDED = ("self.data-dir", "network.listen.control")
 # Up to how many members the group grows by itself.
 MOST_MEMBERS = 7
 # After a disk failed, before it is tried again.
@@ -54,8 +60,16 @@
         self._ip = read.own.ip
         self._address = read.inner_address(self._ip, process.CONTROL_PORT)
         self._folder = pathlib.Path(read.own.data_dir)
-        self._timings = timings.make_timings(read.timeouts.bounds)
+        self._timings = process_settings.Timings(
+            heartbeat_ms=timings.HEARTBEAT_MS,
+            election_least_ms=timings.ELECTION_LEAST_MS,
+            election_most_ms=timings.ELECTION_MOST_MS,
+            lease_ms=timings.LEASE_MS,
+            poll_wait_ms=timings.poll_wait_ms(read.timeouts.bounds),
+            poll_timeout_ms=timings.POLL_TIMEOUT_MS,
+        )
         self._server = http_server.HttpServer(_Unavailable(), self._clock)
+        self._showing: list[http_server.HttpServer] = []
         self._stop = anyio.Event()
 
     async def run(self) -> None:
@@ -66,6 +80,9 @@
             )
             tasks.start_soon(self._file.follow, lambda: None)
             await self._server.start(self._file.read.network.listen.control)
+            self._showing = await process.show(
+                self._file, _Unavailable(), self._clock
+            )
             tasks.start_soon(self._run_lives, tasks)
             await self._stop.wait()
 
@@ -77,12 +94,21 @@
                 logger.error(
                     "the disk has failed", reason=str(group.exceptions)
                 )
-            self._server.handler = _Unavailable()
+            self._serve_with(_Unavailable(), _Unavailable())
             if not self._stop.is_set():
                 await anyio.sleep(clock.seconds(DISK_PAUSE_MS))
-        await self._server.stop_listening()
+        for server in (self._server, *self._showing):
+            await server.stop_listening()
         tasks.cancel_scope.cancel()
 
+    def _serve_with(
+        self, api: messages.Handler, operators: messages.Handler
+    ) -> None:
+        """Has calls answered by others from now on."""
+        self._server.handler = api
+        for server in self._showing:
+            server.handler = operators
+
     async def _live(self) -> None:
         """Takes part in the group until told to stop or the disk fails."""
         cfg = self._make_settings()
@@ -114,7 +140,7 @@
             data_centre=self._file.read.own.zone,
             data_folder=str(self._folder),
             address=self._address,
-            operators_address=self._address,
+            operators_address=self._file.operators_address(),
             secret_file="",
             control={
                 address.rpartition(":")[0]: address
@@ -178,18 +204,26 @@
             ]
         )
         read = self._file.read
-        await server.start(*channels_lib.split_address(self._address))
-        self._server.handler = control_api.ControlApi(
+        with listening.at(self._address):
+            await server.start(*channels_lib.split_address(self._address))
+        api = control_api.ControlApi(
             calls,
             lambda: node.tables.routes(),
             frozenset(read.network.zones),
-            read.network.listen.control.rpartition(":")[2],
+            control_api.Place(cfg.data_centre, read.network.listen.control),
+            self._clock,
+        )
+        operators = operators_lib.Operators(
+            shown.make_metrics(node),
+            lambda: shown.dump(read.own.node_name, node),
         )
+        self._serve_with(api, operators)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(node.run)
                 tasks.start_soon(followers.run)
                 tasks.start_soon(registrar.run)
+                tasks.start_soon(calls.run)
                 tasks.start_soon(joining.run)
                 logger.info("runs", member=node.replica.id)
                 await self._stop.wait()
@@ -204,4 +238,4 @@
 
 async def run() -> None:
     """Runs until told to stop."""
-    await Core(process.NodeFile()).run()
+    await Core(process.NodeFile(NEEDED)).run()
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -7,9 +7,14 @@
 from cardamomkeel.gateway import program as program_lib
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.platform import directory as directory_lib
+from cardamomkeel.platform import header_names
 from cardamomkeel.platform import process
 from cardamomkeel.platform import timings
 
+BYTES_PER_MBIT = 125_000
+# Fields of the settings file without which there is nothing to serve.
+NEEDED = ("network.listen.front", "network.listen.ready")
+
 
 def make_settings(file: process.NodeFile) -> settings_lib.GatewaySettings:
     """Returns the settings of the entry from the platform's file."""
@@ -21,21 +26,23 @@
         data_centre=own.zone,
         callers_address=read.network.listen.front,
         entries_address=read.inner_address(own.ip, process.LOADS_PORT),
-        operators_address=read.inner_address(own.ip, process.OPERATORS_PORT),
+        operators_address=file.operators_address(),
         control={address: address for address in file.control_addresses()},
-        timings=timings.make_timings(bounds),
+        headers=header_names.HEADERS,
+        timings=settings_lib.Timings(timings.POLL_TIMEOUT_MS, timings.LEASE_MS),
         resend_share=bounds.retry_budget_ratio,
         resend_slack=bounds.retry_budget_slack,
         resend_window_ms=bounds.budget_window_s * 1000,
         stop_within_ms=timings.stop_within_ms(bounds),
         listen_on_ms=timings.listen_on_ms(bounds),
         keep_addresses_ms=timings.keep_addresses_ms(bounds),
+        link_bytes_per_s=own.limits.link_mbps * BYTES_PER_MBIT,
     )
 
 
 async def run() -> None:
     """Runs until told to stop."""
-    file = process.NodeFile()
+    file = process.NodeFile(NEEDED)
     cfg = make_settings(file)
     program = program_lib.Program(cfg)
     stop = anyio.Event()
@@ -53,11 +60,9 @@
             listen.directory: directory_lib.Directory(
                 program.session, program.gossip, cfg.keep_addresses_ms
             ),
-            cfg.operators_address: operators.Operators(
-                program.metrics, program.dump
-            ),
         }
-        servers = []
+        shown = operators.Operators(program.metrics, program.dump)
+        servers = await process.show(file, shown, program.clk)
         for address, handler in handlers.items():
             if address:
                 server = http_server.HttpServer(handler, program.clk)
--- a/src/cardamomkeel/platform/node_file.py
+++ b/src/cardamomkeel/platform/node_file.py
@@ -3,26 +3,38 @@
 import pathlib
 import typing
 
-import pydantic
+import msgspec
 from returns import result
 
 from cardamomkeel import errors
-from cardamomkeel.settings import reader
+from cardamomkeel.platform import early
+from cardamomkeel.settings import addresses
+from cardamomkeel.settings import structs
 
-# Where the path of the file stands.
-PATH_VARIABLE = "CARDAMOMKEEL_NODE_FILE"
+REMEDY = "correct the settings file; docs/operators/platform.md tells of it"
+# Of the range that is free for traffic between VMs: for control, for the loads
+# that entries tell each other, and for operators.
+INNER_PORTS = 3
 
 
-def _hyphen(name: str) -> str:
-    return name.replace("_", "-")
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+Seeds = typing.Annotated[list[str], msgspec.Meta(min_length=1)]
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=addresses.LAST_PORT)]
 
 
-class _Table(pydantic.BaseModel):
+class _Table(msgspec.Struct, frozen=True, rename="kebab"):
     """A table of the file; fields that are not known here are passed over."""
 
-    model_config = pydantic.ConfigDict(
-        alias_generator=_hyphen, populate_by_name=True, extra="ignore"
-    )
+
+class Limits(_Table):
+    """What a process may use.
+
+    Attributes:
+        link_mbps: What the link of its VM carries, in Mbit/s; 0 for not said.
+    """
+
+    link_mbps: NotNegative = 0.0
 
 
 class Own(_Table):
@@ -34,6 +46,7 @@
         zone: Its data centre.
         data_dir: Folder on its disk; None where it has none.
         bootstrap: Whether the whole deployment starts for the first time.
+        limits: What it may use.
     """
 
     node_name: str
@@ -41,6 +54,7 @@
     zone: str
     data_dir: str | None = None
     bootstrap: bool = False
+    limits: Limits = Limits()
 
 
 class Listen(_Table):
@@ -58,6 +72,16 @@
     control: str | None = None
     directory: str | None = None
 
+    def __post_init__(self):
+        """Checks the addresses.
+
+        Raises:
+            ValueError: One is none.
+        """
+        for address in (self.front, self.ready, self.control, self.directory):
+            if address is not None:
+                addresses.check(address)
+
 
 class Network(_Table):
     """How the process is reached, and whom it knows at its start.
@@ -69,10 +93,25 @@
     """
 
     listen: Listen
-    port_range: tuple[int, int]
-    seeds: list[str]
+    port_range: tuple[Port, Port]
+    seeds: Seeds
     zones: dict[str, str] = {}
 
+    def __post_init__(self):
+        """Checks the ports and the addresses.
+
+        Raises:
+            ValueError: There are too few ports, or a seed is no address.
+        """
+        first, last = self.port_range
+        if last - first + 1 < INNER_PORTS:
+            raise ValueError(
+                f"port-range {first} to {last} holds fewer than the "
+                f"{INNER_PORTS} ports that a VM needs"
+            )
+        for seed in self.seeds:
+            addresses.check(seed)
+
 
 class Bounds(_Table):
     """Times that the platform's operators have agreed on.
@@ -80,15 +119,12 @@
     The names are the platform's; each is read in one place, `timings.py`.
     """
 
-    drain_ms: float = 2000
-    config_apply_ms: float = 2000
-    contact_ms: float = 3000
-    evacuation_ms: float = 5000
-    grace_s: float = 6
-    ttl_max_s: float = pydantic.Field(5, alias="ttl_max_s")
-    retry_budget_ratio: float = 0.2
-    retry_budget_slack: float = 10
-    budget_window_s: float = 10
+    config_apply_ms: NotNegative = 2000
+    grace_s: Positive = 6
+    ttl_max_s: NotNegative = msgspec.field(default=5, name="ttl_max_s")
+    retry_budget_ratio: NotNegative = 0.2
+    retry_budget_slack: NotNegative = 10
+    budget_window_s: Positive = 10
 
 
 class Timeouts(_Table):
@@ -100,7 +136,7 @@
 class NodeFile(_Table):
     """The whole file."""
 
-    own: Own = pydantic.Field(alias="self")
+    own: Own = msgspec.field(name="self")
     network: Network
     timeouts: Timeouts = Timeouts()
 
@@ -109,16 +145,37 @@
 
         Ports are the same on all VMs.
         """
-        first, last = self.network.port_range
-        return f"{ip}:{min(last, first + offset)}"
+        first, _ = self.network.port_range
+        return f"{ip}:{first + offset}"
+
+    def find_missing(self, names: typing.Sequence[str]) -> list[str]:
+        """Returns which of some fields hold nothing.
+
+        Args:
+            names: The fields by their path, as `network.listen.front`.
+        """
+        return [name for name in names if self._get(name) is None]
 
+    def _get(self, path: str) -> typing.Any:
+        found: typing.Any = msgspec.to_builtins(self)
+        for part in path.split("."):
+            found = found[part]
+        return found
 
-def read(path: str | None) -> result.Result[NodeFile, errors.Error]:
-    """Reads the file, or says what is wrong with it."""
+
+def read(
+    path: str | None, needed: typing.Sequence[str] = ()
+) -> result.Result[NodeFile, errors.Error]:
+    """Reads the file, or says what is wrong with it.
+
+    Args:
+        path: Where it is.
+        needed: Fields that it must hold, by their path.
+    """
     if not path:
         return result.Failure(
             errors.SettingsError(
-                f"{PATH_VARIABLE} is not set",
+                f"{early.PATH_VARIABLE} is not set",
                 "set it to the path of the settings file",
             )
         )
@@ -128,11 +185,15 @@
         return result.Failure(
             errors.SettingsError(
                 f"the settings file {path} can't be read: {exc}",
-                f"see that {PATH_VARIABLE} names a file that is readable",
+                f"see that {early.PATH_VARIABLE} names a file that is readable",
             )
         )
-    text = raw.decode("utf-8", "replace")
-    return typing.cast(
-        result.Result[NodeFile, errors.Error],
-        reader.parse_json(text, NodeFile, path),
-    )
+    parsed = structs.decode(raw, NodeFile, path, REMEDY)
+    if not isinstance(parsed, result.Success):
+        return parsed
+    missing = parsed.unwrap().find_missing(needed)
+    if missing:
+        return result.Failure(
+            errors.SettingsError(f"{path} has no {', '.join(missing)}", REMEDY)
+        )
+    return parsed
--- a/src/cardamomkeel/platform/timings.py
+++ b/src/cardamomkeel/platform/timings.py
@@ -5,11 +5,13 @@
 
 from cardamomkeel import clock
 from cardamomkeel.platform import node_file
-from cardamomkeel.settings import process
 
 # An entry asks for news so often that two questions that fail, and one that
 # is answered, fit into what a change may take.
 POLLS_PER_CHANGE = 4
+# Bounds of that: what a poll costs, and how soon a lost entry is noticed.
+POLL_WAIT_LEAST_MS = 50
+POLL_WAIT_MOST_MS = 500
 POLL_TIMEOUT_MS = 450
 # Entries without routes serve nobody after a loss of power, so a leader has to
 # be there soon.
@@ -27,22 +29,16 @@
 KEEP_ADDRESSES_MS = 2000
 
 
-def make_timings(bounds: node_file.Bounds) -> process.Timings:
-    """Returns how long processes wait for each other."""
-    wait_ms = min(500, bounds.config_apply_ms / POLLS_PER_CHANGE)
-    return process.Timings(
-        heartbeat_ms=HEARTBEAT_MS,
-        election_least_ms=ELECTION_LEAST_MS,
-        election_most_ms=ELECTION_MOST_MS,
-        lease_ms=LEASE_MS,
-        poll_wait_ms=int(wait_ms),
-        poll_timeout_ms=POLL_TIMEOUT_MS,
-    )
+def poll_wait_ms(bounds: node_file.Bounds) -> int:
+    """Returns how often an entry asks for news."""
+    wait_ms = bounds.config_apply_ms / POLLS_PER_CHANGE
+    return int(max(POLL_WAIT_LEAST_MS, min(POLL_WAIT_MOST_MS, wait_ms)))
 
 
 def stop_within_ms(bounds: node_file.Bounds) -> int:
     """Returns how long a planned stop may take."""
-    return int(bounds.grace_s * clock.MS_PER_SECOND - STOP_MARGIN_MS)
+    grace_ms = bounds.grace_s * clock.MS_PER_SECOND
+    return int(max(0.0, grace_ms - STOP_MARGIN_MS))
 
 
 def listen_on_ms(bounds: node_file.Bounds) -> int:
--- /dev/null
+++ b/src/cardamomkeel/policy/crowding.py
@@ -0,0 +1,60 @@
+"""How many of a target's slots are worth using.
+
+Answers targets that slow down when nearly all of their slots are taken. One of
+three slots whose last one makes work take 1.7 times as long answers 8.0
+requests of 220 ms a second with all three in use, and 9.1 with two, each of
+them sooner. Whether targets of a service do so is learned from their answers.
+"""
+
+from cardamomkeel import clock
+
+# Targets may slow down where more than this share of their slots is taken.
+NEARLY_FULL_SHARE = 0.8
+# How much longer work takes then, before any answer tells: little enough that
+# all slots are tried.
+FIRST_FACTOR = 1.45
+# How much one answer moves the estimate, and between what bounds it counts: a
+# machine that was slowed meanwhile takes many times as long.
+ANSWER_SHARE = 0.1
+LEAST_FACTOR = 0.5
+MOST_FACTOR = 2.5
+# What was learned halves in this time unused, so that all are tried again.
+FORGET_HALF_MS = 5000.0
+
+
+def count_fast(slots: int) -> int:
+    """Returns how many requests a target runs before it may slow down."""
+    return max(1, int(slots * NEARLY_FULL_SHARE))
+
+
+class Crowding:
+    """How much longer work of one service takes at targets nearly full."""
+
+    def __init__(self):
+        self._factor = FIRST_FACTOR
+        self._learned_at = float("-inf")
+
+    def factor(self, now: clock.Millis) -> float:
+        """Returns how long work takes there, as a multiple of the usual."""
+        faded = 0.5 ** ((now - self._learned_at) / FORGET_HALF_MS)
+        return FIRST_FACTOR + (self._factor - FIRST_FACTOR) * faded
+
+    def note(
+        self, took_ms: clock.Millis, usual_ms: clock.Millis, now: clock.Millis
+    ) -> None:
+        """Counts an answer of a target that was nearly full.
+
+        Args:
+            took_ms: How long it took.
+            usual_ms: How long it takes at targets that are not.
+            now: The time.
+        """
+        told = min(MOST_FACTOR, max(LEAST_FACTOR, took_ms / usual_ms))
+        known = self.factor(now)
+        self._factor = known + ANSWER_SHARE * (told - known)
+        self._learned_at = now
+
+    def count_useful(self, slots: int, now: clock.Millis) -> int:
+        """Returns how many slots in use answer most requests a second."""
+        fast = count_fast(slots)
+        return fast if fast * self.factor(now) >= slots else slots
--- a/src/cardamomkeel/policy/placement.py
+++ b/src/cardamomkeel/policy/placement.py
@@ -3,33 +3,58 @@
 Answers load that shifts within milliseconds: the number of requests that run
 at a target is known almost exactly from the entries near it, so it decides;
 how slow a target was lately, and how often it failed, decide between targets
-that are equally busy. Crossing to another data centre costs bytes, so it has
-to save more time than it costs.
+that are equally busy. One that has just said how busy and slow it is goes
+before those that are likely to be worse. Crossing to another data centre costs
+bytes, so it has to save more time than it costs. Where more is asked for than
+targets can do, a request that is late already leaves room to those that can be
+in time.
 """
 
 import collections.abc
 import dataclasses
+import enum
 import random
 
 from cardamomkeel import clock
+from cardamomkeel.policy import crowding
 
-# Targets may slow down where more than this share of their slots is taken.
-NEARLY_FULL_SHARE = 0.8
-# How much longer work is expected to take then, where nothing is measured.
-NEARLY_FULL_FACTOR = 1.5
 # What crossing to another data centre counts as, in objectives.
 FAR_COST = 0.35
 # What a target with all slots taken counts as, in objectives.
 SHARED_COST = 0.1
+# What a target counts as that this entry does not turn to as a rule, in
+# objectives: a connection has to be opened, and was closed for being idle.
+STRANGE_COST = 0.04
+# What asking one more target counts as, in objectives: it takes time.
+ASK_COST = 0.05
 # Equal costs differ by chance up to this share, so that entries spread.
 JITTER_SHARE = 0.05
 # Work takes up to this multiple of the expected time as a rule.
 SPREAD_FACTOR = 1.6
-# Requests that may wait at a target where the caller would be refused else.
-WAITING_AT_TARGET = 1
-
-
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
+# The share of a target's useful slots, one at least, that requests which are
+# late leave free.
+KEPT_SHARE = 0.2
+# How much of a slot has to be free as far as is known: a target that said a
+# moment ago that it is full has a small part of one.
+FREE_PART = 0.5
+
+
+class Demand(enum.Enum):
+    """What a request needs of a target."""
+
+    # A slot that is free, and an answer in time.
+    IN_TIME = "in time"
+    # It is late already: a useful slot of those that are left over.
+    LATE = "late"
+    # It would be refused else: any useful slot, whether or not the target has
+    # been asked or was unreachable a moment ago. To wait at a full target has
+    # the work begin at a moment that nobody chooses.
+    LAST = "last"
+
+
+# Not frozen: each request makes one for every target, and a frozen one takes
+# three times as long.
+@dataclasses.dataclass(slots=True)
 class Option:
     """What is known of one target that may be sent to.
 
@@ -37,35 +62,61 @@
         index: Its place in the caller's list.
         near: Whether it is in the data centre of this entry.
         slots: How many requests it runs at a time.
+        useful_slots: With how many of them in use it answers most.
         running: How many run there now, as far as is known.
-        work_ms: How long it is expected to take for one request.
+        work_ms: How long it is expected to take for one request, at best.
         failures: The share of its last requests that failed.
+        is_asked: Whether it has just said how busy and slow it is, or can't.
+        likely_running: How many are likely to run there now.
+        likely_slow: How much longer than at best a request is likely to take.
+        is_familiar: Whether this entry turns to it as a rule.
+        crowded_factor: How much longer work takes where it is nearly full.
     """
 
     index: int
     near: bool
     slots: int
+    useful_slots: int
     running: float
     work_ms: clock.Millis
     failures: float
+    is_asked: bool = True
+    likely_running: float = 0.0
+    likely_slow: float = 1.0
+    is_familiar: bool = True
+    crowded_factor: float = 1.0
 
 
 def expect_ms(option: Option) -> clock.Millis:
     """Returns when an answer is expected if it gets one more request."""
     expected = option.work_ms
     after = option.running + 1
-    if after > option.slots * NEARLY_FULL_SHARE and option.slots > 1:
-        expected *= NEARLY_FULL_FACTOR
+    if after > crowding.count_fast(option.slots):
+        expected *= option.crowded_factor
     if after > option.slots:
         expected += option.work_ms * (after - option.slots) / option.slots
     return expected
 
 
+def _count_room(option: Option, demand: Demand) -> int:
+    """Returns up to how many running requests a target may have.
+
+    A target near this entry that is nearly full is slower, but it is reached
+    without the bytes that cross to another data centre.
+    """
+    if demand is Demand.IN_TIME and option.near:
+        return option.slots
+    useful = option.useful_slots
+    if demand is Demand.LATE and useful > 1:
+        return useful - max(1, round(useful * KEPT_SHARE))
+    return useful
+
+
 def rank(
     options: collections.abc.Iterable[Option],
     objective_ms: clock.Millis,
     left_ms: clock.Millis,
-    relaxed: bool,
+    demand: Demand,
     far: bool,
     rng: random.Random,
 ) -> list[Option]:
@@ -75,7 +126,7 @@
         options: The targets that are known.
         objective_ms: What is left of the time in which an answer is of use.
         left_ms: What is left before the caller gives up.
-        relaxed: Whether a late answer is better than none.
+        demand: What the request needs of a target.
         far: Whether targets of other data centres may be chosen.
         rng: Decides between equals.
 
@@ -85,17 +136,23 @@
     useful_ms = max(objective_ms, 1.0)
     ranked = []
     for option in options:
-        room = option.slots + (WAITING_AT_TARGET if relaxed else 0)
-        if option.running >= room or not (far or option.near):
+        room = _count_room(option, demand) - option.running
+        if room < FREE_PART or not (far or option.near):
             continue
         expected = expect_ms(option)
-        if expected > (left_ms if relaxed else useful_ms):
+        if expected > (useful_ms if demand is Demand.IN_TIME else left_ms):
             continue
-        cost = expected / useful_ms / max(0.05, 1 - option.failures) ** 2
+        likely_ms = expected * option.likely_slow
+        cost = likely_ms / useful_ms / max(0.05, 1 - option.failures) ** 2
         # An idle slot of another target is better than a shared one.
-        cost += SHARED_COST * option.running / option.slots
+        running = max(option.running, option.likely_running)
+        cost += SHARED_COST * running / option.slots
         if not option.near:
             cost += FAR_COST
+        if not option.is_asked:
+            cost += ASK_COST
+        if not option.is_familiar:
+            cost += STRANGE_COST
         cost *= 1 + rng.random() * JITTER_SHARE
         ranked.append((cost, option.index, option))
     return [option for _, _, option in sorted(ranked)]
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -357,9 +357,7 @@
         if req.term < self.term:
             return "the term is old"
         # A live leader is not disturbed by a member that lost sight of it.
-        least = self._timings.election_least_ms
-        is_live = self.is_leader or now < self._heard_at + least
-        if is_live and not req.handed_over:
+        if self.hears_leader(now) and not req.handed_over:
             return "a leader is live"
         if (req.last_term, req.last_index) < (self.last_term, self.last_index):
             return "the candidate's log is behind"
@@ -588,6 +586,11 @@
             {m: p.acked_sent_at for m, p in self.progress.items()}, now
         )
 
+    def hears_leader(self, now: clock.Millis) -> bool:
+        """Tells whether a leader lives as far as this member can tell."""
+        least = self._timings.election_least_ms
+        return self.is_leader or now < self._heard_at + least
+
     def is_live(self, member: str, now: clock.Millis) -> bool:
         """Tells whether a member has answered this leader of late."""
         if member == self.id:
--- a/src/cardamomkeel/routes/document.py
+++ b/src/cardamomkeel/routes/document.py
@@ -2,19 +2,25 @@
 
 import typing
 
-import pydantic
-
-from cardamomkeel.settings import process
+import msgspec
 
 # No caller is kept waiting for longer.
 LONGEST_TIMEOUT_MS = 600_000
 # An objective this far beyond the timeout is taken for a mistake.
 OBJECTIVE_SLACK_MS = 60_000
 
-Name = typing.Annotated[str, pydantic.Field(min_length=1, strict=True)]
+Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/([^?#\s]*/)?$")]
+Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+
 
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What holds no fields that are not known."""
 
-class Part(process.Strict):
+
+class Part(_Strict):
     """One service of a weighted split.
 
     Attributes:
@@ -23,10 +29,10 @@
     """
 
     service: Name
-    weight: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    weight: NotNegative
 
 
-class Route(process.Strict):
+class Route(_Strict, kw_only=True):
     """How requests of one host and path prefix are served.
 
     Attributes:
@@ -43,25 +49,30 @@
 
     name: str = ""
     host: Name
-    prefix: str = pydantic.Field(pattern=r"^/([^?#\s]*/)?$")
-    parts: tuple[Part, ...] = pydantic.Field(min_length=1)
+    prefix: Prefix
+    parts: typing.Annotated[tuple[Part, ...], msgspec.Meta(min_length=1)]
     idempotent: bool
-    attempts: int = pydantic.Field(1, ge=1)
-    timeout_ms: float = pydantic.Field(gt=0, le=LONGEST_TIMEOUT_MS)
-    objective_ms: float = pydantic.Field(gt=0)
-    priority: int = pydantic.Field(0, ge=0)
-
-    @pydantic.model_validator(mode="after")
-    def _check_objective(self) -> "Route":
+    attempts: Count = 1
+    timeout_ms: typing.Annotated[
+        float, msgspec.Meta(gt=0, le=LONGEST_TIMEOUT_MS)
+    ]
+    objective_ms: Positive
+    priority: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+
+    def __post_init__(self):
+        """Checks the objective against the timeout.
+
+        Raises:
+            ValueError: They do not go together.
+        """
         if self.objective_ms >= self.timeout_ms + OBJECTIVE_SLACK_MS:
             raise ValueError(
                 f"objective_ms of {self.host}{self.prefix} is a minute or "
                 "more above its timeout_ms; lower it"
             )
-        return self
 
 
-class RoutedService(process.Strict):
+class RoutedService(_Strict):
     """What operators say of a service behind routes.
 
     Attributes:
@@ -72,12 +83,12 @@
     """
 
     health_path: str = "/health"
-    connections: int = pydantic.Field(250, ge=1)
-    cold_ms: float = pydantic.Field(0, ge=0)
-    cold_per_s: float | None = pydantic.Field(None, ge=0)
+    connections: Count = 250
+    cold_ms: NotNegative = 0
+    cold_per_s: NotNegative | None = None
 
 
-class CallerLimits(process.Strict):
+class CallerLimits(_Strict):
     """What callers may send, and how long they may take.
 
     Attributes:
@@ -87,21 +98,31 @@
         idle_ms: How long a connection may stay unused.
     """
 
-    header_bytes: int = pydantic.Field(16_384, ge=1)
-    body_bytes: int = pydantic.Field(67_108_864, ge=0)
-    header_ms: float = pydantic.Field(3000, gt=0)
-    idle_ms: float = pydantic.Field(15_000, gt=0)
+    header_bytes: Count = 16_384
+    body_bytes: typing.Annotated[int, msgspec.Meta(ge=0)] = 67_108_864
+    header_ms: Positive = 3000
+    idle_ms: Positive = 15_000
 
 
-class RoutesDocument(process.Strict):
-    """All routes, the services that they name, and limits for callers."""
+class RoutesDocument(_Strict):
+    """All routes, the services that they name, and limits for callers.
+
+    Attributes:
+        routes: The routes, as listed below.
+        services: The services by name, as listed below.
+        limits: What callers may send.
+    """
 
     routes: tuple[Route, ...]
     services: dict[str, RoutedService]
     limits: CallerLimits = CallerLimits()
 
-    @pydantic.model_validator(mode="after")
-    def _check_routes(self) -> "RoutesDocument":
+    def __post_init__(self):
+        """Checks the routes against each other and the services.
+
+        Raises:
+            ValueError: Two share a place, or one names no service.
+        """
         places: set[tuple[str, str]] = set()
         for route in self.routes:
             place = (route.host.lower(), route.prefix)
@@ -118,4 +139,3 @@
                         f"{part.service}, which is no service; add it or "
                         "correct the name"
                     )
-        return self
--- a/src/cardamomkeel/routing/decisions.py
+++ b/src/cardamomkeel/routing/decisions.py
@@ -86,8 +86,8 @@
             outcome=outcome,
         )
         self._metrics.observe(
-            "request_ms",
-            "How long requests of callers took, in milliseconds.",
+            "request_duration",
+            "How long requests of callers took.",
             elapsed_ms,
             service=service,
         )
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -14,7 +14,6 @@
 from cardamomkeel.control import signal
 from cardamomkeel.policy import promises as promises_lib
 from cardamomkeel.routing import view as view_lib
-from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
 # The clock of this VM may run this much slower than that of the leader.
@@ -31,6 +30,43 @@
 logger = loguru.logger
 
 
+class Timings(typing.Protocol):
+    """How long this entry waits.
+
+    Attributes:
+        poll_timeout_ms: For the answer to a poll, before it asks another
+            control VM.
+        lease_ms: For its lease, before it joins anew.
+    """
+
+    poll_timeout_ms: int
+    lease_ms: int
+
+
+class Settings(typing.Protocol):
+    """What a session needs to know of the settings of its process.
+
+    Attributes:
+        name: Name of this VM.
+        data_centre: Where this VM is.
+        entries_address: Where other entries reach it.
+        callers_address: Where callers reach it.
+        operators_address: Where operators reach this process.
+        control: Address by name of the control VMs.
+        reach: Addresses to connect to in place of others.
+        timings: How long it waits.
+    """
+
+    name: str
+    data_centre: str
+    entries_address: str
+    callers_address: str
+    operators_address: str
+    control: dict[str, str]
+    reach: dict[str, str]
+    timings: Timings
+
+
 class Session:
     """Keeps the lease fresh for as long as the process runs.
 
@@ -43,10 +79,11 @@
 
     def __init__(
         self,
-        cfg: process.EntrySettings,
+        cfg: Settings,
         client: client_lib.ControlClient,
         clk: clock.Clock,
         on_change: typing.Callable[[], None],
+        make_view: typing.Callable[[], view_lib.View] = view_lib.View,
         keeps_view: bool = False,
     ):
         """Makes a session that has not joined yet.
@@ -56,9 +93,11 @@
             client: Reaches the leader.
             clk: The clock.
             on_change: Called when the view has changed.
+            make_view: Makes the empty state.
             keeps_view: Whether the view outlasts the session, for entries
                 that own no targets and need no lease.
         """
+        self._make_view = make_view
         self._keeps_view = keeps_view
         self._cfg = cfg
         self._client = client
@@ -78,7 +117,7 @@
         self._early = signal.Signal()
         self._answered = signal.Signal()
         self.id = 0
-        self.view = view_lib.View()
+        self.view = make_view()
         self.lease_until = float("-inf")
         self.promises = promises_lib.Promises()
 
@@ -156,7 +195,7 @@
         # Kept for resends only: the next session needs a name of its own.
         self._nonce = secrets.token_hex(8)
         if not self._keeps_view:
-            self.view = view_lib.View()
+            self.view = self._make_view()
         logger.info("joined", session=self.id)
 
     async def _poll(self) -> None:
@@ -246,9 +285,16 @@
         self._failed_at[address] = self._clock.now()
         count = len(self._addresses)
         self._turn = (self._turn + 1) % count
-        asked_all = self._failures >= 2 * count
-        pause_ms = LONG_RETRY_PAUSE_MS if asked_all else RETRY_PAUSE_MS
-        await anyio.sleep(clock.seconds(pause_ms))
+        await anyio.sleep(clock.seconds(self._pause_ms(count)))
+
+    def _pause_ms(self, count: int) -> clock.Millis:
+        """Returns how long to wait before one of some control VMs is asked."""
+        if self._failures >= 2 * count:
+            return LONG_RETRY_PAUSE_MS
+        # Callers wait for an entry that has no rows.
+        if not self.view.version and self._failures < count:
+            return 0.0
+        return RETRY_PAUSE_MS
 
     def _take(self, reply: control_pb2.FollowReply) -> None:
         """Takes the rows of a reply over."""
@@ -279,7 +325,7 @@
         self.id = 0
         self.lease_until = float("-inf")
         if not self._keeps_view:
-            self.view = view_lib.View()
+            self.view = self._make_view()
         self._on_change()
 
 
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -1,34 +1,45 @@
 """An entry's copy of the replicated state."""
 
 import dataclasses
-import typing
 
 import loguru
 from returns import result
 
+from cardamomkeel import errors
 from cardamomkeel.policy import outs
 from cardamomkeel.routes import document as document_lib
+from cardamomkeel.routes import packing
 from cardamomkeel.routes import table as table_lib
-from cardamomkeel.settings import reader
-from cardamomkeel.settings import services as services_lib
-from cardamomkeel.state import settings_rows
-from cardamomkeel.state import tables as tables_lib
+from cardamomkeel.settings import structs
+from cardamomkeel.state import keys
 from cardamomkeel.wire import control_pb2
 
-NO_MEASURING = "{}"
-
 logger = loguru.logger
 
 
+@dataclasses.dataclass
+class Changes:
+    """What has changed since a reader of the rows looked last.
+
+    Attributes:
+        whole: Whether any row may have changed.
+        instances: The addresses whose announcements have changed.
+        entries: Whether an entry came, went or moved.
+        outs: Whether something was taken out of service, or brought back.
+    """
+
+    whole: bool = False
+    instances: set[str] = dataclasses.field(default_factory=set)
+    entries: bool = False
+    outs: bool = False
+
+
 @dataclasses.dataclass
 class View:
-    """The rows that an entry follows.
+    """The rows that every entry follows.
 
     Attributes:
         version: The version of the state that the rows show.
-        revision: The revision of the settings text.
-        services: What the settings text says of each service.
-        measuring: What measuring load may cost.
         changes: How many replies have changed the rows.
         table: The routes in force.
         instances: What announced itself, by address.
@@ -37,11 +48,6 @@
     """
 
     version: int = 0
-    revision: int = 0
-    services: dict[str, services_lib.Service] = dataclasses.field(
-        default_factory=dict
-    )
-    measuring: services_lib.Measuring = services_lib.Measuring()
     changes: int = 0
     targets: dict[str, control_pb2.TargetRecord] = dataclasses.field(
         default_factory=dict
@@ -63,6 +69,10 @@
     )
     log_ms: int = 0
     crashes: dict[bytes, int] = dataclasses.field(default_factory=dict)
+    # Nobody has read anything yet.
+    _unread: Changes = dataclasses.field(
+        default_factory=lambda: Changes(whole=True)
+    )
     _by_service: dict[str, list[control_pb2.TargetRecord]] = dataclasses.field(
         default_factory=dict
     )
@@ -73,35 +83,43 @@
     def take(self, reply: control_pb2.FollowReply) -> None:
         """Takes the changed rows of a reply over."""
         if reply.whole:
-            self.services.clear()
-            self.targets.clear()
-            self.entries.clear()
-            self.outs.clear()
-            self.quarantines.clear()
-            self.instances.clear()
-            self.crashes.clear()
+            self._clear()
         if reply.records:
             self.log_ms = reply.log_ms
         for record in reply.records:
-            self._take_record(record)
+            self._take_record(record, *_split(record.key))
         self.version = reply.version
         if reply.records or reply.whole:
             self._index_targets()
             self.changes += 1
 
-    def _take_record(self, record: control_pb2.Record) -> None:
-        kind, _, name = record.key.partition("/")
-        if record.key == settings_rows.COMMON_KEY:
-            self._take_common(record.common)
-        elif kind == "service":
-            self._take_service(name, record)
-        elif kind == "target":
+    def take_changes(self) -> Changes:
+        """Returns what has changed since the last call."""
+        unread, self._unread = self._unread, Changes()
+        return unread
+
+    def _clear(self) -> None:
+        self._unread.whole = True
+        self.targets.clear()
+        self.entries.clear()
+        self.outs.clear()
+        self.quarantines.clear()
+        self.instances.clear()
+        self.crashes.clear()
+
+    def _take_record(
+        self, record: control_pb2.Record, kind: str, name: str
+    ) -> None:
+        if kind == "target":
             _set(self.targets, name, record.deleted, record.target)
         elif kind == "entry":
+            self._unread.entries = True
             _set(self.entries, int(name), record.deleted, record.entry)
         elif kind == "out":
+            self._unread.outs = True
             _set(self.outs, name, record.deleted, record.out)
         elif kind == "instance":
+            self._unread.instances.add(name)
             _set(self.instances, name, record.deleted, record.instance)
         elif kind == "crash":
             _set(
@@ -110,7 +128,7 @@
                 record.deleted,
                 len(record.crash.targets),
             )
-        elif record.key == tables_lib.ROUTES_KEY:
+        elif record.key == keys.ROUTES_KEY:
             self._take_routes(record.routes)
         elif kind == "quarantine":
             _set(
@@ -120,41 +138,18 @@
                 record.quarantine,
             )
 
-    def _take_common(self, common: control_pb2.CommonSettings) -> None:
-        measuring = reader.parse_json(
-            common.measuring or NO_MEASURING,
-            services_lib.Measuring,
-            "measuring in force",
-        )
-        self.measuring = _or_before(measuring, self.measuring)
-        self.revision = common.revision
-
     def _take_routes(self, routes: control_pb2.RoutesRecord) -> None:
         # Routes never go back, whichever control VM the rows came from.
         if routes.number <= self.table.number:
             return
-        parsed = reader.parse_json(
-            routes.document.decode(),
-            document_lib.RoutesDocument,
-            f"routes number {routes.number}",
-        )
-        document = _or_before(parsed, None)
-        if document is not None:
-            self.table = table_lib.RouteTable(document, routes.number)
-            logger.info("follows routes", number=routes.number)
-
-    def _take_service(self, name: str, record: control_pb2.Record) -> None:
-        if record.deleted:
-            self.services.pop(name, None)
+        parsed = _read_routes(routes)
+        if not isinstance(parsed, result.Success):
+            logger.error(
+                "keeps the routes before", reason=str(parsed.failure())
+            )
             return
-        service = reader.parse_json(
-            record.service.body,
-            services_lib.Service,
-            f"service {name} in force",
-        )
-        known = _or_before(service, self.services.get(name))
-        if known is not None:
-            self.services[name] = known
+        self.table = table_lib.RouteTable(parsed.unwrap(), routes.number)
+        logger.info("follows routes", number=routes.number)
 
     def _index_targets(self) -> None:
         self._by_service = {}
@@ -162,10 +157,6 @@
         for target in self.targets.values():
             self._by_service.setdefault(target.service, []).append(target)
 
-    def get_service(self, name: str) -> services_lib.Service | None:
-        """Returns what operators say of a service, or None."""
-        return self.services.get(name)
-
     def get_targets_by_service(
         self, service: str
     ) -> list[control_pb2.TargetRecord]:
@@ -185,11 +176,16 @@
 
     def is_out(self, target: control_pb2.TargetRecord) -> bool:
         """Tells whether a target gets no new work."""
+        return target.state in outs.STATES_WITHOUT_WORK or self.is_server_out(
+            target.data_centre, target.address
+        )
+
+    def is_server_out(self, data_centre: str, address: str) -> bool:
+        """Tells whether a server, or its data centre, is out of service."""
         return (
-            target.state in outs.STATES_WITHOUT_WORK
-            or self.is_data_centre_out(target.data_centre)
-            or f"{target.data_centre}/{target.address}" in self.outs
-            or f"/{target.address}" in self.outs
+            self.is_data_centre_out(data_centre)
+            or f"{data_centre}/{address}" in self.outs
+            or f"/{address}" in self.outs
         )
 
     def is_data_centre_out(self, data_centre: str) -> bool:
@@ -197,12 +193,24 @@
         return f"{data_centre}/" in self.outs
 
 
-def _or_before(parsed: result.Result, before: typing.Any) -> typing.Any:
-    """Returns new settings; those before where this program can't read them."""
-    if isinstance(parsed, result.Success):
-        return parsed.unwrap()
-    logger.error("keeps the settings before", reason=str(parsed.failure()))
-    return before
+def _read_routes(
+    routes: control_pb2.RoutesRecord,
+) -> result.Result[document_lib.RoutesDocument, errors.Error]:
+    source = f"routes number {routes.number}"
+    try:
+        text = packing.unpack(routes.document)
+    except ValueError as exc:
+        return result.Failure(
+            errors.StorageError(
+                f"{source}: {exc}", "have the operator send them again"
+            )
+        )
+    return structs.decode(text, document_lib.RoutesDocument, source)
+
+
+def _split(key: str) -> tuple[str, str]:
+    kind, _, name = key.partition("/")
+    return kind, name
 
 
 def _set(rows: dict, key, deleted: bool, body) -> None:
--- a/src/cardamomkeel/settings/page.py
+++ b/src/cardamomkeel/settings/page.py
@@ -4,9 +4,11 @@
 import re
 import typing
 
+import msgspec
 import pydantic
 import pydantic_core
 
+from cardamomkeel.routes import document
 from cardamomkeel.settings import process
 from cardamomkeel.settings import services
 
@@ -18,19 +20,26 @@
 """
 
 # The models in the order of the page, each with its heading.
-SECTIONS: dict[str, type[pydantic.BaseModel]] = {
+SECTIONS: dict[str, type[pydantic.BaseModel | msgspec.Struct]] = {
     "Settings text (`cardamomkeel apply`)": services.ServicesText,
     "`services.NAME` of the settings text": services.Service,
     "`measuring` of the settings text": services.Measuring,
+    "Routes (`cardamomkeel routes apply`)": document.RoutesDocument,
+    "`routes` of the routes": document.Route,
+    "`parts` of a route": document.Part,
+    "`services.NAME` of the routes": document.RoutedService,
+    "`limits` of the routes": document.CallerLimits,
+    "`cardamomkeel-gateway --settings`": process.GatewaySettings,
     "`cardamomkeel-entry --settings`": process.EntrySettings,
     "`cardamomkeel-control --settings`": process.ControlSettings,
-    "`timings` of both programs": process.Timings,
+    "`timings` of all programs": process.Timings,
 }
 # Units by the end of a setting's name.
 UNITS = {
     "_ms": "ms",
     "_bytes": "bytes",
     "bytes_per_second": "bytes/s",
+    "_per_s": "requests/s",
     "messages_per_second": "messages/s",
     "slots": "requests",
     "queue": "requests",
@@ -48,7 +57,42 @@
     return "\n".join(parts)
 
 
-def _render_section(heading: str, model: type[pydantic.BaseModel]) -> str:
+class _Setting(typing.NamedTuple):
+    """One setting of either kind of model."""
+
+    name: str
+    default: typing.Any
+    bounds: list[typing.Any]
+
+
+# In place of a default, where a setting has to be given.
+_NONE = object()
+
+
+def _list_settings(model: type) -> list[_Setting]:
+    if issubclass(model, msgspec.Struct):
+        return [_read_field(field) for field in msgspec.structs.fields(model)]
+    return [
+        _Setting(
+            name,
+            _NONE
+            if field.default is pydantic_core.PydanticUndefined
+            else field.default,
+            list(field.metadata),
+        )
+        for name, field in model.model_fields.items()
+    ]
+
+
+def _read_field(field: msgspec.structs.FieldInfo) -> _Setting:
+    default = field.default
+    if default is msgspec.NODEFAULT:
+        default = _NONE
+    bounds = list(getattr(field.type, "__metadata__", ()))
+    return _Setting(field.encode_name, default, bounds)
+
+
+def _render_section(heading: str, model: type) -> str:
     lines = [
         f"## {heading}",
         "",
@@ -56,13 +100,13 @@
         "|---|---|---|---|---|",
     ]
     meanings = read_attributes(model)
-    for name, field in model.model_fields.items():
+    for setting in _list_settings(model):
         cells = [
-            f"`{name}`",
-            _get_unit(name),
-            _get_default(field),
-            _get_bounds(field),
-            meanings.get(name, ""),
+            f"`{setting.name}`",
+            _get_unit(setting.name),
+            _get_default(setting.default),
+            _get_bounds(setting.bounds),
+            meanings.get(setting.name, ""),
         ]
         lines.append("| " + " | ".join(cells) + " |")
     return "\n".join(lines) + "\n"
@@ -91,22 +135,23 @@
     return ""
 
 
-def _get_default(field: pydantic.fields.FieldInfo) -> str:
-    default = field.default
-    if default is pydantic_core.PydanticUndefined:
+def _get_default(default: typing.Any) -> str:
+    if default is _NONE:
         return "none"
-    if isinstance(default, pydantic.BaseModel):
+    if isinstance(default, (pydantic.BaseModel, msgspec.Struct)):
         return "see below"
     if isinstance(default, tuple):
         return "`[]`"
     if isinstance(default, bool):
         return f"`{str(default).lower()}`"
+    if default is None or default == "":
+        return "left out"
     return f"`{default}`"
 
 
-def _get_bounds(field: pydantic.fields.FieldInfo) -> str:
+def _get_bounds(metadata: list[typing.Any]) -> str:
     bounds: list[str] = []
-    for known in field.metadata:
+    for known in metadata:
         for name, words in BOUNDS.items():
             value: typing.Any = getattr(known, name, None)
             if value is not None:
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -1,11 +1,11 @@
 """Settings of the long-running programs, read once at their start."""
 
-import re
 import typing
 
 import pydantic
 
-ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
+from cardamomkeel.settings import addresses
+
 # The lease has to outlast the replacement of a lost leader, and two control
 # VMs that don't answer.
 LEASE_MARGIN_MS = 300
@@ -13,16 +13,7 @@
 LEAST_BUFFER_BYTES = 4 * 1024 * 1024
 
 
-def _check_address(address: str) -> str:
-    if not ADDRESS.match(address):
-        raise ValueError(
-            f"{address!r} is no address; write an IP number and a port, as "
-            "10.0.0.1:7000"
-        )
-    return address
-
-
-Address = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+Address = typing.Annotated[str, pydantic.AfterValidator(addresses.check)]
 
 
 class Strict(pydantic.BaseModel):
@@ -110,6 +101,73 @@
     log_level: str = "INFO"
 
 
+class GatewaySettings(Strict):
+    """Settings of one entry VM that sends to every target itself.
+
+    Attributes:
+        name: Name of this VM.
+        data_centre: Where this VM is.
+        callers_address: Where callers send requests.
+        directory_address: Where callers ask which entries to use, and backend
+            servers announce themselves.
+        entries_address: Where other entries of the data centre send it what
+            they run, over UDP.
+        operators_address: Where operators reach this process.
+        secret_file: File with the secret that operators' calls carry.
+        control: Address by name of the control VMs.
+        reach: Addresses to connect to in place of others, where the network
+            needs it.
+        timings: How long processes wait for each other; the same everywhere.
+        resend_share: Repeats for each request of a service, of all entries
+            together.
+        resend_slack: Repeats besides, in one window, of all together.
+        resend_window_ms: The window in which repeats are counted.
+        keep_addresses_ms: How long callers may keep an answer about entries.
+        stop_within_ms: The longest that a planned stop may take; what is left
+            then is cut and logged.
+        listen_on_ms: For how long a stopping entry takes new connections.
+        link_bytes_per_second: What the link of this VM carries; 0 where that
+            is more than any request needs.
+        log_level: The least level of what is logged.
+    """
+
+    name: str
+    data_centre: str
+    callers_address: Address
+    directory_address: Address
+    entries_address: Address
+    operators_address: Address
+    secret_file: str
+    control: dict[str, Address]
+    reach: dict[Address, Address] = {}
+    timings: Timings = Timings()
+    resend_share: float = pydantic.Field(0.2, ge=0, le=1)
+    resend_slack: float = pydantic.Field(10.0, ge=0)
+    resend_window_ms: int = pydantic.Field(10_000, ge=100)
+    keep_addresses_ms: int = pydantic.Field(2000, ge=100)
+    stop_within_ms: int = pydantic.Field(6000, ge=0)
+    listen_on_ms: int = pydantic.Field(2500, ge=0)
+    link_bytes_per_second: float = pydantic.Field(0.0, ge=0)
+    log_level: str = "INFO"
+
+    @pydantic.model_validator(mode="after")
+    def _check_stop(self) -> "GatewaySettings":
+        for shorter in ("listen_on_ms", "keep_addresses_ms"):
+            least = getattr(self, shorter)
+            if self.stop_within_ms <= least:
+                raise ValueError(
+                    f"stop_within_ms has to be more than {least} to go with "
+                    f"{shorter}; raise stop_within_ms or lower {shorter}"
+                )
+        if self.listen_on_ms < self.keep_addresses_ms:
+            raise ValueError(
+                f"listen_on_ms has to be at least {self.keep_addresses_ms} to "
+                "go with keep_addresses_ms; raise listen_on_ms or lower "
+                "keep_addresses_ms"
+            )
+        return self
+
+
 class EntrySettings(Strict):
     """Settings of one entry VM.
 
--- a/src/cardamomkeel/settings/reader.py
+++ b/src/cardamomkeel/settings/reader.py
@@ -117,6 +117,23 @@
     )
 
 
+def read_text(
+    path: pathlib.Path, remedy: str = "name a readable file"
+) -> result.Result[str, errors.Error]:
+    """Returns what a file holds as written, the ends of lines included.
+
+    Args:
+        path: The file.
+        remedy: What to do where it can't be read.
+    """
+    try:
+        return result.Success(path.read_bytes().decode("utf-8"))
+    except (OSError, UnicodeDecodeError) as exc:
+        return result.Failure(
+            errors.SettingsError(f"{path} can't be read: {exc}", remedy)
+        )
+
+
 def read_file(
     path: pathlib.Path,
     model: type[Model],
@@ -129,16 +146,10 @@
         model: The model that the settings have to fit.
         remedy: What to do where the file can't be read.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        return result.Failure(
-            errors.SettingsError(
-                f"{path} can't be read: {exc}",
-                remedy,
-            )
-        )
-    source = str(path)
+    read = read_text(path, remedy)
+    if not isinstance(read, result.Success):
+        return read
+    text, source = read.unwrap(), str(path)
     # What can't be read at all is told first.
     parsed = parse(text, model, source)
     if not isinstance(parsed, result.Success):
--- a/src/cardamomkeel/state/commands/routes.py
+++ b/src/cardamomkeel/state/commands/routes.py
@@ -1,5 +1,6 @@
 """The command by which operators replace the routes."""
 
+from cardamomkeel.state import keys
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
@@ -35,7 +36,7 @@
             ),
         )
     tables.put(
-        tables_lib.ROUTES_KEY,
+        keys.ROUTES_KEY,
         index,
         routes=control_pb2.RoutesRecord(
             number=cmd.number,
@@ -44,7 +45,7 @@
         ),
     )
     tables.put(
-        tables_lib.ROUTES_SOURCE_KEY,
+        keys.ROUTES_SOURCE_KEY,
         index,
         routes_source=control_pb2.RoutesSource(
             number=cmd.number, source=cmd.source
--- a/src/cardamomkeel/state/commands/settings.py
+++ b/src/cardamomkeel/state/commands/settings.py
@@ -2,6 +2,7 @@
 
 from cardamomkeel.settings import rows as rows_lib
 from cardamomkeel.state import change_results
+from cardamomkeel.state import keys
 from cardamomkeel.state import settings_rows
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.state.commands import configuration
@@ -78,12 +79,12 @@
     """Writes the rows of the services that a change touches."""
     difference = _read_difference(tables, cmd, text)
     for name in difference.removed:
-        tables.delete(settings_rows.service_key(name), index)
+        tables.delete(keys.service_key(name), index)
     for row in difference.changed:
         _write_row(tables, row, index)
     # Written with every change: it is what says that there was one.
     tables.put(
-        settings_rows.COMMON_KEY,
+        keys.COMMON_KEY,
         index,
         common=control_pb2.CommonSettings(
             revision=tables.revision, measuring=difference.measuring
@@ -101,7 +102,7 @@
     parsed = settings_rows.read_text(text)
     if parsed is None:
         # Entries of earlier versions kept what they had, too.
-        common = tables.get(settings_rows.COMMON_KEY)
+        common = tables.get(keys.COMMON_KEY)
         measuring = "" if common is None else common.common.measuring
         return rows_lib.Difference([], [], measuring)
     return rows_lib.Difference(
@@ -122,7 +123,7 @@
 def _write_row(
     tables: tables_lib.Tables, row: control_pb2.ServiceSettings, index: int
 ) -> None:
-    key = settings_rows.service_key(row.name)
+    key = keys.service_key(row.name)
     known = tables.get(key)
     if known is None or known.service != row:
         tables.put(key, index, service=row)
--- a/src/cardamomkeel/state/settings_rows.py
+++ b/src/cardamomkeel/state/settings_rows.py
@@ -7,19 +7,9 @@
 from returns import result
 
 from cardamomkeel.settings import rows as rows_lib
+from cardamomkeel.state import keys
 from cardamomkeel.wire import control_pb2
 
-# Of the settings text; only operators read it.
-SETTINGS_KEY = "settings"
-# Of what the settings text says of all services together.
-COMMON_KEY = "common"
-SERVICE_PREFIX = "service/"
-
-
-def service_key(name: str) -> str:
-    """Returns the key of the row of what the settings say of a service."""
-    return f"{SERVICE_PREFIX}{name}"
-
 
 def read_text(text: str) -> rows_lib.Parsed | None:
     """Returns what a text holds, or None where it is not valid."""
@@ -31,7 +21,8 @@
     """Replaces the one row of an earlier version by a row per service."""
     records = list(state.records)
     place = next(
-        (i for i, row in enumerate(records) if row.key == SETTINGS_KEY), None
+        (i for i, row in enumerate(records) if row.key == keys.SETTINGS_KEY),
+        None,
     )
     if place is None:
         return
@@ -52,11 +43,13 @@
     return [
         *(
             control_pb2.Record(
-                key=service_key(row.name), version=earlier.version, service=row
+                key=keys.service_key(row.name),
+                version=earlier.version,
+                service=row,
             )
             for row in rows_lib.make_rows(parsed, parsed.services)
         ),
         control_pb2.Record(
-            key=COMMON_KEY, version=earlier.version, common=common
+            key=keys.COMMON_KEY, version=earlier.version, common=common
         ),
     ]
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -2,8 +2,10 @@
 
 import collections
 
+from cardamomkeel.policy import incarnations
 from cardamomkeel.state import change_results
 from cardamomkeel.state import claims_table
+from cardamomkeel.state import keys
 from cardamomkeel.state import settings_rows
 from cardamomkeel.wire import control_pb2
 
@@ -11,10 +13,6 @@
 # A request that crashes backend servers is sent again at once, and what is
 # taken out gets work until entries know.
 URGENT_ROWS = ("quarantine/", "out/", "routes", "instance/", "crash/")
-# Of the routes in force.
-ROUTES_KEY = "routes"
-# The same as operators sent them, for operators who read them back.
-ROUTES_SOURCE_KEY = "routes-source"
 
 
 def entry_key(session: int) -> str:
@@ -47,6 +45,20 @@
     return f"quarantine/{fingerprint.hex()}"
 
 
+def _is_urgent(record: control_pb2.Record) -> bool:
+    """Tells whether entries have to know a row at once.
+
+    One more backend server can wait: after a start of all of them, each of
+    their rows would be sent to every entry by itself.
+    """
+    if not record.key.startswith(URGENT_ROWS):
+        return False
+    if record.deleted or record.WhichOneof("body") != "instance":
+        return True
+    told = record.instance
+    return told.state != incarnations.READY or told.cold_ms > 0
+
+
 class Tables:
     """All rows, in the order in which they last changed.
 
@@ -71,6 +83,11 @@
         self._rows: collections.OrderedDict[str, control_pb2.Record] = (
             collections.OrderedDict()
         )
+        # The live ones again, in the same order: commands that look through
+        # one kind must not look through all.
+        self._by_kind: dict[str, dict[str, control_pb2.Record]] = {}
+        # The keys of the live rows of each instance.
+        self._instances: dict[str, set[str]] = {}
         self._deleted: collections.deque[str] = collections.deque()
         self.claims = claims_table.ClaimsTable()
         self.changes = change_results.ChangeResults()
@@ -82,11 +99,7 @@
 
     def rows(self, body: str) -> list[control_pb2.Record]:
         """Returns the live rows of one kind, such as `target`."""
-        return [
-            record
-            for record in self._rows.values()
-            if not record.deleted and record.WhichOneof("body") == body
-        ]
+        return list(self._by_kind.get(body, {}).values())
 
     def targets(self) -> list[control_pb2.TargetRecord]:
         """Returns the rows of all targets."""
@@ -100,14 +113,21 @@
         """Returns the rows of all that announced itself."""
         return [record.instance for record in self.rows("instance")]
 
+    def instances_named(
+        self, instance: str
+    ) -> list[control_pb2.InstanceRecord]:
+        """Returns the rows of one instance, at whichever addresses it was."""
+        found = sorted(self._instances.get(instance, ()))
+        return [self._rows[key].instance for key in found]
+
     def routes(self) -> control_pb2.RoutesRecord:
         """Returns the routes in force; number 0 before the first."""
-        record = self.get(ROUTES_KEY)
+        record = self.get(keys.ROUTES_KEY)
         return control_pb2.RoutesRecord() if record is None else record.routes
 
     def routes_source(self) -> control_pb2.RoutesSource:
         """Returns the routes as they were sent; number 0 for none yet."""
-        record = self.get(ROUTES_SOURCE_KEY)
+        record = self.get(keys.ROUTES_SOURCE_KEY)
         if record is None:
             return control_pb2.RoutesSource()
         return record.routes_source
@@ -134,7 +154,7 @@
         Without a prefix the rows that are made from the settings text are
         left out.
         """
-        text_key = settings_rows.SETTINGS_KEY
+        text_key = keys.SETTINGS_KEY
         rows = []
         if text_key.startswith(prefix) and self.settings.revision:
             rows.append(
@@ -143,7 +163,7 @@
         return rows if prefix == text_key else rows + self._list_live(prefix)
 
     def _list_live(self, prefix: str) -> list[control_pb2.Record]:
-        made = (settings_rows.SERVICE_PREFIX, settings_rows.COMMON_KEY)
+        made = (keys.SERVICE_PREFIX, keys.COMMON_KEY)
         skipped = () if prefix else made
         return [
             record
@@ -155,14 +175,37 @@
 
     def put(self, key: str, index: int, **body) -> None:
         """Writes a row at a log index; the one keyword names its kind."""
-        self._rows[key] = control_pb2.Record(key=key, version=index, **body)
-        self._note_change(key, index)
-
-    def _note_change(self, key: str, index: int) -> None:
-        self._rows.move_to_end(key)
-        self.version = index
-        if key.startswith(URGENT_ROWS):
-            self.urgent = index
+        self._write(control_pb2.Record(key=key, version=index, **body))
+
+    def _write(self, record: control_pb2.Record) -> None:
+        self._drop_from_index(record.key)
+        self._rows[record.key] = record
+        self._rows.move_to_end(record.key)
+        self._index(record)
+        self.version = record.version
+        if _is_urgent(record):
+            self.urgent = record.version
+
+    def _index(self, record: control_pb2.Record) -> None:
+        if record.deleted:
+            return
+        kind = record.WhichOneof("body")
+        self._by_kind.setdefault(kind, {})[record.key] = record
+        if kind == "instance":
+            name = record.instance.instance
+            self._instances.setdefault(name, set()).add(record.key)
+
+    def _drop_from_index(self, key: str) -> None:
+        record = self.get(key)
+        if record is None:
+            return
+        kind = record.WhichOneof("body")
+        del self._by_kind[kind][key]
+        if kind == "instance":
+            found = self._instances[record.instance.instance]
+            found.discard(key)
+            if not found:
+                del self._instances[record.instance.instance]
 
     def get_deleted(self, key: str) -> control_pb2.Record | None:
         """Returns what is kept of a deleted row, or None."""
@@ -173,10 +216,9 @@
         """Deletes a row at a log index; keywords name what is kept of it."""
         if self.get(key) is None:
             return
-        self._rows[key] = control_pb2.Record(
-            key=key, version=index, deleted=True, **kept
+        self._write(
+            control_pb2.Record(key=key, version=index, deleted=True, **kept)
         )
-        self._note_change(key, index)
         self._deleted.append(key)
         while len(self._deleted) > MAX_DELETED_ROWS:
             self._forget_deleted(self._deleted.popleft())
@@ -199,14 +241,14 @@
             live = [
                 record
                 for key, record in self._rows.items()
-                if not record.deleted and key != ROUTES_SOURCE_KEY
+                if not record.deleted and key != keys.ROUTES_SOURCE_KEY
             ]
             return True, live
         changed = []
         for record in reversed(self._rows.values()):
             if record.version <= version:
                 break
-            if record.key != ROUTES_SOURCE_KEY:
+            if record.key != keys.ROUTES_SOURCE_KEY:
                 changed.append(record)
         changed.reverse()
         return False, changed
@@ -241,6 +283,9 @@
         self._rows = collections.OrderedDict(
             (record.key, record) for record in state.records
         )
+        self._by_kind, self._instances = {}, {}
+        for record in self._rows.values():
+            self._index(record)
         self._deleted = collections.deque(
             record.key for record in state.records if record.deleted
         )
