Lose no slot that comes free between two readings of the clock

Cause: an owner served its queues, read the clock anew and slept until the next slot that comes free by time after that reading; one that came free between the two readings was passed over, and nobody woke the request until its deadline. Ruled out: the cover of leases, hedging, the queue's order.

The second scenario: what can't outwait a slot that is held to the end of its time waited in vain, 401 ms of 400; it is refused at once now (within 90 ms).

--- a/features/slots_queue.feature
+++ b/features/slots_queue.feature
@@ -12,6 +12,16 @@
     Then the waiting one is answered within 1000 ms of it
     And at most 1 ran at a time although the timed-out one ran on
 
+  Scenario: Who can't outwait a slot that is held is refused at once
+    Given an owner of a target with 1 slots and a queue for 300 requests
+    # Its slot is held until 520 ms have passed since it was taken, 100 ms ago.
+    When a request that may run for 400 ms is given up and one with a deadline of 400 ms arrives right after it
+    Then it ends as not run in less than 90 ms
+
+  Scenario: A pause of the process loses no slot that comes free meanwhile
+    When a request is cut while another one with a deadline of 500 ms waits, and the process is paused after any of 40 readings of the clock
+    Then the waiting one is answered each time, after 10 pauses or more
+
   Scenario: A request that is cancelled while it waits takes no slot with it
     Given an owner of a target with 1 slots and a queue for 300 requests
     When 20 requests wait and every second one is cancelled
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -15,6 +15,7 @@
 from cardamomkeel.backend_servers import client as client_lib
 from cardamomkeel.control import signal
 from cardamomkeel.policy import promises as promises_lib
+from cardamomkeel.policy import slots as slots_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import owner as owner_lib
 from cardamomkeel.routing import service_view
@@ -26,6 +27,31 @@
 SESSION = 7
 SLOW_MS = 200.0
 MOST_TIMED_OUT = 0.05
+BROKEN_AFTER_MS = 5.0
+# Longer than the slot of a broken request is held.
+PAUSE_MS = 1.5 * slots_lib.TRANSIT_MS
+
+
+class _PausedClock:
+    """A clock of a process that is paused right after one reading.
+
+    Attributes:
+        is_armed: Whether readings are counted yet.
+        left: How many readings come before the pause; negative after it.
+    """
+
+    def __init__(self, readings):
+        self.is_armed = False
+        self.left = readings
+        self._paused_ms = 0.0
+
+    def now(self):
+        now = time.monotonic() * clock.MS_PER_SECOND + self._paused_ms
+        if self.is_armed:
+            if self.left == 0:
+                self._paused_ms = PAUSE_MS
+            self.left -= 1
+        return now
 
 
 class _Session:
@@ -77,6 +103,13 @@
         self.sent += 1
         self.running += 1
         self.most = max(self.most, self.running)
+        if req.path == "/broken":
+            await anyio.sleep(clock.seconds(BROKEN_AFTER_MS))
+            self.running -= 1
+            self.clk.is_armed = True
+            return result.Failure(
+                client_lib.SendFailure(client_lib.FailureKind.BROKEN, "cut")
+            )
         if req.path == "/late":
             await anyio.sleep(clock.seconds(100))
             self.tasks.start_soon(self._run_on)
@@ -157,9 +190,10 @@
     _make_owner(context, _Session(slots, queue))
 
 
-def _make_owner(context, session):
-    clk = clock.MonotonicClock()
+def _make_owner(context, session, clk=None):
+    clk = clk or clock.MonotonicClock()
     http = _Http()
+    http.clk = clk
     owner = owner_lib.Owner(
         session,
         http,
@@ -222,6 +256,27 @@
     _play(context, scene)
 
 
+@when(
+    "a request that may run for {allowed_ms:d} ms is given up and one with a "
+    "deadline of {ms:d} ms arrives right after it"
+)
+def arrive_at_held(context, allowed_ms, ms):
+    context.bench.http.runs_on_ms = float(allowed_ms)
+
+    async def scene(bench, _calls):
+        await bench.call(float(allowed_ms), "/late")
+        await bench.call(float(ms), "/refused")
+
+    _play(context, scene)
+
+
+@then("it ends as not run in less than {ms:d} ms")
+def check_refused_soon(context, ms):
+    (ended,) = [e for p, e in context.bench.ended if p == "/refused"]
+    assert ended.outcome is messages.Outcome.NOT_RUN, ended
+    assert context.bench.elapsed_ms[-1] < ms, context.bench.elapsed_ms
+
+
 @then("the waiting one is answered within {most_ms:d} ms of it")
 def check_waiting(context, most_ms):
     assert len(context.bench.answered()) == 1, context.bench.ended
@@ -233,6 +288,33 @@
     assert context.bench.http.most == most, context.bench.http.most
 
 
+@when(
+    "a request is cut while another one with a deadline of {ms:d} ms waits, "
+    "and the process is paused after any of {count:d} readings of the clock"
+)
+def pause_anywhere(context, ms, count):
+    async def scene(bench, calls):
+        calls.start_soon(bench.call, DEADLINE_MS, "/broken")
+        await anyio.sleep(0)
+        calls.start_soon(bench.call, float(ms), "/waits")
+
+    context.ended = {}
+    for readings in range(count):
+        clk = _PausedClock(readings)
+        _make_owner(context, _Session(1, 300), clk)
+        _play(context, scene)
+        if clk.left < 0:
+            context.ended[readings] = dict(context.bench.ended)["/waits"]
+
+
+@then("the waiting one is answered each time, after {least:d} pauses or more")
+def check_each_pause(context, least):
+    wanted = messages.Outcome.ANSWERED
+    missed = [n for n, e in context.ended.items() if e.outcome is not wanted]
+    assert not missed, (missed, context.ended[missed[0]])
+    assert len(context.ended) >= least, len(context.ended)
+
+
 @when("{count:d} requests wait and every second one is cancelled")
 def cancel_half(context, count):
     context.bench.http.run_ms = 5.0
--- a/src/cardamomkeel/policy/choose.py
+++ b/src/cardamomkeel/policy/choose.py
@@ -140,10 +140,14 @@
         may_be_cold = is_stalled or self.health.is_quiet(now)
         return self.slots.free(now, may_be_cold)
 
-    def next_change(self, now: clock.Millis) -> clock.Millis:
-        """Returns when it may take more without an answer, or infinity."""
-        changes = [self.slots.next_end(now)]
-        if self.health.is_failing() and self.health.probe_at() > now:
+    def next_change(self, since: clock.Millis) -> clock.Millis:
+        """Returns when it may take more without an answer, or infinity.
+
+        Args:
+            since: Changes up to this time do not count.
+        """
+        changes = [self.slots.next_end(since)]
+        if self.health.is_failing() and self.health.probe_at() > since:
             changes.append(self.health.probe_at())
         return min(changes)
 
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -140,19 +140,25 @@
             ends.append(self._residual_until)
         return self.in_flight + residual, max([now, *ends]) - now
 
-    def next_end(self, now: clock.Millis) -> clock.Millis:
-        """Returns when a slot comes free without an answer, or infinity."""
+    def next_end(self, since: clock.Millis) -> clock.Millis:
+        """Returns when a slot comes free without an answer, or infinity.
+
+        Args:
+            since: Ends up to this time do not count.
+        """
         ends = [work.until for work in self.work if work.is_held]
         ends.append(self._residual_until)
-        return min((end for end in ends if end > now), default=float("inf"))
+        return min((end for end in ends if end > since), default=float("inf"))
 
     def may_free(self, until: clock.Millis) -> bool:
         """Tells whether a slot can come free before a time.
 
-        The work of an earlier owner takes its slots to the end of its time;
-        work given here may end at any moment.
+        The work of an earlier owner, and work of which only the end of its
+        time tells that it is over, take their slots to that end; other work
+        may end at any moment.
         """
         stuck = self._residual if self._residual_until > until else 0
+        stuck += sum(w.is_held and w.until > until for w in self.work)
         return self.limit > stuck
 
     def resize(self, slots: int, cold_slots: int) -> None:
--- a/src/cardamomkeel/routing/owner.py
+++ b/src/cardamomkeel/routing/owner.py
@@ -38,6 +38,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self._session = session
+        self._clock = clk
         self._cover = cover_lib.Cover(session, clk)
         self._targets = targets_lib.Targets(session, clk, rng, self._cover)
         self._queues = queueing.Queues(session, self._targets, clk)
@@ -83,10 +84,13 @@
     async def _run_ends(self) -> None:
         """Serves the queues where slots come free without an answer."""
         while True:
-            left = self._targets.next_change()
+            # Read before the queues are served: what comes free between the
+            # two must not be taken for served.
+            served_at = self._clock.now()
+            self._queues.serve_all()
+            left = self._targets.next_change(served_at) - self._clock.now()
             timeout_s = None if left == float("inf") else clock.seconds(left)
             await self._targets.ends_changed.wait(timeout_s)
-            self._queues.serve_all()
 
     async def dispatch(
         self, req: messages.Request, excluded: frozenset[str]
--- a/src/cardamomkeel/routing/targets.py
+++ b/src/cardamomkeel/routing/targets.py
@@ -218,8 +218,7 @@
             return left
         return min(left, service.longest_deadline_ms)
 
-    def next_change(self) -> clock.Millis:
-        """Returns how long until a slot comes free by time alone."""
-        now = self._clock.now()
-        ends = [o.candidate.next_change(now) for o in self.owned.values()]
-        return min(ends, default=float("inf")) - now
+    def next_change(self, since: clock.Millis) -> clock.Millis:
+        """Returns when the next slot after a time comes free by time alone."""
+        ends = [o.candidate.next_change(since) for o in self.owned.values()]
+        return min(ends, default=float("inf"))
