Have candidates that were not elected stand again in turn, and soon

Two of three that stood at the same moment both waited a whole election time anew, 600 to 1,200 ms, and could meet again.

--- a/features/log_replication.feature
+++ b/features/log_replication.feature
@@ -21,6 +21,12 @@
     And the leader is lost for good
     Then another replica leads within 3000 ms
 
+  Scenario: A lost leader is replaced before leases run out
+    # The longest election time of 1,200 ms and the margin of 300 ms that a
+    # lease leaves for it.
+    Then each of 400 groups of 3 replicas replaces a lost leader in 1500 ms
+    And each of 100 groups of 5 replicas replaces a lost leader in 1500 ms
+
   Scenario: An answer of another disk does not confirm a leader
     Given a group of replicas control-1 control-2 control-3
     When the leader gets an answer of another disk to a snapshot
--- a/features/steps/log_replication.py
+++ b/features/steps/log_replication.py
@@ -175,6 +175,30 @@
     assert leader is not None and leader is not context.leader
 
 
+def replace_leader(names, seed, most_ms):
+    """Returns how long a group has no leader once it has lost one."""
+    group = replicas.Group(names, seed)
+    group.run(2500)
+    group.net.clear()
+    group.cut.add(group.name_of(group.leader()))
+    lost_at = group.now
+    while group.leader() is None and group.now - lost_at <= most_ms:
+        group.run(replicas.STEP_MS)
+    return group.now - lost_at
+
+
+@then(
+    "each of {count:d} groups of {size:d} replicas replaces a lost leader in "
+    "{most_ms:d} ms"
+)
+def check_replaced(context, count, size, most_ms):  # noqa: ARG001
+    names = [f"control-{number + 1}" for number in range(size)]
+    took_ms = [replace_leader(names, seed, most_ms) for seed in range(count)]
+    late = [seed for seed, ms in enumerate(took_ms) if ms > most_ms]
+    print(f"the slowest took {max(took_ms):.0f} ms")
+    assert not late, (len(late), late[:5])
+
+
 @when("the leader gets an answer of another disk to a snapshot")
 def answer_snapshot(context):
     group = context.group
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -23,6 +23,12 @@
 # seldom stand at the same moment.
 START_LEAST_HEARTBEATS = 1.5
 START_MOST_HEARTBEATS = 3.0
+# When a replica that was not elected stands again, in heartbeats: each voter
+# in its turn, so that two that stood at the same moment do not do so again.
+# Doubled with each further time, up to an election time: a slow link needs it.
+AGAIN_LEAST_HEARTBEATS = 0.25
+AGAIN_MOST_HEARTBEATS = 0.5
+AGAIN_TURN_HEARTBEATS = 0.5
 
 
 class Role(enum.Enum):
@@ -94,6 +100,8 @@
         self._synced = stored.snapshot.index + len(self._log)
         self._votes: set[str] = set()
         self._campaign = 0
+        # How often it has stood in vain since it last followed anybody.
+        self._stood = 0
         self._term_start = 0
         self._led_since = now
         self.id = stored.hard_state.member_id
@@ -196,10 +204,25 @@
         return self.is_leader and self.commit >= self._term_start
 
     def _reset_election(self, now: clock.Millis) -> None:
+        """Leaves a leader, or a candidate, a whole election time."""
+        self._stood = 0
         self._election_at = now + self._rng.uniform(
             self._timings.election_least_ms, self._timings.election_most_ms
         )
 
+    def _plan_next_campaign(self, now: clock.Millis) -> None:
+        """Has this replica stand again soon where it is not elected."""
+        turn = sorted(members_lib.voters(self.members)).index(self.id)
+        heartbeats = turn * AGAIN_TURN_HEARTBEATS + self._rng.uniform(
+            AGAIN_LEAST_HEARTBEATS, AGAIN_MOST_HEARTBEATS
+        )
+        pause_ms = heartbeats * self._timings.heartbeat_ms * 2**self._stood
+        stood = self._stood + 1
+        self._reset_election(now)
+        if pause_ms < self._timings.election_most_ms:
+            self._stood = stood
+            self._election_at = now + pause_ms
+
     def next_tick_at(self, now: clock.Millis) -> clock.Millis:
         """Returns when `tick` should be called next."""
         if self.is_leader or self._election_at <= now:
@@ -218,7 +241,7 @@
             return []
         if now < self._election_at or not self.is_voter:
             return []
-        self._reset_election(now)
+        self._plan_next_campaign(now)
         return self._start_campaign(now, pre_vote=True)
 
     def _check_quorum(self, now: clock.Millis) -> None:
