Ask no control VM anew that has just not answered while another is left

Now any VM that has not failed of late goes before one that has; where all have, the one that failed first.

sessions, "does not ask anew": asked brest, brest, vannes, then rennes before; brest, vannes, rennes since.

--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -21,6 +21,16 @@
     When 60 entries begin
     Then they ask each of 3 control VMs first at least 8 times
 
+  Scenario Outline: An entry does not ask anew who has just not answered
+    Given an entry of brest that knows control VMs of brest, vannes and rennes
+    When those of brest and <silent> stop answering
+    Then it has asked the one of <left> after at most 2 that do not answer
+
+    Examples:
+      | silent | left   |
+      | vannes | rennes |
+      | rennes | vannes |
+
   Scenario: A control VM that knows no group yet sends entries on at once
     Given a control VM that knows no group yet, and two that have rows
     And answers that an entry without rows may wait 5000 ms for
--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -16,6 +16,7 @@
 from cardamomkeel.control import channels as channels_lib
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.control import hub as hub_lib
+from cardamomkeel.control import signal
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.settings import process
 from cardamomkeel.state import tables as tables_lib
@@ -142,6 +143,80 @@
     assert min(context.first.values()) >= least, context.first
 
 
+class _Link:
+    """Answers for control VMs of three data centres, at once or not at all."""
+
+    address = ""
+    # The session asks again at once, without a wait for news.
+    is_open = False
+
+    def __init__(self, places):
+        self.news = signal.Signal()
+        self.places = places
+        self.silent = set()
+        self.asked = []
+
+    async def run(self, *, task_status):
+        task_status.started()
+        await anyio.sleep_forever()
+
+    async def ask(self, address, _req, _timeout_ms):
+        place = self.places[address]
+        self.asked.append(place)
+        await anyio.sleep(0)
+        if place in self.silent:
+            return None
+        return control_pb2.FollowReply(lease_ms=3000, data_centre=place)
+
+    def close(self):
+        """Has nothing to close."""
+
+
+@given("an entry of brest that knows control VMs of brest, vannes and rennes")
+def set_places(context):
+    places = ("brest", "vannes", "rennes")
+    context.places = {f"127.0.0.1:{n}": p for n, p in enumerate(places, 1)}
+
+
+@when("those of brest and {other} stop answering")
+def silence_two(context, other):
+    context.asked = [
+        asyncio.run(_silence_two(context, other, turn)) for turn in range(3)
+    ]
+
+
+async def _silence_two(context, other, turn):
+    """Returns whom an entry asks once two do not answer any more."""
+    session = session_lib.Session(
+        make_settings(list(context.places)),
+        None,
+        clock.MonotonicClock(),
+        lambda: None,
+        keeps_view=True,
+    )
+    link = session._link = _Link(context.places)
+    link.silent = {"brest", other}
+    session._turn = turn
+    session._is_joining = True
+    session._places = dict(context.places)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(session.run)
+        await asyncio.sleep(WAIT_S)
+        tasks.cancel_scope.cancel()
+    return link.asked
+
+
+@then(
+    "it has asked the one of {left} after at most {most:d} that do not answer"
+)
+def check_asked(context, left, most):
+    for asked in context.asked:
+        silent = [place for place in asked if place != left]
+        assert left in asked, asked[:5]
+        assert asked.index(left) <= most, asked[:5]
+        assert len(silent) <= most, asked[:5]
+
+
 def make_instance(number):
     return control_pb2.InstanceRecord(
         address=f"10.{number % 3}.{number // 250}.{number % 250}:8080",
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -228,7 +228,11 @@
             await self._early.wait(clock.seconds(left))
 
     def _pick_address(self) -> str:
-        """Returns a control VM of the own data centre where one is known."""
+        """Returns a control VM of the own data centre where one is known.
+
+        One that has just not answered is asked again only where none is left,
+        the one that failed first before the others.
+        """
         since = self._clock.now() - AVOID_MS
         # Those whose place is not known yet are asked in turn.
         in_turn = self._addresses[self._turn :] + self._addresses[: self._turn]
@@ -241,7 +245,9 @@
             for address in good:
                 if self._places.get(address) == place:
                     return address
-        return self._addresses[self._turn]
+        if good:
+            return good[0]
+        return min(in_turn, key=lambda address: self._failed_at[address])
 
     async def _wait_for_news(self, most_ms: clock.Millis) -> None:
         if not self._is_early:
