Split what an entry knows of one target from what it knows of all

The factor of nearly full targets is worked out once for each ranking, not twice for each target; what else runs there is looked up in one place. `view.changes` counted replies beside `take_changes`, which returns rows; it is `edition` now. Three figures in place have names. Behaviour is unchanged.

--- a/features/steps/crowding.py
+++ b/features/steps/crowding.py
@@ -51,7 +51,9 @@
                 index,
                 near=False,
                 slots=self.slots,
-                useful_slots=self.work.crowding.count_useful(self.slots, now),
+                useful_slots=crowding.count_useful(
+                    self.slots, self.work.crowding.factor(now)
+                ),
                 running=running,
                 work_ms=self.work.expect_ms(),
                 failures=0.0,
@@ -145,13 +147,15 @@
 
 @then("{useful:d} of {slots:d} slots are worth using")
 def check_useful(context, useful, slots):
-    found = context.crowding.count_useful(slots, 0.0)
+    factor = context.crowding.factor(0.0)
+    found = crowding.count_useful(slots, factor)
     assert found == useful, found
 
 
 @then("after {seconds:d} s without any all {slots:d} are tried again")
 def check_forgotten(context, seconds, slots):
-    assert context.crowding.count_useful(slots, seconds * 1000.0) == slots
+    factor = context.crowding.factor(seconds * 1000.0)
+    assert crowding.count_useful(slots, factor) == slots
 
 
 @given(
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -520,7 +520,7 @@
         calls.start_soon(bench.call, DEADLINE_MS, "/waits", failed)
         await anyio.sleep(clock.seconds(100))
         session.view.targets[second].state = "draining"
-        session.view.changes += 1
+        session.view.edition += 1
         session.view._index_targets()
         bench.owner.follow()
 
--- a/src/cardamomkeel/gateway/asking.py
+++ b/src/cardamomkeel/gateway/asking.py
@@ -12,6 +12,7 @@
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.gateway import names as names_lib
+from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 
@@ -38,18 +39,18 @@
         self._told = names.instance_told.lower().encode()
         self._cold = names.cold.lower().encode()
 
-    async def ask(self, targets: list[targets_lib.Target]) -> None:
+    async def ask(self, targets: list[target_lib.Target]) -> None:
         """Asks several targets at once, and waits for a moment."""
         asked = [self._begin(target) for target in targets]
         if asked:
             await asyncio.wait(asked, timeout=clock.seconds(PATIENCE_MS))
 
-    def _begin(self, target: targets_lib.Target) -> asyncio.Future:
+    def _begin(self, target: target_lib.Target) -> asyncio.Future:
         if target.asked is None or target.asked.done():
             target.asked = asyncio.ensure_future(self._ask(target))
         return target.asked
 
-    async def _ask(self, target: targets_lib.Target) -> None:
+    async def _ask(self, target: target_lib.Target) -> None:
         self._metrics.count("probes", "Questions to targets for their load.")
         self._targets.note_arrival(target)
         conn = self._upstream.take(target.address, proven=False)
--- a/src/cardamomkeel/gateway/cases.py
+++ b/src/cardamomkeel/gateway/cases.py
@@ -3,7 +3,7 @@
 from cardamomkeel import clock
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import sending
-from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.routes import document as document_lib
 
 
@@ -48,8 +48,8 @@
         self.left_ms = left_ms
         self.spent_ms = spent_ms
         self.useful_until = order.req.arrived + route.objective_ms - spent_ms
-        self.tried: list[targets_lib.Target] = []
-        self.unreachable: list[targets_lib.Target] = []
+        self.tried: list[target_lib.Target] = []
+        self.unreachable: list[target_lib.Target] = []
         self.may_have_run = False
         self.is_over = False
         self.failed: messages.Response | None = None
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -17,6 +17,7 @@
 from cardamomkeel.gateway import request_log
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import settings as settings_lib
+from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.policy import placement
 from cardamomkeel.policy import resends as resends_lib
@@ -189,7 +190,7 @@
         return sent.response.status >= 500 and case.order.idempotent
 
     def _note_send(
-        self, case: cases.Case, target: targets_lib.Target, sent: sending.Sent
+        self, case: cases.Case, target: target_lib.Target, sent: sending.Sent
     ) -> None:
         case.reason = f"{target.address}: {sent.reason}"
         if sent.fate is sending.Fate.NOT_SENT:
@@ -218,7 +219,7 @@
         return self._get_resends(case.service).take(now)
 
     async def _send(
-        self, case: cases.Case, target: targets_lib.Target
+        self, case: cases.Case, target: target_lib.Target
     ) -> sending.Sent:
         again = bool(case.tried)
         if not case.order.idempotent or case.route.attempts < 2 or again:
@@ -226,7 +227,7 @@
         return await self._send_hedged(case, target)
 
     async def _send_hedged(
-        self, case: cases.Case, target: targets_lib.Target
+        self, case: cases.Case, target: target_lib.Target
     ) -> sending.Sent:
         """Sends to a second target too where the first is late."""
         order = case.order
@@ -248,8 +249,8 @@
                 task.cancel()
 
     async def _find_second(
-        self, case: cases.Case, target: targets_lib.Target
-    ) -> targets_lib.Target | None:
+        self, case: cases.Case, target: target_lib.Target
+    ) -> target_lib.Target | None:
         case.tried.append(target)
         found = await self._placer.choose(case, placement.Demand.IN_TIME)
         case.tried.remove(target)
@@ -349,15 +350,13 @@
         found = crashes.get(_make_fingerprint(case.order.req), 0)
         return found >= CRASHES_ALLOWED
 
-    def _check_crash(
-        self, case: cases.Case, target: targets_lib.Target
-    ) -> None:
+    def _check_crash(self, case: cases.Case, target: target_lib.Target) -> None:
         task = asyncio.ensure_future(self._report_crash(case.order.req, target))
         self._behind.add(task)
         task.add_done_callback(self._behind.discard)
 
     async def _report_crash(
-        self, req: messages.Request, target: targets_lib.Target
+        self, req: messages.Request, target: target_lib.Target
     ) -> None:
         """Tells the control group of a request whose target is down now."""
         await asyncio.sleep(clock.seconds(CRASH_CHECK_MS))
--- a/src/cardamomkeel/gateway/holding.py
+++ b/src/cardamomkeel/gateway/holding.py
@@ -5,7 +5,7 @@
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.gateway import asking
-from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.policy import holding
 
 
@@ -24,7 +24,7 @@
         self._metrics = metrics
         self._clock = clk
 
-    def holds(self, target: targets_lib.Target, size: int) -> bool:
+    def holds(self, target: target_lib.Target, size: int) -> bool:
         """Tells whether the end of a request is kept back at first.
 
         Args:
@@ -36,7 +36,7 @@
         # Questions count toward the rate of a target in cold start.
         return bool(target.tells_load) and not target.is_cold(self._clock.now())
 
-    async def wait(self, target: targets_lib.Target, size: int) -> None:
+    async def wait(self, target: target_lib.Target, size: int) -> None:
         """Waits until a request is there but for its end, and its target fast.
 
         A question takes a connection of its own and overtakes the request, so
--- a/src/cardamomkeel/gateway/placing.py
+++ b/src/cardamomkeel/gateway/placing.py
@@ -6,6 +6,7 @@
 from cardamomkeel import clock
 from cardamomkeel.gateway import asking
 from cardamomkeel.gateway import cases
+from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import waiting as waiting_lib
 from cardamomkeel.policy import placement
@@ -51,7 +52,7 @@
         expected = self._targets.expect_ms(case.service)
         return case.useful_until - self._clock.now() < expected
 
-    async def place(self, case: cases.Case) -> targets_lib.Target | None:
+    async def place(self, case: cases.Case) -> target_lib.Target | None:
         """Returns a target, after a wait where none is free."""
         queue = self._waiting[case.service]
         late = self.is_late(case)
@@ -79,7 +80,7 @@
         case: cases.Case,
         queue: waiting_lib.Waiting,
         waiter: waiting_lib.Waiter,
-    ) -> targets_lib.Target | None:
+    ) -> target_lib.Target | None:
         """Waits for a target near this entry, then for any."""
         began = now = self._clock.now()
         may_wait_near_ms = placement.may_wait_near_ms(
@@ -110,7 +111,7 @@
         case: cases.Case,
         demand: placement.Demand,
         far: bool = True,
-    ) -> targets_lib.Target | None:
+    ) -> target_lib.Target | None:
         """Returns the best target, once it has said how busy it is."""
         told = False
         for asked_before in range(MOST_QUESTIONS):
@@ -137,7 +138,7 @@
 
     def _rank(
         self, case: cases.Case, demand: placement.Demand, far: bool
-    ) -> list[targets_lib.Target]:
+    ) -> list[target_lib.Target]:
         now = self._clock.now()
         return self._targets.rank(
             case.service,
@@ -150,7 +151,7 @@
         )
 
     def _is_asked_first(
-        self, target: targets_lib.Target, now: clock.Millis
+        self, target: target_lib.Target, now: clock.Millis
     ) -> bool:
         """Tells whether a target has to say first how busy or cold it is."""
         if target.is_cold(now):
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -23,6 +23,7 @@
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
 
+# How often unused connections are looked for; they are kept for seconds.
 EXPIRE_EVERY_MS = 1000.0
 # How long the control group may take to learn that this entry stops.
 LEAVE_MS = 1500.0
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -12,6 +12,7 @@
 from cardamomkeel.gateway import holding
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import names as names_lib
+from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.gateway import upstream_connection
@@ -21,6 +22,7 @@
 LEAST_MS = 2.0
 # Statuses that promise that a request has not run.
 PROMISES = frozenset([408, 421, 429, 503])
+# The status of a target that is not the one that was meant.
 MISDIRECTED = 421
 
 
@@ -118,7 +120,7 @@
         self._kept_back = frozenset([b"content-length", self._load])
 
     async def send(
-        self, order: Order, target: targets_lib.Target, again: bool
+        self, order: Order, target: target_lib.Target, again: bool
     ) -> Sent:
         """Sends a request; cancelling it ends the work at the target.
 
@@ -134,7 +136,7 @@
             self._targets.end(target)
 
     def start(
-        self, order: Order, target: targets_lib.Target, again: bool
+        self, order: Order, target: target_lib.Target, again: bool
     ) -> asyncio.Task[Sent]:
         """Starts to send a request that is counted at its target at once.
 
@@ -146,7 +148,7 @@
         return task
 
     async def _send(
-        self, order: Order, target: targets_lib.Target, again: bool
+        self, order: Order, target: target_lib.Target, again: bool
     ) -> Sent:
         conn = self._upstream.take(
             target.address, again or not order.idempotent
@@ -196,7 +198,7 @@
     async def _write(
         self,
         conn: upstream_connection.TargetConnection,
-        target: targets_lib.Target,
+        target: target_lib.Target,
         order: Order,
         head: bytes,
     ) -> asyncio.Future[routing_messages.Answer]:
@@ -219,7 +221,7 @@
         conn.finish_request()
         return answer
 
-    async def is_refused(self, target: targets_lib.Target) -> bool:
+    async def is_refused(self, target: target_lib.Target) -> bool:
         """Tells whether nothing listens at a target's address any more."""
         opened = await self._upstream.open(
             target.address, upstream_lib.CONNECT_MS
@@ -229,14 +231,14 @@
             return False
         return opened.failure().refused
 
-    def _note_unreachable(self, target: targets_lib.Target) -> None:
+    def _note_unreachable(self, target: target_lib.Target) -> None:
         now = self._clock.now()
         target.note_down(now)
         target.note_failure(now)
         self._upstream.drop(target.address)
 
     def _encode(
-        self, order: Order, target: targets_lib.Target, left_ms: int
+        self, order: Order, target: target_lib.Target, left_ms: int
     ) -> bytes | None:
         req = order.req
         if not http_headers.is_safe_path(req.target):
@@ -259,7 +261,7 @@
 
     def _classify(
         self,
-        target: targets_lib.Target,
+        target: target_lib.Target,
         got: routing_messages.Answer,
         start: _Start,
     ) -> Sent:
--- a/src/cardamomkeel/policy/crowding.py
+++ b/src/cardamomkeel/policy/crowding.py
@@ -27,6 +27,17 @@
     return max(1, int(slots * NEARLY_FULL_SHARE))
 
 
+def count_useful(slots: int, factor: float) -> int:
+    """Returns how many slots in use answer most requests a second.
+
+    Args:
+        slots: How many there are.
+        factor: How much longer work takes where nearly all of them are taken.
+    """
+    fast = count_fast(slots)
+    return fast if fast * factor >= slots else slots
+
+
 class Crowding:
     """How much longer work of one service takes at targets nearly full."""
 
@@ -53,8 +64,3 @@
         known = self.factor(now)
         self._factor = known + ANSWER_SHARE * (told - known)
         self._learned_at = now
-
-    def count_useful(self, slots: int, now: clock.Millis) -> int:
-        """Returns how many slots in use answer most requests a second."""
-        fast = count_fast(slots)
-        return fast if fast * self.factor(now) >= slots else slots
--- a/src/cardamomkeel/policy/placement.py
+++ b/src/cardamomkeel/policy/placement.py
@@ -37,6 +37,9 @@
 # How much of a slot has to be free as far as is known: a target that said a
 # moment ago that it is full has a small part of one.
 FREE_PART = 0.5
+# A target that fails everything counts as answering this share of requests, so
+# that costs stay finite.
+LEAST_ANSWERED = 0.05
 
 
 class Demand(enum.Enum):
@@ -143,7 +146,8 @@
         if expected > (useful_ms if demand is Demand.IN_TIME else left_ms):
             continue
         likely_ms = expected * option.likely_slow
-        cost = likely_ms / useful_ms / max(0.05, 1 - option.failures) ** 2
+        answered = max(LEAST_ANSWERED, 1 - option.failures)
+        cost = likely_ms / useful_ms / answered**2
         # An idle slot of another target is better than a shared one.
         running = max(option.running, option.likely_running)
         cost += SHARED_COST * running / option.slots
--- a/src/cardamomkeel/routing/places.py
+++ b/src/cardamomkeel/routing/places.py
@@ -109,7 +109,7 @@
     def _list_groups(self, service: str) -> list[_Group]:
         """Returns the places that own usable targets of a service."""
         view = self._session.view
-        made_of = (view.changes, self._session.id)
+        made_of = (view.edition, self._session.id)
         if self._view is not view or self._of != made_of:
             self._view, self._of = view, made_of
             self._groups = {}
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -40,7 +40,7 @@
 
     Attributes:
         version: The version of the state that the rows show.
-        changes: How many replies have changed the rows.
+        edition: How many replies have changed the rows.
         table: The routes in force.
         instances: What announced itself, by address.
         crashes: How many targets a request has crashed, by fingerprint.
@@ -48,7 +48,7 @@
     """
 
     version: int = 0
-    changes: int = 0
+    edition: int = 0
     targets: dict[str, control_pb2.TargetRecord] = dataclasses.field(
         default_factory=dict
     )
@@ -91,7 +91,7 @@
         self.version = reply.version
         if reply.records or reply.whole:
             self._index_targets()
-            self.changes += 1
+            self.edition += 1
 
     def take_changes(self) -> Changes:
         """Returns what has changed since the last call."""
