Give each figure a name and a line on where it comes from

64 constants had neither comment nor group with one, and four arguments a bare number of ms. features/constants reads the modules and fails on the next one: red on the code before, 2 passed now.

--- /dev/null
+++ b/features/constants.feature
@@ -0,0 +1,9 @@
+Feature: Every figure has a name and says what it is for
+
+  Scenario: Constants that are numbers stand below a comment
+    Given the modules of the programs
+    Then each constant that is a number has a comment above it or its group
+
+  Scenario: No time or limit is written where it is used
+    Given the modules of the programs
+    Then no argument that is a time or a limit is given a number in place
--- a/src/cardamomkeel/backend_servers/measuring.py
+++ b/src/cardamomkeel/backend_servers/measuring.py
@@ -5,6 +5,8 @@
 from cardamomkeel.policy import measuring
 from cardamomkeel.routing import session as session_lib
 
+# Targets announce themselves no more often than this, whatever the budget
+# allows; one that has left out four times is gone.
 LEAST_PERIOD_MS = 2000
 # What an announcement and its answer take beside its body, with headers.
 OVERHEAD_BYTES = 550
--- a/src/cardamomkeel/backend_servers/pool_address.py
+++ b/src/cardamomkeel/backend_servers/pool_address.py
@@ -8,7 +8,10 @@
 from cardamomkeel import clock
 from cardamomkeel.backend_servers import pool_connection
 
+# A backend server of the brief holds about 250 connections.
 MAX_CONNECTIONS = 250
+# A connection within a region opens in a few ms; a lost opening packet is
+# sent again only after a second, and another connection is faster then.
 CONNECT_MS = 500.0
 # Unused connections are closed after this, but for the spare one.
 IDLE_MS = 30_000.0
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -19,6 +19,7 @@
 LARGE_BODY_BYTES = 16 * 1024
 
 _NO_BODY = frozenset([204, 304])
+# The status of an answer that switches the protocol.
 _SWITCHED = 101
 
 
--- a/src/cardamomkeel/buffers.py
+++ b/src/cardamomkeel/buffers.py
@@ -8,6 +8,8 @@
 
 import collections.abc
 
+# Shares of the budget, each larger than the one before it: whoever waits
+# for a reader leaves room to what ends by itself.
 REQUESTS_PART = 0.5
 BACKEND_SERVERS_PART = 0.75
 ENTRIES_PART = 1.0
--- a/src/cardamomkeel/callers/addresses.py
+++ b/src/cardamomkeel/callers/addresses.py
@@ -6,6 +6,7 @@
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
 
+# A caller needs a few addresses to turn to when one fails, not all.
 MAX_ADDRESSES = 6
 
 
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -24,6 +24,8 @@
 from cardamomkeel import listening
 from cardamomkeel.routing import messages
 
+# How long an unused connection of a caller is kept: as long as common client
+# libraries keep theirs.
 KEEP_ALIVE_MS = 60_000
 # How long what is left of a refused request is read and dropped: a connection
 # that is closed with bytes unread loses the answer on its way.
--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -15,8 +15,12 @@
 from cardamomkeel.settings import services
 
 PREFIX = "/v1/call/"
+# The largest body of a request; docs/callers.md promises it.
 MAX_BODY_BYTES = 1024 * 1024
+# The status of a request that finds no room for its body.
 FULL_STATUS = 503
+# Calls go up to 14 deep at the size of two years from now
+# (docs/CAPACITY.md); deeper ones are taken for a loop.
 MAX_DEPTH = 16
 KEY = re.compile(rb"^[\x21-\x7e]{1,200}$")
 WHOLE_NUMBER = re.compile(rb"^[0-9]{1,9}$")
--- a/src/cardamomkeel/client/addresses.py
+++ b/src/cardamomkeel/client/addresses.py
@@ -9,6 +9,7 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 
+# How long an entry may take to name entries, before the next one is asked.
 ASK_TIMEOUT_MS = 1000.0
 
 
--- a/src/cardamomkeel/client/calls.py
+++ b/src/cardamomkeel/client/calls.py
@@ -5,6 +5,7 @@
 from cardamomkeel import clock
 from cardamomkeel.routing import messages
 
+# The deadline of a call whose caller names none.
 DEADLINE_MS = 2000.0
 
 
--- a/src/cardamomkeel/client/client.py
+++ b/src/cardamomkeel/client/client.py
@@ -12,8 +12,12 @@
 from cardamomkeel.policy import budget
 from cardamomkeel.routing import messages
 
+# How often one call is sent at most: once, and to each of three other
+# entries.
 MAX_SENDINGS = 4
+# Repeats as a share of calls: what entries allow themselves too.
 RETRY_SHARE = 0.2
+# Before the first repeat; by then a connection that was cut is known.
 RETRY_PAUSE_MS = 25.0
 
 NOT_RUN = messages.Outcome.NOT_RUN
--- a/src/cardamomkeel/clock.py
+++ b/src/cardamomkeel/clock.py
@@ -5,6 +5,7 @@
 
 Millis = float
 
+# Libraries count in seconds.
 MS_PER_SECOND = 1000.0
 
 
--- a/src/cardamomkeel/control/channels.py
+++ b/src/cardamomkeel/control/channels.py
@@ -11,6 +11,8 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 
+# A channel that has not been used for so long may have gone silent; it is
+# replaced rather than tried.
 MAX_IDLE_MS = 1000.0
 
 Reply = typing.TypeVar("Reply")
--- a/src/cardamomkeel/control/client.py
+++ b/src/cardamomkeel/control/client.py
@@ -11,7 +11,13 @@
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
+# Before the next control VM is asked: a part of an election.
 RETRY_PAUSE_MS = 50.0
+# How long one control VM may take before the next one is asked: a commit, and
+# the time in which it finds out that it does not lead any more.
+ATTEMPT_MS = 1000.0
+# The same for a change of members, which may be two commits.
+MEMBERS_ATTEMPT_MS = 2000.0
 
 
 class ControlClient:
@@ -95,7 +101,7 @@
         self,
         commands: list[control_pb2.Command],
         timeout_ms: clock.Millis,
-        attempt_ms: clock.Millis = 1000.0,
+        attempt_ms: clock.Millis = ATTEMPT_MS,
     ) -> result.Result[list[control_pb2.CommandResult], errors.Error]:
         """Has commands committed and returns a result for each."""
         req = control_pb2.ProposeRequest(commands=commands)
@@ -106,7 +112,7 @@
         self,
         told: list[control_pb2.InstanceRecord],
         timeout_ms: clock.Millis,
-        attempt_ms: clock.Millis = 1000.0,
+        attempt_ms: clock.Millis = ATTEMPT_MS,
     ) -> result.Result[control_pb2.AnnounceReply, errors.Error]:
         """Tells of backend servers; what is news in it is committed."""
         req = control_pb2.AnnounceRequest(instances=told)
@@ -116,7 +122,7 @@
         self,
         req: control_pb2.ChangeMembersRequest,
         timeout_ms: clock.Millis,
-        attempt_ms: clock.Millis = 2000.0,
+        attempt_ms: clock.Millis = MEMBERS_ATTEMPT_MS,
     ) -> result.Result[control_pb2.ChangeMembersReply, errors.Error]:
         """Lets a control VM join, or removes it."""
         return await self._call("ChangeMembers", req, attempt_ms, timeout_ms)
@@ -125,7 +131,7 @@
         self,
         req: control_pb2.ReadRequest,
         timeout_ms: clock.Millis,
-        attempt_ms: clock.Millis = 1000.0,
+        attempt_ms: clock.Millis = ATTEMPT_MS,
     ) -> result.Result[control_pb2.ReadReply, errors.Error]:
         """Reads rows of the replicated state, confirmed by a majority."""
         return await self._call("Read", req, attempt_ms, timeout_ms)
--- a/src/cardamomkeel/control/duties.py
+++ b/src/cardamomkeel/control/duties.py
@@ -15,9 +15,15 @@
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
+# How often a leader looks for what has to be done though nothing changed.
 DUTY_PERIOD_MS = 500.0
+# Between two rounds, so that many changes are seen to together.
 DUTY_PAUSE_MS = 50.0
+# How often claims are looked through for old ones: they are kept for
+# minutes.
 SWEEP_PERIOD_MS = 30_000.0
+# How often targets move between entries: a new owner counts each of its
+# targets as cold, so this is seldom.
 BALANCE_PERIOD_MS = 5000.0
 # A member that has not answered for so long may be replaced by a new one.
 REPLACE_MS = 3000.0
--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -24,8 +24,12 @@
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
+# Between two rounds of greetings: the group forms as soon as its members
+# are up.
 GREET_PAUSE_MS = 100.0
+# How long one greeting may take, a slow start included.
 GREET_TIMEOUT_MS = 1000.0
+# In rounds: a line every 5 s and more.
 LOG_EVERY = 50
 
 logger = loguru.logger
--- a/src/cardamomkeel/control/joining.py
+++ b/src/cardamomkeel/control/joining.py
@@ -13,7 +13,9 @@
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
+# Between two attempts to join; the leader adds one member at a time.
 PAUSE_MS = 500.0
+# How long one attempt may take, a commit included.
 TIMEOUT_MS = 1000.0
 # A member that has heard of no leader for so long may have been removed while
 # it was cut off; it asks, and is told that it still is one otherwise.
--- a/src/cardamomkeel/control/membership.py
+++ b/src/cardamomkeel/control/membership.py
@@ -7,6 +7,7 @@
 
 REFUSED = control_pb2.STATUS_REFUSED
 OK = control_pb2.STATUS_OK
+# How often a change that waits to be committed is looked at, at least.
 COMMIT_PAUSE_MS = 250.0
 
 
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -24,18 +24,22 @@
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
+# A log of so many entries is read within a start (docs/design/log.md).
 ENTRIES_BEFORE_COMPACTION = 2000
 # Each node adds up to so many, so that a majority is never busy at once.
 COMPACTION_SPREAD = 500
 # Turns of the loop after which waiting senders have written.
 TURNS_TO_SEND = 3
+# How long a stop waits for another leader; docs/design/take-out.md.
 HAND_OVER_MS = 2000.0
+# How often it looks for one.
 HAND_OVER_STEP_MS = 10.0
 # A member that is asked to lead answers within a part of the time after which
 # the others would elect a leader themselves, so that it can be asked again.
 STAND_ATTEMPTS = 2
 # How long a leader that stops waits for another member to have its whole log.
 LEVEL_MS = 500.0
+# Before a member that failed twice is sent to again: less than a heartbeat.
 PEER_PAUSE_MS = 100.0
 
 logger = loguru.logger
--- a/src/cardamomkeel/daemons/entry_stop.py
+++ b/src/cardamomkeel/daemons/entry_stop.py
@@ -16,8 +16,12 @@
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
+# How long the control group may take to learn of a stop, an election
+# included.
 LEAVE_TIMEOUT_MS = 5000.0
+# How often the end of a stop's steps is looked for.
 PROGRESS_PAUSE_MS = 50.0
+# The same for targets that are handed over, which takes less.
 HAND_OVER_PAUSE_MS = 20.0
 # Callers' connections that are quiet for this long get no more requests.
 QUIET_MS = 300.0
--- a/src/cardamomkeel/daemons/serve.py
+++ b/src/cardamomkeel/daemons/serve.py
@@ -7,7 +7,10 @@
 from hypercorn import config as hypercorn_config
 import loguru
 
+# How long open calls of operators may take at a stop.
 GRACE_S = 5.0
+# How long an unused connection of an operator is kept.
+KEEP_ALIVE_S = 60.0
 
 logger = loguru.logger
 
@@ -38,7 +41,7 @@
     cfg.accesslog = None
     cfg.errorlog = None
     cfg.graceful_timeout = GRACE_S
-    cfg.keep_alive_timeout = 60.0
+    cfg.keep_alive_timeout = KEEP_ALIVE_S
     closing = anyio.Event()
 
     async def run() -> None:
--- a/src/cardamomkeel/experiments/recorder.py
+++ b/src/cardamomkeel/experiments/recorder.py
@@ -9,6 +9,7 @@
 from cardamomkeel.experiments import results
 from cardamomkeel.routing import messages
 
+# Latencies from a microsecond to ten minutes, three digits exact.
 LEAST_US = 1
 MOST_US = 600_000_000
 DIGITS = 3
--- a/src/cardamomkeel/experiments/run.py
+++ b/src/cardamomkeel/experiments/run.py
@@ -18,6 +18,7 @@
 from cardamomkeel.experiments import results
 
 FIRST_PHASE = "start"
+# Keys that never meet by chance.
 KEY_BITS = 128
 
 logger = loguru.logger
--- a/src/cardamomkeel/journal.py
+++ b/src/cardamomkeel/journal.py
@@ -7,6 +7,7 @@
 
 from cardamomkeel import clock
 
+# A bound for memory: some hundred bytes each.
 MAX_EVENTS = 2000
 # The same event is counted, not kept again, for so long after the first.
 COALESCE_MS = 10_000.0
--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -111,6 +111,6 @@
         kinds.WARNING,
         ("method", "path"),
         "A call was answered 503: no leader, or no majority that answers.",
-        per_s=20,
+        per_s=kinds.CAUSED_PER_S,
     ),
 )
--- a/src/cardamomkeel/log_lines/kinds.py
+++ b/src/cardamomkeel/log_lines/kinds.py
@@ -5,6 +5,9 @@
 INFO = "info"
 WARNING = "warning"
 ERROR = "error"
+# How many lines a second of a kind that callers cause one process writes: a
+# line takes 50 µs of its processor (docs/measures-platform.md).
+CAUSED_PER_S = 20
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cardamomkeel/operators/changes.py
+++ b/src/cardamomkeel/operators/changes.py
@@ -16,6 +16,7 @@
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
+# How often it is looked whether a change is in force everywhere.
 PROGRESS_PAUSE_MS = 50.0
 
 
--- a/src/cardamomkeel/operators/client.py
+++ b/src/cardamomkeel/operators/client.py
@@ -7,6 +7,7 @@
 
 from cardamomkeel import errors
 
+# How long a process may take: a change that waits until it is in force.
 TIMEOUT_S = 20.0
 
 
--- a/src/cardamomkeel/operators/commandline_options.py
+++ b/src/cardamomkeel/operators/commandline_options.py
@@ -38,7 +38,9 @@
     bool, typer.Option("--wait", help="Return once it is in force everywhere.")
 ]
 
+# The exit status of a change that is accepted and not in force everywhere.
 STATUS_NOT_IN_FORCE = 2
+# Ids that never meet by chance.
 CHANGE_ID_BYTES = 8
 
 
--- a/src/cardamomkeel/operators/commits.py
+++ b/src/cardamomkeel/operators/commits.py
@@ -7,6 +7,7 @@
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.wire import control_pb2
 
+# How long a change may take to be written down, an election included.
 COMMIT_TIMEOUT_MS: clock.Millis = 5000.0
 
 
--- a/src/cardamomkeel/operators/history_command.py
+++ b/src/cardamomkeel/operators/history_command.py
@@ -13,6 +13,7 @@
 from cardamomkeel.operators import listings
 
 COLUMNS = ("time", "index", "told_by", "subject", "message")
+# What fits a screen.
 EVENTS_SHOWN = 50
 
 About = typing.Annotated[
--- a/src/cardamomkeel/operators/members.py
+++ b/src/cardamomkeel/operators/members.py
@@ -12,6 +12,7 @@
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
+# How long a change of members may take, an election included.
 TIMEOUT_MS = 5000.0
 
 
--- a/src/cardamomkeel/operators/resolutions.py
+++ b/src/cardamomkeel/operators/resolutions.py
@@ -16,6 +16,7 @@
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
+# How long a finding may take to be written down, an election included.
 COMMIT_TIMEOUT_MS = 5000.0
 FINGERPRINT = r"^[0-9a-f]{32}$"
 
--- a/src/cardamomkeel/operators/secret.py
+++ b/src/cardamomkeel/operators/secret.py
@@ -7,6 +7,7 @@
 
 from cardamomkeel import errors
 
+# In characters: 64 bits where it is written in hexadecimal.
 LEAST_LENGTH = 16
 
 
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -23,6 +23,7 @@
 EVACUATIONS = "/-/evacuations/"
 CONFIG = "/-/config"
 OPERATOR = "platform"
+# The operator and backend servers turn to another control VM after it.
 UNAVAILABLE = 503
 
 logger = loguru.logger
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -11,6 +11,7 @@
 from cardamomkeel.platform import process
 from cardamomkeel.platform import timings
 
+# Bytes a second of one Mbit/s.
 BYTES_PER_MBIT = 125_000
 # Fields of the settings file without which there is nothing to serve.
 NEEDED = ("network.listen.front", "network.listen.ready")
--- a/src/cardamomkeel/policy/choose.py
+++ b/src/cardamomkeel/policy/choose.py
@@ -7,6 +7,7 @@
 from cardamomkeel import clock
 from cardamomkeel.policy import slots
 
+# What one answer moves the moving averages by.
 LATENCY_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.2
 # A target that fails every request counts as this many times as slow.
--- a/src/cardamomkeel/policy/hedging.py
+++ b/src/cardamomkeel/policy/hedging.py
@@ -7,6 +7,8 @@
 from cardamomkeel import clock
 from cardamomkeel.policy import budget
 
+# Answers that count, and how many are needed before any request is sent
+# twice; one in twenty is late by this measure.
 WINDOW = 256
 LEAST_SAMPLES = 64
 QUANTILE = 0.95
--- a/src/cardamomkeel/policy/slots.py
+++ b/src/cardamomkeel/policy/slots.py
@@ -4,6 +4,7 @@
 
 from cardamomkeel import clock
 
+# Answers in a row before a target counts as warm; docs/settings.md.
 DEFAULT_WARM_UP_REQUESTS = 20
 # Clocks of two VMs may differ by this share, and a request or the end of its
 # connection may be on its way for this long.
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -16,6 +16,7 @@
 from cardamomkeel.replication import storage as storage_lib
 from cardamomkeel.wire import control_pb2
 
+# What one request carries: a megabyte takes 8 ms at 1 Gbit/s.
 MAX_ENTRIES_PER_APPEND = 256
 MAX_BYTES_PER_APPEND = 1_000_000
 # When a replica that has just started first stands for election, in heartbeats:
--- a/src/cardamomkeel/routes/change.py
+++ b/src/cardamomkeel/routes/change.py
@@ -10,6 +10,7 @@
 from cardamomkeel.settings import structs
 from cardamomkeel.wire import control_pb2
 
+# Fingerprints that never meet by chance.
 FINGERPRINT_BYTES = 16
 
 
--- a/src/cardamomkeel/routing/decisions.py
+++ b/src/cardamomkeel/routing/decisions.py
@@ -11,7 +11,9 @@
 from cardamomkeel.routing import session as session_lib
 
 REQUEST_ID = b"cardamomkeel-request-id"
+# Longer ids of callers are replaced: each decision is kept with its id.
 MAX_ID_LENGTH = 100
+# A bound for memory: some hundred bytes each.
 MAX_DECISIONS = 2000
 
 
--- a/src/cardamomkeel/routing/fingerprints.py
+++ b/src/cardamomkeel/routing/fingerprints.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+# Digests that never meet by chance.
 DIGEST_BYTES = 16
 
 
--- a/src/cardamomkeel/routing/router.py
+++ b/src/cardamomkeel/routing/router.py
@@ -18,6 +18,7 @@
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.routing import suspects as suspects_lib
 
+# Attempts at one request: a third one meets what failed two others.
 MAX_ATTEMPTS = 3
 
 logger = loguru.logger
--- a/src/cardamomkeel/routing/suspects.py
+++ b/src/cardamomkeel/routing/suspects.py
@@ -13,6 +13,7 @@
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.wire import control_pb2
 
+# How long a report may take to be written down, an election included.
 REPORT_TIMEOUT_MS = 2000.0
 # How long to wait until a report has come back with the rows, and how much
 # later it may reach another entry.
--- a/src/cardamomkeel/settings/addresses.py
+++ b/src/cardamomkeel/settings/addresses.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 
+# The last port of TCP.
 LAST_PORT = 65_535
 
 
--- a/src/cardamomkeel/state/change_results.py
+++ b/src/cardamomkeel/state/change_results.py
@@ -7,7 +7,10 @@
 
 from cardamomkeel.wire import control_pb2
 
+# Results of changes that are known again when they are resent: 39,000
+# changes a day (docs/CAPACITY.md) leave each six hours.
 MAX_CHANGE_RESULTS = 10_000
+# Fingerprints that never meet by chance.
 FINGERPRINT_BYTES = 16
 
 OK = control_pb2.STATUS_OK
--- a/src/cardamomkeel/state/commands/quarantine.py
+++ b/src/cardamomkeel/state/commands/quarantine.py
@@ -12,7 +12,11 @@
 
 OK = control_pb2.STATUS_OK
 
+# How long one crash counts against a request: callers that are told
+# `unknown` send again within minutes.
 SUSPECT_MS = 10 * 60 * 1000
+# How long a request that crashes backend servers is refused, unless an
+# operator lifts that.
 QUARANTINE_MS = 60 * 60 * 1000
 # Longer than the longest deadline of a request.
 PROBE_MS = 15 * 1000
--- a/src/cardamomkeel/state/history.py
+++ b/src/cardamomkeel/state/history.py
@@ -12,6 +12,7 @@
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
+# A bound for memory and snapshots: some hundred bytes each.
 MAX_CHANGES = 2000
 
 OK = control_pb2.STATUS_OK
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -9,6 +9,7 @@
 from cardamomkeel.state import settings_rows
 from cardamomkeel.wire import control_pb2
 
+# Deletions that an entry may lack before it is sent all rows.
 MAX_DELETED_ROWS = 2000
 # A request that crashes backend servers is sent again at once, and what is
 # taken out gets work until entries know.
