Put relays between entries and backend servers in the soak on the platform

Connections that go silent or are reset, one target cut off, silenced, delayed or cut one way: six faults that the soak on the platform's programs could not bring about. Three rows more in together.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -49,7 +49,7 @@
     Returns:
         What was promised and not held, and the run.
     """
-    fleet = platform_lib.Fleet(entries)
+    fleet = platform_lib.Fleet(entries, relayed=True)
     run = platform_soak.Run(fleet, seed)
     try:
         run.begin()
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -19,7 +19,10 @@
 import httpx
 
 from bench import platform_targets
+from bench import relay
 
+# What relays call all entries.
+ENTRIES = "entries"
 ZONES = ("brest", "vannes", "rennes")
 START_WITHIN_S = 60.0
 _nets = itertools.count(os.getpid() % 200)
@@ -138,9 +141,10 @@
     Attributes:
         cores: The control VMs.
         fronts: The entry VMs.
+        relays: What entries reach backend servers through; None for nothing.
     """
 
-    def __init__(self, fronts=2, cores=3):
+    def __init__(self, fronts=2, cores=3, relayed=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
         self.net = f"127.{10 + next(_nets) % 200}.{secrets.randbelow(250)}"
         self.port = 20000 + secrets.randbelow(8000)
@@ -161,6 +165,7 @@
             for n in range(fronts)
         ]
         self.farm = platform_targets.Farm()
+        self.relays = relay.Relays() if relayed else None
         self.client = httpx.Client(timeout=2.0)
         # Each announcement of a target has a number of its own.
         self._announcing = threading.Lock()
@@ -176,6 +181,8 @@
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.kill()
                 vm.process.wait()
+        if self.relays is not None:
+            self.relays.close()
         self.farm.close()
         self.client.close()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -211,6 +218,11 @@
         number = len(self.farm.targets) + 1
         target = self.farm.add(f"{self.net}.{100 + number}", f"i-{number}")
         target.service, target.zone, target.seq = service, zone, 0
+        target.reached_at = target.address
+        if self.relays is not None:
+            target.reached_at = self.relays.add(
+                ENTRIES, target.instance, target.address
+            )
         target.born = int(time.time() * 1000)
         self.announce(target)
         return target
@@ -222,7 +234,7 @@
             number = target.seq
         beat = {
             "service": target.service,
-            "address": target.address,
+            "address": target.reached_at,
             "zone": target.zone,
             "version": "v1",
             "slots": target.slots,
--- a/bench/platform_fault_kinds.py
+++ b/bench/platform_fault_kinds.py
@@ -13,6 +13,8 @@
 DOWN_S = 1.0
 FREEZE_S = 3.0
 FAILING_S = 2.0
+# In each direction, a large part of a caller's time.
+DELAY_MS = 400.0
 CHANGES = 8
 
 
@@ -177,6 +179,45 @@
     run.outs.append(platform_soak.Out(zone, targets, since, until))
 
 
+def silence_connections(run: platform_soak.Run) -> None:
+    """Has what is open to all targets go silent; new connections pass."""
+    run.fleet.relays.inject("silence_open", platform_lib.ENTRIES, "*")
+
+
+def reset_connections(run: platform_soak.Run) -> None:
+    """Resets what is open to all targets."""
+    run.fleet.relays.inject("reset", platform_lib.ENTRIES, "*")
+
+
+def cut_off_target(run: platform_soak.Run) -> None:
+    """Refuses connections to a target for a while."""
+    _harm_link(run, "cut")
+
+
+def silence_target(run: platform_soak.Run) -> None:
+    """Drops all bytes from and to a target for a while."""
+    _harm_link(run, "silence")
+
+
+def cut_one_way(run: platform_soak.Run) -> None:
+    """Drops the bytes to a target, but not those from it."""
+    _harm_link(run, "one_way")
+
+
+def delay_target(run: platform_soak.Run) -> None:
+    """Delays the bytes from and to a target."""
+    _harm_link(run, "delay")
+
+
+def _harm_link(run: platform_soak.Run, fault: str) -> None:
+    service = run.rng.choice(platform_lib.SERVICES)
+    target = run.rng.choice(run.pick_targets(service))
+    relays = run.fleet.relays
+    relays.inject(fault, platform_lib.ENTRIES, target.instance, DELAY_MS)
+    time.sleep(FAILING_S)
+    relays.heal(target.instance)
+
+
 FAULTS: dict[str, typing.Callable[[platform_soak.Run], None]] = {
     fault.__name__: fault
     for fault in (
@@ -197,5 +238,11 @@
         refuse,
         stray_answers,
         evacuate,
+        silence_connections,
+        reset_connections,
+        cut_off_target,
+        silence_target,
+        cut_one_way,
+        delay_target,
     )
 }
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -203,11 +203,11 @@
         self.inject(fault, name, "*")
         self.inject(fault, "*", name)
 
-    def heal(self) -> None:
-        """Ends all faults."""
+    def heal(self, server: str = "*") -> None:
+        """Ends all faults on the links to one name; `*` is any name."""
 
         async def do() -> None:
-            for relay in self._relays.values():
+            for relay in self._between("*", server):
                 relay.heal()
 
         self._run(do())
--- a/features/together.feature
+++ b/features/together.feature
@@ -26,6 +26,9 @@
       | 2    | kill_all,change_often,say_farewell  |
       | 3    | stop_entries,reset_answers,evacuate |
       | 4    | lose_disk,hang,kill_entry           |
+      | 5    | silence_connections,evacuate        |
+      | 6    | cut_one_way,delay_target,drain_target |
+      | 7    | reset_connections,silence_target,kill_control |
 
   Scenario Outline: The judge of the platform sees <what>
     Given a booking that <what>
