--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -101,10 +101,16 @@
         "It is not valid by itself.",
     ),
     kinds.Kind(
-        "evacuation",
+        "was asked to take a data centre out",
         kinds.INFO,
-        ("zone", "method", "reason"),
-        "A data centre is taken out of service or brought back.",
+        ("data_centre", "reason"),
+        "It gets no new work from now on; why not, where it was refused.",
+    ),
+    kinds.Kind(
+        "was asked to bring a data centre back",
+        kinds.INFO,
+        ("data_centre", "reason"),
+        "It gets work again; what was in service already stays so.",
     ),
     kinds.Kind(
         "no control VM could tell",
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -34,6 +34,7 @@
     "cold_ms": "how long its cold start lasts yet, ms",
     "control": "the control VM, IP number and port",
     "count": "how many",
+    "data_centre": "its name",
     "fingerprint": "of path, caller and body of a request",
     "in_flight": "requests under way",
     "index": "of the newest entry of the log that is compacted",
@@ -67,7 +68,6 @@
     "term": "of the leadership",
     "took_ms": "from its first byte to its answer, ms",
     "why": "what showed it",
-    "zone": "the data centre",
 }
 
 
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -235,5 +235,11 @@
         if done is None:
             return unavailable()
         # What is in service already is brought back by a resend.
-        logger.info("evacuation", zone=zone, method=method, reason=done.message)
+        logger.info(
+            "was asked to take a data centre out"
+            if method == "POST"
+            else "was asked to bring a data centre back",
+            data_centre=zone,
+            reason=done.message,
+        )
         return _answer(200)
--- a/src/cardamomkeel/policy/entry_choice.py
+++ b/src/cardamomkeel/policy/entry_choice.py
@@ -4,7 +4,7 @@
 
 from cardamomkeel.wire import control_pb2
 
-# Callers read no more of an answer (the platform's *Ingress*).
+# Callers read no more of an answer.
 MAX_ADDRESSES = 64
 # With fewer near entries than this, those of other data centres are named
 # too, so that the loss of one leaves callers another.
