--- a/features/run.py
+++ b/features/run.py
@@ -17,7 +17,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_FIELD = "test:"
 # Features that run side by side; each starts processes of its own.
-JOBS = int(os.environ.get("TEST_JOBS", "3"))
+JOBS = int(os.environ.get("TEST_JOBS", "4"))
 # Those that take longest.
 LONG = frozenset(["ownership", "both_deployments", "lost_owner", "slots"])
 
