--- a/bench/faults.py
+++ b/bench/faults.py
@@ -137,6 +137,9 @@
 
 def _list_seeds(args: argparse.Namespace) -> typing.Iterator[int]:
     """Yields the seeds that the command line asks for."""
+    if args.seed is not None:
+        yield args.seed
+        return
     if args.minutes is None:
         yield from range(args.first_seed, args.first_seed + args.seeds)
         return
@@ -148,6 +151,9 @@
 def main() -> int:
     """Runs the seeds that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--seed", type=int, help="This seed alone, to see it again."
+    )
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument(
