--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -198,6 +198,22 @@
     Then it got the whole answer with its seal
     And the connection ends with it
 
+  Scenario: A kept connection serves for as long as operators want it kept
+    Given 1 target
+    And connections of callers may be unused for 1000 ms
+    And one connection
+    When 4 lookups are sent on it with pauses of 800 ms
+    Then all of them were answered whole
+    When it is unused for 1500 ms
+    Then the connection has ended
+
+  Scenario: A target that joins gets its part
+    Given 2 targets
+    When 20 lookups reach the entry
+    And another target joins
+    And 9 lookups reach the entry side by side
+    Then the newest target got at least 2 of them
+
   Scenario: Callers that come back late do not make others late
     Given an entry with routes for lookups and bookings
     And 2 targets that run no more at a time than they have slots
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -122,6 +122,42 @@
     context.rig.set_routes(routes, 2)
 
 
+@given("connections of callers may be unused for {idle_ms:d} ms")
+def set_idle(context, idle_ms):
+    context.rig.set_routes(gateway_lib.ROUTES, 2, idle_ms=idle_ms)
+
+
+@when("{count:d} lookups are sent on it with pauses of {ms:d} ms")
+def send_with_pauses(context, count, ms):
+    context.answers = []
+    for number in range(count):
+        if number:
+            time.sleep(ms / 1000)
+        context.conn.send(path=f"/look/{number}")
+        context.answers.append(context.conn.receive())
+
+
+@when("it is unused for {ms:d} ms")
+def leave_unused(context, ms):  # noqa: ARG001
+    time.sleep(ms / 1000)
+
+
+@then("the connection has ended")
+def check_has_ended(context):
+    assert context.conn.is_ended()
+
+
+@when("another target joins")
+def join(context):
+    context.rig.add_target()
+
+
+@then("the newest target got at least {least:d} of them")
+def check_newest(context, least):
+    got = len(context.rig.farm.targets[-1].arrivals)
+    assert got >= least, got
+
+
 @given("the first target tells that work takes {times:d} times as long")
 def set_slow(context, times):
     context.rig.farm.targets[0].slow = 100 * times
