--- a/bench/relay.py
+++ b/bench/relay.py
@@ -30,10 +30,17 @@
 
 @dataclasses.dataclass
 class Link:
-    """One connection through a relay, in both directions."""
+    """One connection through a relay, in both directions.
+
+    Attributes:
+        silent: Whether its bytes are dropped.
+        ended: Whether both sides have ended it, of which neither was told
+            while it was silent.
+    """
 
     writers: list[asyncio.StreamWriter]
     silent: bool = False
+    ended: bool = False
 
 
 class Relay:
@@ -84,7 +91,8 @@
             self._pump(link, there[0], writer, towards_server=False),
             return_exceptions=True,
         )
-        if link in self.links:
+        link.ended = True
+        if link in self.links and not (self.silent or link.silent):
             self.links.remove(link)
 
     async def _pump(
@@ -128,9 +136,11 @@
         self.delay_s = 0.0
         self.refuses = self.silent = self.one_way = False
         for link in list(self.links):
-            if link.silent:
+            if link.silent or link.ended:
                 for writer in link.writers:
                     writer.transport.abort()
+            if link.ended:
+                self.links.remove(link)
 
     def inject(self, fault: str, delay_ms: float = 0.0) -> None:
         """Begins a fault."""
