Refuse bodies in a transfer coding other than chunks

An entry of the product's own protocol closed the connection without an answer for a coding that is not known, and passed a body that was coded before its chunks on as if it were not: the backend server ran it. Both are answered 400, not run, now. Four rows in bad_input: two red before, all 37 scenarios of bad_input and callers_port passed since.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -20,6 +20,10 @@
       | an oversized body               | 413    |
       | two lengths                     | 400    |
       | a length and chunks             | 400    |
+      | a coding that is not known      | 400    |
+      | a coding before chunks          | 400    |
+      | the same length twice           | 400    |
+      | a folded header                 | 400    |
       | a malformed deadline            | 400    |
       | a negative deadline             | 400    |
       | a malformed depth               | 400    |
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -42,6 +42,22 @@
         b"POST /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
         b"Content-Length: 3000000\r\n\r\n" + b"x" * 3_000_000
     ),
+    "a coding that is not known": (
+        b"POST /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
+        b"Transfer-Encoding: xchunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+    ),
+    "a coding before chunks": (
+        b"POST /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
+        b"Transfer-Encoding: gzip, chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+    ),
+    "the same length twice": (
+        b"POST /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
+        b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab"
+    ),
+    "a folded header": (
+        b"GET /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
+        b"X-Folded: a\r\n b\r\n\r\n"
+    ),
     "two lengths": (
         b"POST /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
         b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -134,6 +134,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
         self._count(len(name) + len(value))
+        if name.lower() == b"transfer-encoding":
+            self._check_coding(value)
         super().on_header(name, value)
 
     def on_message_complete(self) -> None:
@@ -176,6 +178,18 @@
         self._job.add_done_callback(self.tasks.discard)
         self.tasks.add(self._job)
 
+    def _check_coding(self, value: bytes) -> None:
+        """Refuses bodies that would be passed on still coded, or not read."""
+        if value.strip().lower() == b"chunked":
+            return
+        self._refuse(
+            errors.RequestError(
+                f"the transfer coding {value.decode('latin-1')!r} is not known",
+                "send the body with a length, or in chunks alone",
+            )
+        )
+        raise httptools.HttpParserError
+
     def _count(self, size: int) -> None:
         self._header_bytes += size
         if (
