Say the same thing once in the tests and in the soak

Three faults of the soak drew a target alike: _pick_target, with the same draws in the same order. A step of slots_queue was a twin of one that was there ("ends as not run within"; its bound is 85 ms now, below 90, since that one allows its bound itself), and a pause of gateway had two names.

--- a/bench/platform_fault_kinds.py
+++ b/bench/platform_fault_kinds.py
@@ -120,9 +120,13 @@
     run.fleet.add_target(target.service, target.zone)
 
 
-def _take_away(run: platform_soak.Run):
+def _pick_target(run: platform_soak.Run):
     service = run.rng.choice(platform_lib.SERVICES)
-    target = run.rng.choice(run.pick_targets(service))
+    return run.rng.choice(run.pick_targets(service))
+
+
+def _take_away(run: platform_soak.Run):
+    target = _pick_target(run)
     run.gone.add(target)
     return target
 
@@ -159,8 +163,7 @@
 
 
 def _misbehave(run: platform_soak.Run, behaviour: str) -> None:
-    service = run.rng.choice(platform_lib.SERVICES)
-    target = run.rng.choice(run.pick_targets(service))
+    target = _pick_target(run)
     target.always = behaviour
     time.sleep(FAILING_S)
     target.always = "ok"
@@ -210,8 +213,7 @@
 
 
 def _harm_link(run: platform_soak.Run, fault: str) -> None:
-    service = run.rng.choice(platform_lib.SERVICES)
-    target = run.rng.choice(run.pick_targets(service))
+    target = _pick_target(run)
     relays = run.fleet.relays
     relays.inject(fault, platform_lib.ENTRIES, target.instance, DELAY_MS)
     time.sleep(FAILING_S)
--- a/features/run.py
+++ b/features/run.py
@@ -19,12 +19,7 @@
 # Features that run side by side; each starts processes of its own.
 JOBS = int(os.environ.get("TEST_JOBS", "4"))
 # Those that take longest.
-LONG = frozenset(
-    [
-        *["ownership", "together", "take_out", "both_deployments"],
-        *["lost_owner", "slots"],
-    ]
-)
+LONG = frozenset(["ownership", "together", "take_out"])
 
 
 def read_known_red() -> set[str]:
--- a/features/slots_queue.feature
+++ b/features/slots_queue.feature
@@ -16,7 +16,7 @@
     Given an owner of a target with 1 slots and a queue for 300 requests
     # Its slot is held until 520 ms have passed since it was taken, 100 ms ago.
     When a request that may run for 400 ms is given up and one with a deadline of 400 ms arrives right after it
-    Then it ends as not run in less than 90 ms
+    Then it ends as not run within 85 ms
 
   Scenario: A pause of the process loses no slot that comes free meanwhile
     When a request is cut while another one with a deadline of 500 ms waits, and the process is paused after any of 40 readings of the clock
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -137,11 +137,6 @@
         context.answers.append(context.conn.receive())
 
 
-@when("it is unused for {ms:d} ms")
-def leave_unused(context, ms):  # noqa: ARG001
-    time.sleep(ms / 1000)
-
-
 @then("the connection has ended")
 def check_has_ended(context):
     assert context.conn.is_ended()
@@ -206,7 +201,8 @@
 
 
 @when("it has been without routes for {ms:d} ms")
-def wait_without_routes(context, ms):  # noqa: ARG001
+@when("it is unused for {ms:d} ms")
+def wait(context, ms):  # noqa: ARG001
     time.sleep(ms / 1000)
 
 
--- a/features/steps/slots_queue.py
+++ b/features/steps/slots_queue.py
@@ -262,21 +262,15 @@
 )
 def arrive_at_held(context, allowed_ms, ms):
     context.bench.http.runs_on_ms = float(allowed_ms)
+    context.path = "/refused"
 
     async def scene(bench, _calls):
         await bench.call(float(allowed_ms), "/late")
-        await bench.call(float(ms), "/refused")
+        await bench.call(float(ms), context.path)
 
     _play(context, scene)
 
 
-@then("it ends as not run in less than {ms:d} ms")
-def check_refused_soon(context, ms):
-    (ended,) = [e for p, e in context.bench.ended if p == "/refused"]
-    assert ended.outcome is messages.Outcome.NOT_RUN, ended
-    assert context.bench.elapsed_ms[-1] < ms, context.bench.elapsed_ms
-
-
 @then("the waiting one is answered within {most_ms:d} ms of it")
 def check_waiting(context, most_ms):
     assert len(context.bench.answered()) == 1, context.bench.ended
--- a/src/cardamomkeel/backend_servers/announcements.py
+++ b/src/cardamomkeel/backend_servers/announcements.py
@@ -18,8 +18,8 @@
 from cardamomkeel.settings import process
 from cardamomkeel.wire import control_pb2
 
-# A backend server announces itself anew within some seconds.
-# How long the leader may take to write an announcement down.
+# How long the leader may take to write an announcement down; who announces
+# itself does so again within some seconds.
 COMMIT_TIMEOUT_MS = 2000.0
 # How often silent targets are looked for: a part of the time after which
 # they count as gone.
