Bound what peers send outside bodies, and refuse odd entries and late copies

FramingBytes counts bytes as they arrive at targets, callers and other entries; the bodies of all answers share a part of the memory. Addresses and ids of targets are checked where they come in, and rows with odd ones are left out. Requests of the product carry an id that answers return. Rejections without an id are believed only as the first answer of a connection. Clocks run on CLOCK_BOOTTIME.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -82,10 +82,8 @@
             entries_address=deployment_lib.free_address(),
             operators_address=deployment_lib.free_address(),
             control={"none": f"{HOST}:1"},
-            stop_within_ms=3000,
-            listen_on_ms=300,
             headers=platform_targets.NAMES,
-            **self.settings,
+            **({"stop_within_ms": 3000, "listen_on_ms": 300} | self.settings),
         )
         self.program = program_lib.GatewayProgram(cfg)
         self.address = address
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -15,6 +15,9 @@
       | a control character in the path | 400    |
       | a bare line feed in a header    | 400    |
       | an oversized header             | 431    |
+      | a header value without end      | 431    |
+      | a header name without end       | 431    |
+      | a chunk extension without end   | 431    |
       | too many headers                | 431    |
       | an oversized path               | 431    |
       | an oversized body               | 413    |
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -30,6 +30,17 @@
         + b"x" * 200_000
         + b"\r\n\r\n"
     ),
+    "a header value without end": (
+        b"GET /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\nX-Large: "
+        + b"x" * 200_000
+    ),
+    "a header name without end": (
+        b"GET /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n" + b"x" * 200_000
+    ),
+    "a chunk extension without end": (
+        b"POST /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n1;" + b"x" * 200_000
+    ),
     "too many headers": (
         b"GET /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n"
         + b"X-Many: x\r\n" * 500
--- /dev/null
+++ b/features/stop_gateway.feature
@@ -0,0 +1,28 @@
+Feature: A planned stop of a gateway cuts off no request that it has accepted
+
+  Scenario Outline: <sent> was sent when the stop begins
+    Given an entry that takes new connections for 1000 ms while it stops
+    And routes for lookups and bookings, and 2 targets
+    When <sent> was sent on each of 8 connections
+    And the entry is stopped, and after 50 ms the rest is sent
+    Then every request is answered completely
+    And each connection ends after its last answer
+    And the stop aborted no request
+
+    Examples:
+      | sent                                  |
+      | nothing                               |
+      | half a request line                   |
+      | half a header                         |
+      | the head of a booking                 |
+      | half the body of a booking            |
+      | a lookup                              |
+      | a lookup and half of a second one     |
+      | a booking and a second one            |
+
+  Scenario: Callers that connect while the entry stops are served
+    Given an entry that takes new connections for 1000 ms while it stops
+    And routes for lookups and bookings, and 2 targets
+    When callers connect and send every 20 ms while the entry is stopped
+    Then each of their requests is answered completely or reached no entry
+    And the stop aborted no request
--- a/src/cardamomkeel/backend_servers/announcements.py
+++ b/src/cardamomkeel/backend_servers/announcements.py
@@ -34,7 +34,7 @@
     """What a backend server announces about itself."""
 
     service: str
-    address: process.Address
+    address: process.PeerAddress
     data_centre: str
     slots: int = pydantic.Field(ge=1, le=1000)
     instance: str = pydantic.Field(min_length=1, max_length=100)
--- a/src/cardamomkeel/backend_servers/pool.py
+++ b/src/cardamomkeel/backend_servers/pool.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import functools
+import itertools
+import secrets
 
 import anyio
 import loguru
@@ -63,6 +66,9 @@
         self.on_all_closed: collections.abc.Callable[[str], None] = _do_nothing
         self.is_retried: collections.abc.Callable[[str], bool] = _always
         self._expire_at = clk.now() + EXPIRE_EVERY_MS
+        # Ids of requests differ from those that another process has sent.
+        self._id_prefix = secrets.token_hex(4).encode()
+        self._numbers = itertools.count(1)
 
     async def send(
         self,
@@ -75,10 +81,16 @@
         """Sends a request and returns its answer, complete or as a stream."""
         if deadline <= self._clock.now():
             return _not_sent("no time is left")
-        head = encode_head(address, req, headers)
+        request_id = b"%s-%d" % (self._id_prefix, next(self._numbers))
+        head = encode_head(
+            address, req, [*headers, (messages.REQUEST_ID, request_id)]
+        )
         if head is None:
             return _not_sent("the path or a header can't be passed on")
-        pool = self._pool(address)
+        try:
+            pool = self._pool(address)
+        except ValueError as exc:
+            return _not_sent(str(exc))
         received_after = float("-inf")
         if req.is_retry or not req.idempotent:
             received_after = self._clock.now() - RECENTLY_ACTIVE_MS
@@ -91,6 +103,7 @@
         if not guard.may_send():
             pool.release(conn)
             return _not_sent("the lease ran out before it was sent")
+        conn.expect(request_id)
         return await self._exchange(pool, conn, req, head, deadline, guard)
 
     async def _exchange(
@@ -125,6 +138,7 @@
             for timer in timers:
                 timer.cancel()
         pool.note_latency(self._clock.now() - started)
+        got = _remove_request_id(got)
         if got.stream is None:
             pool.release(conn)
         else:
@@ -263,6 +277,16 @@
             pool.close()
 
 
+def _remove_request_id(answer: messages.Answer) -> messages.Answer:
+    """Returns an answer without the id, which no caller has sent."""
+    headers = [
+        pair
+        for pair in answer.headers
+        if pair[0].lower() != messages.REQUEST_ID
+    ]
+    return dataclasses.replace(answer, headers=headers)
+
+
 def _do_nothing(address: str) -> None:
     """Ignores that all connections to an address have been closed."""
 
--- a/src/cardamomkeel/backend_servers/pool_address.py
+++ b/src/cardamomkeel/backend_servers/pool_address.py
@@ -7,6 +7,8 @@
 from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel.backend_servers import pool_connection
+from cardamomkeel.routing import messages
+from cardamomkeel.settings import addresses
 
 # A backend server sustains about 250 connections.
 MAX_CONNECTIONS = 250
@@ -42,9 +44,12 @@
         share: buffers.Share,
         on_all_closed: collections.abc.Callable[[], None],
     ):
-        host, port = address.rsplit(":", 1)
-        self._host = host
-        self._port = int(port)
+        """Creates an empty pool.
+
+        Raises:
+            ValueError: The address is malformed.
+        """
+        self._host, self._port = addresses.split(address)
         self._clock = clk
         self._on_all_closed = on_all_closed
         self._share = share
@@ -159,6 +164,7 @@
             self._clock,
             self._handle_closed,
             self._share,
+            messages.REQUEST_ID,
         )
 
     def _handle_closed(self, conn: pool_connection.Connection) -> None:
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -7,6 +7,7 @@
 
 from cardamomkeel import buffers
 from cardamomkeel import clock
+from cardamomkeel import http_framing
 from cardamomkeel.backend_servers import body_stream
 from cardamomkeel.backend_servers import client
 from cardamomkeel.routing import messages
@@ -15,6 +16,9 @@
 MAX_WHOLE_BYTES = 64 * 1024
 # Limit of the size of the headers of an answer.
 MAX_HEADER_BYTES = 64 * 1024
+# Limit of the bytes before, between and after the parts of a body: headers,
+# interim answers, chunk sizes, trailers and answers to other requests.
+MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
 READ_BYTES = 64 * 1024
 # Shorter bodies are joined with the head and written at once.
 LARGE_BODY_BYTES = 16 * 1024
@@ -36,7 +40,9 @@
     """Sends one request at a time and receives its answer.
 
     A connection is reused only if the last answer was complete and no bytes
-    followed it.
+    followed it. The answer to an earlier request may be received in place of
+    the expected one. It is discarded, and the connection serves no further
+    request.
 
     Attributes:
         address: Host and port of the peer.
@@ -45,6 +51,8 @@
         closed: Whether the connection is closed or being closed.
         closed_by_peer: Whether the peer closed the connection while it was
             unused.
+        answers: How many answers were accepted.
+        unexpected_answers: How many answers to other requests were discarded.
     """
 
     def __init__(
@@ -53,8 +61,25 @@
         clk: clock.Clock,
         on_closed: collections.abc.Callable[["Connection"], None],
         share: buffers.Share,
+        id_header: bytes,
     ):
+        """Creates a connection that is not open yet.
+
+        Args:
+            address: Host and port of the peer.
+            clk: The clock.
+            on_closed: Called once the connection is closed.
+            share: Limits the memory for bodies.
+            id_header: The header in which an answer returns the request id,
+                in lower case.
+        """
         self.address = address
+        self._id_header = id_header
+        self._expected_id = b""
+        self._returns_ids = False
+        self.answers = 0
+        self.unexpected_answers = 0
+        self._framing = http_framing.FramingBytes(MAX_FRAMING_BYTES)
         self._clock = clk
         self._on_closed = on_closed
         self._share = share
@@ -70,6 +95,14 @@
 
     # Called by the users of the connection.
 
+    def expect(self, request_id: bytes) -> None:
+        """Sets the id that the next answer has to carry.
+
+        Args:
+            request_id: Id of the request; empty for a probe, which has none.
+        """
+        self._expected_id = request_id
+
     def request(
         self, head: bytes, body: bytes, is_head: bool
     ) -> asyncio.Future[messages.Answer]:
@@ -80,6 +113,7 @@
         loop = asyncio.get_running_loop()
         self._answer = loop.create_future()
         self._reset_answer(is_head)
+        self._framing.reset()
         if len(body) < LARGE_BODY_BYTES:
             self._transport.write(head + body)
         else:
@@ -177,6 +211,7 @@
             return
         self._has_received = True
         self.received_at = self._clock.now()
+        self._framing.count_received(nbytes)
         try:
             self._parser.feed_data(_READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -188,6 +223,9 @@
             self._has_surplus = True
         if self._complete:
             self._finish()
+        elif self._framing.is_exceeded():
+            self._fail("the answer has too many bytes outside its body")
+            self.close()
 
     # Called by the parser.
 
@@ -223,19 +261,40 @@
             raise ProtocolError("the protocol was switched unasked")
         if status < 200:
             return
+        self._begin_answer(status)
+
+    def _begin_answer(self, status: int) -> None:
+        """Sets the status of a final answer and how its end is detected.
+
+        Raises:
+            ProtocolError: The end of the answer can't be detected.
+        """
         self._status = status
         # The parser resets this at the end of the message.
         self._keeps_open = self._parser.should_keep_alive()
+        self._is_stray = not self._is_expected()
         if self._is_head:
+            if self._is_stray:
+                raise ProtocolError("it answers another request")
             self._complete = True
         elif status not in _NO_BODY and not self._has_length():
-            raise ProtocolError("an end by closing can't be told from a cut")
+            self._handle_missing_length()
+
+    def _handle_missing_length(self) -> None:
+        """Handles an answer that ends when the connection is closed."""
+        raise ProtocolError("an end by closing can't be told from a cut")
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body; a long body becomes a stream."""
         if self._complete:
             self._has_surplus = True
             return
+        if self._is_stray:
+            return
+        self._framing.count_body(len(body))
+        self._store_body(body)
+
+    def _store_body(self, body: bytes) -> None:
         if self._stream is not None:
             self._stream.feed(body)
             return
@@ -245,17 +304,32 @@
             self._begin_stream()
 
     def on_message_complete(self) -> None:
-        """Completes an answer, or discards an interim one."""
+        """Completes an answer, or discards an interim or unexpected one."""
         if self._complete:
             return
-        if self._status:
+        if self._status and not self._is_stray:
             self._complete = True
             return
+        if self._is_stray:
+            self.unexpected_answers += 1
+        self._status = 0
+        self._is_stray = False
         self._headers = []
         self._header_bytes = 0
 
     # Internal.
 
+    def _is_expected(self) -> bool:
+        for name, value in self._headers:
+            if name.lower() == self._id_header:
+                self._returns_ids = True
+                return value == self._expected_id
+        return self._accepts_without_id()
+
+    def _accepts_without_id(self) -> bool:
+        """Returns whether an answer without an id may be the expected one."""
+        return not self._returns_ids
+
     def _reset_answer(self, is_head: bool) -> None:
         self._is_head = is_head
         self._status = 0
@@ -267,6 +341,7 @@
         self._has_surplus = False
         self._has_received = False
         self._keeps_open = False
+        self._is_stray = False
         self._stream: body_stream.BodyStream | None = None
 
     def _has_length(self) -> bool:
@@ -306,7 +381,8 @@
         )
         waiter, self._answer = self._answer, None
         stream, self._stream = self._stream, None
-        if self._has_surplus or not self._keeps_open:
+        self.answers += 1
+        if self._has_surplus or self.unexpected_answers or not self._keeps_open:
             self.close()
         elif self._is_head:
             # The parser still expects a body, which an answer to HEAD lacks.
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -21,6 +21,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel import http_framing
 from cardamomkeel import listening
 from cardamomkeel.routing import messages
 
@@ -36,6 +37,8 @@
 UNREAD_TIMEOUT_MS = 10_000.0
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
+# A header has a few bytes more than its names and values.
+MAX_FRAMING_BYTES = MAX_HEADER_BYTES + 4 * MAX_HEADERS + 100
 SHUTDOWN_GRACE_MS = 5000.0
 SHUTDOWN_POLL_MS = 20.0
 
@@ -86,6 +89,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
         self._header_bytes = 0
+        self._framing = http_framing.FramingBytes(MAX_FRAMING_BYTES)
+        self._discarded = http_framing.DiscardedBytes()
         self._receiving = False
         self._lingering = False
         self._task: asyncio.Task | None = None
@@ -120,8 +125,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; discards them while closing."""
-        if not self.transport.is_closing() and not self._lingering:
-            super().data_received(data)
+        if self._lingering and self._discarded.count(len(data)):
+            self.transport.abort()
+        if self.transport.is_closing() or self._lingering:
+            return
+        self._framing.count_received(len(data))
+        super().data_received(data)
+        if self._framing.is_exceeded():
+            self._refuse_header()
 
     def on_message_begin(self) -> None:
         """Starts the timeout for receiving a request."""
@@ -143,8 +154,14 @@
             self._check_transfer_coding(value)
         super().on_header(name, value)
 
+    def on_body(self, body: bytes) -> None:
+        """Passes on a part of the body."""
+        self._framing.count_body(len(body))
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Stops the timeout for receiving a request."""
+        self._framing.reset()
         self._receiving = False
         self._stop_timer()
         super().on_message_complete()
@@ -207,16 +224,19 @@
             self._header_bytes > MAX_HEADER_BYTES
             or len(self.headers) >= MAX_HEADERS
         ):
-            self._refuse(
-                errors.RequestError(
-                    f"the header has more than {MAX_HEADER_BYTES} bytes or "
-                    f"{MAX_HEADERS} lines",
-                    "send less in the header",
-                    431,
-                )
-            )
+            self._refuse_header()
             raise httptools.HttpParserError
 
+    def _refuse_header(self) -> None:
+        self._refuse(
+            errors.RequestError(
+                f"the header has more than {MAX_HEADER_BYTES} bytes or "
+                f"{MAX_HEADERS} lines",
+                "send less in the header",
+                431,
+            )
+        )
+
     def _refuse(self, error: errors.RequestError) -> None:
         """Closes the connection; sends the error if no answer is pending."""
         if self.transport.is_closing():
--- a/src/cardamomkeel/callers/requests.py
+++ b/src/cardamomkeel/callers/requests.py
@@ -36,6 +36,7 @@
         messages.EXCLUDE,
         messages.SESSION,
         messages.ATTEMPT,
+        messages.REQUEST_ID,
     ]
 )
 
--- a/src/cardamomkeel/clock.py
+++ b/src/cardamomkeel/clock.py
@@ -17,11 +17,14 @@
 
 
 class MonotonicClock:
-    """Reads the monotonic clock of the machine."""
+    """Reads a clock of the machine that runs on while it is suspended.
+
+    Leases end by time also if this VM has been suspended meanwhile.
+    """
 
     def now(self) -> Millis:
         """Returns milliseconds since an arbitrary start."""
-        return time.monotonic() * MS_PER_SECOND
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_SECOND
 
 
 class ManualClock:
--- a/src/cardamomkeel/entries/app.py
+++ b/src/cardamomkeel/entries/app.py
@@ -57,8 +57,13 @@
             req_result = messages.not_run(error.message, error.remedy)
         else:
             req_result = await self._dispatch(scope, body.unwrap())
+        request_id = requests.get_header(scope, messages.REQUEST_ID)
         await answers.send_result(
-            send, req_result, scope["method"], forwarded=True
+            send,
+            req_result,
+            scope["method"],
+            forwarded=True,
+            extra_headers=[(messages.REQUEST_ID, request_id)],
         )
 
     async def _dispatch(
--- a/src/cardamomkeel/gateway/announcements.py
+++ b/src/cardamomkeel/gateway/announcements.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from cardamomkeel import errors
+from cardamomkeel import http_headers
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.policy import incarnations
 from cardamomkeel.routing import session as session_lib
@@ -52,12 +53,14 @@
     cold_ms: Count = 0
 
     def __post_init__(self):
-        """Checks the address.
+        """Checks the address and the instance.
 
         Raises:
-            ValueError: The address is not a valid host and port.
+            ValueError: The address is not a valid host and port, or the
+                instance can't be sent in a header.
         """
-        addresses.check(self.address)
+        http_headers.check_token(self.instance)
+        addresses.check_peer(self.address)
 
 
 class Announcements:
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -9,6 +9,7 @@
 import loguru
 
 from cardamomkeel import clock
+from cardamomkeel import http_headers
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import messages
@@ -159,8 +160,8 @@
         self, req: messages.Request, default_ms: clock.Millis
     ) -> clock.Millis:
         """Returns the remaining time of the caller by its deadline header."""
-        reported = req.get(self._deadline_name)
-        return float(reported) if reported.isdigit() else default_ms
+        reported = http_headers.parse_number(req.get(self._deadline_name))
+        return default_ms if reported is None else float(reported)
 
     def _record_remaining(
         self, route: document_lib.Route, remaining_ms: clock.Millis
--- a/src/cardamomkeel/gateway/gossip.py
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -7,13 +7,18 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import typing
 
 import loguru
+import msgspec
 import orjson
 
 from cardamomkeel import clock
 from cardamomkeel import listening
+from cardamomkeel.log_lines import limits
 from cardamomkeel.policy import peers
+from cardamomkeel.settings import addresses
 
 # Changes within this time are sent in one datagram.
 SEND_DELAY_MS = 3.0
@@ -31,6 +36,11 @@
 # The counts of more targets do not fit into one packet.
 MAX_TARGETS = 40
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+# The name of the sender, the start time of its process, the number of the
+# datagram and the running requests by target.
+_DECODER = msgspec.json.Decoder(tuple[str, _Count, _Count, dict[str, _Count]])
+
 logger = loguru.logger
 
 
@@ -83,6 +93,7 @@
         self._unresponsive_since: dict[str, clock.Millis] = {}
         self._addresses: list[tuple[str, int]] = []
         self._ring_peers = peers.Peers()
+        self._malformed_limit = limits.Limit("ignored malformed datagram", clk)
         self._transport: asyncio.DatagramTransport | None = None
         self._send_timer: asyncio.TimerHandle | None = None
         self.running: dict[str, int] = {}
@@ -106,8 +117,8 @@
         self._ring_peers = peers.pick(self._name, others)
         self._addresses = []
         for name in self._ring_peers.sends_to:
-            host, _, port = others[name].rpartition(":")
-            self._addresses.append((host, int(port)))
+            with contextlib.suppress(ValueError):
+                self._addresses.append(addresses.split(others[name]))
 
     def schedule_send(self) -> None:
         """Schedules a datagram after a change of the counts."""
@@ -130,13 +141,13 @@
 
     def _receive(self, data: bytes) -> None:
         try:
-            name, start, sequence, running = orjson.loads(data)
-            counts = {str(a): int(n) for a, n in running.items()}
-        except (ValueError, TypeError, AttributeError) as exc:
-            logger.warning("ignored malformed datagram", reason=repr(exc))
+            name, start, sequence, counts = _DECODER.decode(data)
+        except (ValueError, RecursionError) as exc:
+            if self._malformed_limit.may_write():
+                logger.warning("ignored malformed datagram", reason=repr(exc))
             return
-        peer = self._peers.setdefault(str(name), _PeerCounts())
-        self._unresponsive_since.pop(str(name), None)
+        peer = self._peers.setdefault(name, _PeerCounts())
+        self._unresponsive_since.pop(name, None)
         if (start, sequence) <= peer.sequence:
             return
         peer.sequence = (start, sequence)
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -15,6 +15,8 @@
 import loguru
 
 from cardamomkeel import clock
+from cardamomkeel import http_framing
+from cardamomkeel import http_headers
 from cardamomkeel import listening
 from cardamomkeel.gateway import messages
 from cardamomkeel.log_lines import limits as log_limits
@@ -23,6 +25,8 @@
 # Limit on unanswered requests of one connection; reading pauses beyond it.
 MAX_PIPELINED_REQUESTS = 32
 MAX_HEADERS = 200
+# Method, version and spaces of a request line; its target counts as header.
+MAX_REQUEST_LINE_BYTES = 100
 # How long the rest of a rejected request is read and discarded. Closing a
 # connection with unread bytes would lose the response on its way.
 LINGER_MS = 500.0
@@ -78,6 +82,10 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._framing = http_framing.FramingBytes(
+            self._limits.header_bytes + MAX_REQUEST_LINE_BYTES
+        )
+        self._discarded = http_framing.DiscardedBytes()
         self._pipeline: collections.deque[_PipelinedRequest] = (
             collections.deque()
         )
@@ -110,9 +118,12 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and rejects invalid requests."""
         if self._closing:
+            if self._discarded.count(len(data)):
+                self.abort()
             return
         if self._receiving and self._headers_done:
             self._start_timer(BODY_STALL_MS, self._reject_slow)
+        self._framing.count_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -123,6 +134,9 @@
             if isinstance(exc.__context__, _RequestRejected):
                 status = exc.__context__.status
             self._reject(status, str(exc))
+        else:
+            if self._framing.is_exceeded():
+                self._reject(431, "too many bytes outside a body")
 
     # Called by the parser.
 
@@ -140,6 +154,7 @@
         self._reset_request()
         self._receiving = True
         self._limits = self._server.limits()
+        self._framing.limit = self._limits.header_bytes + MAX_REQUEST_LINE_BYTES
         self._began_at = self._clock.now()
         self._start_timer(self._limits.header_ms, self._reject_slow)
 
@@ -175,7 +190,8 @@
                     raise _RequestRejected(400)
                 seen.add(lowered)
             if lowered == b"content-length":
-                if value.isdigit() and int(value) > self._limits.body_bytes:
+                length = http_headers.parse_number(value)
+                if length is None or length > self._limits.body_bytes:
                     raise _RequestRejected(413)
             elif lowered == b"transfer-encoding":
                 if value.lower() != _CHUNKED:
@@ -190,6 +206,7 @@
         Raises:
             _RequestRejected: The body is too long.
         """
+        self._framing.count_body(len(body))
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
             raise _RequestRejected(413)
@@ -198,6 +215,7 @@
     def on_message_complete(self) -> None:
         """Queues a complete request; pauses reading if the queue is full."""
         self._receiving = False
+        self._framing.reset()
         self._stop_timer()
         req = messages.Request(
             self._parser.get_method().decode("ascii"),
--- a/src/cardamomkeel/gateway/load_probes.py
+++ b/src/cardamomkeel/gateway/load_probes.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from cardamomkeel import clock
+from cardamomkeel import http_headers
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.gateway import names as names_lib
@@ -96,6 +97,6 @@
             return
         now = self._clock.now()
         self._targets.record_load(target, found.get(self._load))
-        cold = found.get(self._cold, b"0")
-        if reported_instance is not None and cold.isdigit():
-            self._targets.record_cold_start(target, float(cold), probed_at, now)
+        cold_ms = http_headers.parse_number(found.get(self._cold, b"0"))
+        if reported_instance is not None and cold_ms is not None:
+            self._targets.record_cold_start(target, cold_ms, probed_at, now)
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -7,6 +7,7 @@
 import anyio
 import loguru
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import client as client_lib
@@ -64,7 +65,10 @@
             cfg.data_centre, cfg.name, self.gossip, self.clk
         )
         self.upstream = upstream_lib.UpstreamPool(
-            self.clk, cfg.headers.request_id.lower().encode(), cfg.body_bytes
+            self.clk,
+            cfg.headers.request_id.lower().encode(),
+            cfg.body_bytes,
+            buffers.Budget(cfg.buffer_bytes).share(buffers.ENTRIES_SHARE),
         )
         prober = load_probes.LoadProber(
             self.upstream, self.targets, cfg.headers, self.metrics, self.clk
--- a/src/cardamomkeel/gateway/settings.py
+++ b/src/cardamomkeel/gateway/settings.py
@@ -4,6 +4,8 @@
 
 from cardamomkeel.gateway import names
 
+DEFAULT_BUFFER_BYTES = 268_435_456
+
 
 @dataclasses.dataclass(frozen=True)
 class Timings:
@@ -41,6 +43,7 @@
         listen_on_ms: How long a stopping entry accepts new connections.
         keep_addresses_ms: How long callers may cache the list of entries.
         body_bytes: Length limit of the body of a target's answer.
+        buffer_bytes: How many bytes of answers are kept in memory.
         link_bytes_per_s: Bandwidth of the link of this VM; 0 if it does not
             limit any request.
     """
@@ -61,4 +64,5 @@
     listen_on_ms: int = 2500
     keep_addresses_ms: int = 2000
     body_bytes: int = 67_108_864
+    buffer_bytes: int = DEFAULT_BUFFER_BYTES
     link_bytes_per_s: float = 0.0
--- a/src/cardamomkeel/gateway/upstream.py
+++ b/src/cardamomkeel/gateway/upstream.py
@@ -7,9 +7,11 @@
 
 from returns import result
 
+from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel.gateway import upstream_connection
+from cardamomkeel.settings import addresses
 
 # A target that accepts no connection within this time is unreachable. The same
 # limit applies to the answer to a probe.
@@ -41,7 +43,13 @@
 class UpstreamPool:
     """Unused connections to all targets, by address."""
 
-    def __init__(self, clk: clock.Clock, id_header: bytes, max_body_bytes: int):
+    def __init__(
+        self,
+        clk: clock.Clock,
+        id_header: bytes,
+        max_body_bytes: int,
+        share: buffers.Share,
+    ):
         """Creates an empty pool.
 
         Args:
@@ -49,8 +57,10 @@
             id_header: The header in which an answer returns the request id,
                 in lower case.
             max_body_bytes: Length limit of the body of an answer.
+            share: Limits the memory for the bodies of all answers.
         """
         self._clock = clk
+        self._share = share
         self._id_header = id_header
         self._max_body_bytes = max_body_bytes
         self._unused: dict[
@@ -97,8 +107,13 @@
             address: Host and port of the target.
             timeout_ms: Limit on the time to open, `CONNECT_TIMEOUT_MS` at most.
         """
+        try:
+            host, port = addresses.split(address)
+        except ValueError as exc:
+            return result.Failure(
+                ConnectError(str(exc), "see what announces this target")
+            )
         loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
         limit_s = clock.seconds(min(CONNECT_TIMEOUT_MS, timeout_ms))
         try:
             async with asyncio.timeout(limit_s):
@@ -109,9 +124,10 @@
                         self._note_closed,
                         self._id_header,
                         self._max_body_bytes,
+                        self._share,
                     ),
                     host,
-                    int(port),
+                    port,
                 )
         except TimeoutError:
             return result.Failure(
--- a/src/cardamomkeel/gateway/upstream_connection.py
+++ b/src/cardamomkeel/gateway/upstream_connection.py
@@ -5,23 +5,17 @@
 
 from cardamomkeel import buffers
 from cardamomkeel import clock
+from cardamomkeel import http_headers
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.routing import messages
 
-_NO_BODY = frozenset([204, 304])
-
 
 class TargetConnection(pool_connection.Connection):
-    """Accepts the answer with the id of its request and discards others.
-
-    The answer to an earlier request may be received in place of the expected
-    one. It is discarded, and the connection serves no further request.
+    """Buffers whole answers, each with the id of its request.
 
     Attributes:
         idle_ms: How long the target keeps the connection open unused; None if
             it sent no Keep-Alive header.
-        answers: How many answers were accepted.
-        unexpected_answers: How many answers to other requests were discarded.
     """
 
     def __init__(
@@ -31,24 +25,14 @@
         on_closed: collections.abc.Callable[[pool_connection.Connection], None],
         id_header: bytes,
         max_body_bytes: int,
+        share: buffers.Share,
     ):
-        self._id_header = id_header
         self._max_body_bytes = max_body_bytes
-        self._expected_id = b""
+        self._reservation = share.create_reservation()
         self._ends_at_close = False
         self._held_back = b""
         self.idle_ms: clock.Millis | None = None
-        self.answers = 0
-        self.unexpected_answers = 0
-        super().__init__(address, clk, on_closed, buffers.unlimited())
-
-    def expect(self, request_id: bytes) -> None:
-        """Sets the id that the next answer has to carry.
-
-        Args:
-            request_id: Id of the request; empty for a probe, which has none.
-        """
-        self._expected_id = request_id
+        super().__init__(address, clk, on_closed, share, id_header)
 
     def begin_request(
         self, head: bytes, body: bytes
@@ -71,69 +55,48 @@
         super()._reset_answer(is_head)
         self._ends_at_close = False
 
-    def on_headers_complete(self) -> None:
-        """Determines where the answer ends; without a length, at the close."""
-        if self._complete:
-            return
-        status = self._parser.get_status_code()
-        if status == 101:
-            raise pool_connection.ProtocolError("the protocol was switched")
-        if status < 200:
-            return
-        self._status = status
-        self._keeps_open = self._parser.should_keep_alive()
-        if self._is_head:
-            self._complete = True
-        elif status not in _NO_BODY and not self._has_length():
-            self._ends_at_close = True
-            self._keeps_open = False
-        self._note_keep_alive()
-
-    def _note_keep_alive(self) -> None:
+    def _begin_answer(self, status: int) -> None:
+        super()._begin_answer(status)
         for name, value in self._headers:
             if name.lower() == b"keep-alive":
-                _, _, seconds = value.partition(b"timeout=")
-                digits = seconds.split(b",")[0].strip()
-                if digits.isdigit():
-                    self.idle_ms = int(digits) * clock.MS_PER_SECOND
-
-    def on_body(self, body: bytes) -> None:
-        """Stores a part of the body."""
-        if self._complete:
-            self._has_surplus = True
-            return
+                self._note_keep_alive(value)
+
+    def _note_keep_alive(self, value: bytes) -> None:
+        _, _, seconds = value.partition(b"timeout=")
+        idle_s = http_headers.parse_number(seconds.split(b",")[0].strip())
+        if idle_s is not None:
+            self.idle_ms = idle_s * clock.MS_PER_SECOND
+
+    def _handle_missing_length(self) -> None:
+        self._ends_at_close = True
+        self._keeps_open = False
+
+    def _store_body(self, body: bytes) -> None:
         self._size += len(body)
         if self._size > self._max_body_bytes:
             raise pool_connection.ProtocolError("the answer is too long")
+        if not self._reservation.try_grow(self._size):
+            raise pool_connection.ProtocolError(
+                "the answers on their way fill the memory for them"
+            )
         self._body.append(body)
 
-    def on_message_complete(self) -> None:
-        """Completes an answer to the current request.
+    def _accepts_without_id(self) -> bool:
+        """Returns whether an answer without an id may be the expected one.
 
-        Counts and discards an answer to another request.
+        Raises:
+            ProtocolError: It rejects this request or an earlier one.
         """
-        if self._complete:
-            return
-        if self._status and not self._is_expected():
-            self.unexpected_answers += 1
-            self._status = 0
-            self._headers = []
-            self._header_bytes = 0
-            self._body = []
-            self._size = 0
-            return
-        super().on_message_complete()
-
-    def _is_expected(self) -> bool:
-        for name, value in self._headers:
-            if name.lower() == self._id_header:
-                return value == self._expected_id
         if not self._expected_id:
-            # A probe has no id.
             return True
-        # A target that rejects a request before it has read the id can't
-        # return the id.
-        return self._status >= 300
+        # A target that rejects a request before it has read the id can't return
+        # the id.
+        is_rejection = self._status >= 300
+        if is_rejection and self.answers:
+            raise pool_connection.ProtocolError(
+                f"{self._status} without an id may answer an earlier request"
+            )
+        return is_rejection
 
     def eof_received(self) -> bool:
         """Completes an answer that ends when the connection is closed."""
@@ -141,14 +104,16 @@
             self._answer is not None
             and self._ends_at_close
             and not self._complete
+            and not self._is_stray
         ):
-            self._complete = self._is_expected()
-            if self._complete:
-                self._finish()
+            self._complete = True
+            self._finish()
         return False
 
     def _finish(self) -> None:
-        self.answers += 1
-        if self.unexpected_answers:
-            self._has_surplus = True
         super()._finish()
+        self._reservation.release()
+
+    def _fail(self, reason: str) -> None:
+        super()._fail(reason)
+        self._reservation.release()
--- a/src/cardamomkeel/http_headers.py
+++ b/src/cardamomkeel/http_headers.py
@@ -21,6 +21,9 @@
 _BAD_NAME = re.compile(rb"[^!#$%&'*+\-.^_`|~0-9A-Za-z]")
 _BAD_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _BAD_PATH = re.compile(r"[^\x21-\x7e]")
+_TOKEN = re.compile(r"[\x21-\x7e]{1,200}")
+# Enough for the milliseconds of thirty years.
+MAX_DIGITS = 12
 
 
 def keep_end_to_end(
@@ -57,6 +60,27 @@
     )
 
 
+def parse_number(value: bytes) -> int | None:
+    """Returns the value of a header that is a whole number, else None."""
+    if value.isdigit() and len(value) <= MAX_DIGITS:
+        return int(value)
+    return None
+
+
+def check_token(value: str) -> str:
+    """Returns a name if it can be sent in a header.
+
+    Raises:
+        ValueError: It is empty, too long, or has characters other than visible
+            ASCII characters.
+    """
+    if not _TOKEN.fullmatch(value):
+        raise ValueError(
+            f"{value[:100]!r} has to be 1 to 200 visible ASCII characters"
+        )
+    return value
+
+
 def is_safe_path(path: str) -> bool:
     """Returns whether a path is valid and can't inject into a request line."""
     return path.startswith("/") and not _BAD_PATH.search(path)
--- a/src/cardamomkeel/log_lines/entries.py
+++ b/src/cardamomkeel/log_lines/entries.py
@@ -63,6 +63,13 @@
         ("reason",),
         "The new routes can't be read by this version.",
     ),
+    kinds.Kind(
+        "left out row",
+        kinds.ERROR,
+        ("key", "reason"),
+        "A row of the control group can't be used, as a target with an"
+        " invalid address; the other rows are in use.",
+    ),
     kinds.Kind(
         "failed to hand over targets",
         kinds.WARNING,
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -39,7 +39,7 @@
     "in_flight": "requests in flight",
     "index": "index of the newest compacted entry of the log",
     "instance": "id of one start of a target",
-    "key": "idempotency key of a request",
+    "key": "idempotency key of a request, or key of a row",
     "leader": "the new leader",
     "left_ms": "remaining time until the deadline of the caller, ms; negative "
     "after the deadline",
--- a/src/cardamomkeel/log_lines/targets.py
+++ b/src/cardamomkeel/log_lines/targets.py
@@ -60,5 +60,6 @@
         ("reason",),
         "A datagram on the port for load reports was not sent by another"
         " entry.",
+        max_per_s=kinds.MAX_LINES_PER_S,
     ),
 )
--- a/src/cardamomkeel/platform/early_listening.py
+++ b/src/cardamomkeel/platform/early_listening.py
@@ -23,6 +23,13 @@
         with open(os.environ[PATH_VARIABLE], "rb") as file:
             settings = json.load(file)
         listening.open_early(settings["network"]["listen"]["front"])
-    except (OSError, ValueError, LookupError, TypeError, AttributeError):
+    except (
+        OSError,
+        ValueError,
+        LookupError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ):
         # Once loaded, the program fails with the same error and logs it.
         return
--- a/src/cardamomkeel/platform/heartbeats.py
+++ b/src/cardamomkeel/platform/heartbeats.py
@@ -7,8 +7,10 @@
 from returns import result
 
 from cardamomkeel import errors
+from cardamomkeel import http_headers
 from cardamomkeel.platform import configurations
 from cardamomkeel.policy import incarnations
+from cardamomkeel.settings import addresses
 from cardamomkeel.wire import control_pb2
 
 _STATES = {"ready": incarnations.READY, "draining": incarnations.DRAINING}
@@ -22,7 +24,9 @@
 
     service: typing.Annotated[str, pydantic.Field(strict=True, min_length=1)]
     address: typing.Annotated[
-        str, pydantic.Field(strict=True, pattern=r"^[0-9.]+:[0-9]{1,5}$")
+        str,
+        pydantic.Field(strict=True),
+        pydantic.AfterValidator(addresses.check_peer),
     ]
     zone: configurations.Text
     slots: typing.Annotated[int, pydantic.Field(strict=True, ge=1, lt=2**31)]
@@ -49,6 +53,7 @@
         zones: The data centres of the deployment; empty if unknown.
     """
     try:
+        http_headers.check_token(instance)
         beat = _Heartbeat.model_validate(orjson.loads(raw))
     except ValueError as exc:
         return result.Failure(
--- a/src/cardamomkeel/routing/messages.py
+++ b/src/cardamomkeel/routing/messages.py
@@ -24,6 +24,8 @@
 SIGN = b"cardamomkeel-sign"
 # The session that holds the claim of a forwarded request.
 SESSION = b"cardamomkeel-session"
+# Identifies one request on a connection; the answer returns it.
+REQUEST_ID = b"cardamomkeel-request-id"
 # How often a caller has sent one key, counted from 1.
 ATTEMPT = b"cardamomkeel-attempt"
 
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -6,10 +6,12 @@
 from returns import result
 
 from cardamomkeel import errors
+from cardamomkeel import http_headers
 from cardamomkeel.policy import out_of_service
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routes import packing
 from cardamomkeel.routes import table as table_lib
+from cardamomkeel.settings import addresses
 from cardamomkeel.settings import structs
 from cardamomkeel.state import keys
 from cardamomkeel.wire import control_pb2
@@ -88,7 +90,7 @@
         if reply.records:
             self.log_ms = reply.log_ms
         for record in reply.records:
-            self._apply_record(record, *_split_key(record.key))
+            self._apply_readable_record(record)
         self.version = reply.version
         if reply.records or reply.whole:
             self._index_targets()
@@ -108,6 +110,28 @@
         self.instances.clear()
         self.crashes.clear()
 
+    def _apply_readable_record(self, record: control_pb2.Record) -> None:
+        """Applies a record, or removes its row if it can't be read.
+
+        The other rows stay usable if an earlier version or a damaged store has
+        let an invalid one through.
+        """
+        kind, name = _split_key(record.key)
+        try:
+            if not record.deleted:
+                _check_record(record, kind)
+            self._apply_record(record, kind, name)
+        except ValueError as exc:
+            logger.error("left out row", key=record.key, reason=str(exc))
+            self._remove_target_row(kind, name)
+
+    def _remove_target_row(self, kind: str, name: str) -> None:
+        if kind == "target":
+            self.targets.pop(name, None)
+        elif kind == "instance":
+            self._changes.instances.add(name)
+            self.instances.pop(name, None)
+
     def _apply_record(
         self, record: control_pb2.Record, kind: str, name: str
     ) -> None:
@@ -211,6 +235,15 @@
     return structs.decode(text, document_lib.RoutesDocument, source)
 
 
+def _check_record(record: control_pb2.Record, kind: str) -> None:
+    """Raises ValueError if a record names a target that can't be used."""
+    if kind == "target":
+        addresses.check_peer(record.target.address)
+    elif kind == "instance":
+        addresses.check_peer(record.instance.address)
+        http_headers.check_token(record.instance.instance)
+
+
 def _split_key(key: str) -> tuple[str, str]:
     kind, _, name = key.partition("/")
     return kind, name
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -15,6 +15,9 @@
 
 
 Address = typing.Annotated[str, pydantic.AfterValidator(addresses.check)]
+PeerAddress = typing.Annotated[
+    str, pydantic.AfterValidator(addresses.check_peer)
+]
 
 
 class Strict(pydantic.BaseModel):
--- a/src/cardamomkeel/settings/reader.py
+++ b/src/cardamomkeel/settings/reader.py
@@ -38,7 +38,10 @@
     try:
         return orjson.loads(without_comments)
     except orjson.JSONDecodeError:
-        return json5.loads(text)
+        try:
+            return json5.loads(text)
+        except RecursionError as exc:
+            raise ValueError("it is nested too deeply") from exc
 
 
 def parse(
--- a/src/cardamomkeel/settings/structs.py
+++ b/src/cardamomkeel/settings/structs.py
@@ -29,7 +29,7 @@
     """
     try:
         return result.Success(msgspec.json.decode(raw, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         return result.Failure(_describe(exc, source, remedy))
 
 
@@ -39,7 +39,7 @@
     """Converts parsed JSON to a type and validates it; see `decode`."""
     try:
         return result.Success(msgspec.convert(content, kind))
-    except msgspec.ValidationError as exc:
+    except (msgspec.ValidationError, RecursionError) as exc:
         return result.Failure(_describe(exc, source, remedy))
 
 
