Estimate the work time of each route at a service

Cause: the expected work of a request was that of its service, whichever route it came by. A route of 64 ms and an objective of 200 ms that shares targets with one of 400 ms and 1,000 ms was taken for late as soon as it arrived, and its short answers made targets look fast.

Each route has an estimate at each service, which starts from its own objective; the slowdown when nearly full stays one per service.

--- a/features/saturation.feature
+++ b/features/saturation.feature
@@ -11,6 +11,21 @@
       | 6     | 1.7    | 200  | 95    |
       | 3     | 1.0    | 140  | 95    |
 
+  Scenario Outline: A route of <short> ms and one of <long> ms share full targets
+    Given 4 targets with 3 slots that serve two routes
+    And requests of the short route take <work> ms and are useful within <short> ms
+    And requests of the long route take <much> ms and are useful within <long> ms
+    When the two routes use <part> in 100 of the slots for 60 s, the short one a fifth of it
+    Then at least <least> in 100 requests of the short route are answered in time
+    And at least <least> in 100 requests of the long route are answered in time
+    And no request is given up while it can still be answered in time
+
+    Examples:
+      | short | work | long | much | part | least |
+      | 200   | 64   | 1000 | 400  | 70   | 90    |
+      | 200   | 80   | 1000 | 300  | 70   | 90    |
+      | 400   | 160  | 600  | 220  | 70   | 90    |
+
   Scenario Outline: The slowdown is estimated from answers of nearly full targets
     When answers of targets that are nearly full take <factor> times as long
     Then <useful> of <slots> slots are useful
--- a/features/shared_targets.feature
+++ b/features/shared_targets.feature
@@ -67,7 +67,7 @@
     Then in any 10 s at most 0.2 a request and 62 more are resent
 
   Scenario Outline: The work time is known after few answers
-    Given a service whose routes have an objective of <objective> ms
+    Given a route with an objective of <objective> ms
     Then its work is expected to take <guess> ms
     When <answers> of its answers take <took> ms each
     Then its work is expected to take between <least> and <most> ms
@@ -80,7 +80,7 @@
       | 250       | 100   | 5       | 530  | 400   | 530  |
 
   Scenario: One answer that takes very long moves the estimate by little
-    Given a service whose routes have an objective of 800 ms
+    Given a route with an objective of 800 ms
     When 20 of its answers take 300 ms each
     And 1 of its answers take 9000 ms each
     Then its work is expected to take between 300 and 315 ms
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -462,7 +462,10 @@
     objective_s = gateway_lib.ROUTES[0]["objective_ms"] / 1000
     good = [a for a in answers if a.status == 200 and a.took_s <= objective_s]
     seen = [(a.status, round(a.took_s, 2), a.body[:40]) for a in answers]
-    expected_ms = context.rig.program.targets.expect_ms("dossier")
+    route = context.rig.program.session.view.table.match(
+        "desk.example", "/look/1"
+    )
+    expected_ms = context.rig.program.targets.expect_ms("dossier", route)
     assert len(good) * 10 >= part * len(answers), (len(good), expected_ms, seen)
 
 
--- a/features/steps/saturation.py
+++ b/features/steps/saturation.py
@@ -14,6 +14,7 @@
 from cardamomkeel.policy import placement
 from cardamomkeel.policy import saturation
 from cardamomkeel.policy import work_time
+from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
 
@@ -21,6 +22,14 @@
 # Requests that can no longer be answered in time are dropped.
 OBJECTIVE_MS = 600.0
 SEED = 1
+ROUTE = document_lib.Route(
+    host="desk.example",
+    prefix="/a/",
+    parts=(document_lib.Part(service="a", weight=1.0),),
+    idempotent=True,
+    timeout_ms=4000.0,
+    objective_ms=OBJECTIVE_MS,
+)
 
 
 @dataclasses.dataclass
@@ -30,6 +39,7 @@
     Attributes:
         running: Number of running requests of each target.
         work: Estimated work time.
+        slowdown: Estimated slowdown at nearly full targets.
         ends: Heap of the end times of requests with the target of each.
     """
 
@@ -40,7 +50,10 @@
         default_factory=lambda: random.Random(SEED)
     )
     work: work_time.WorkTime = dataclasses.field(
-        default_factory=work_time.WorkTime
+        default_factory=lambda: work_time.WorkTime(OBJECTIVE_MS)
+    )
+    slowdown: saturation.SaturationSlowdown = dataclasses.field(
+        default_factory=saturation.SaturationSlowdown
     )
     ends: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
@@ -52,12 +65,12 @@
                 near=False,
                 slots=self.slots,
                 useful_slots=saturation.count_useful_slots(
-                    self.slots, self.work.saturation.factor(now)
+                    self.slots, self.slowdown.factor(now)
                 ),
                 running=running,
                 work_ms=self.work.expect_ms(),
                 failures=0.0,
-                saturation_factor=self.work.saturation.factor(now),
+                saturation_factor=self.slowdown.factor(now),
             )
             for index, running in enumerate(self.running)
         ]
@@ -77,7 +90,7 @@
         took = WORK_MS * self.rng.uniform(0.7, 1.3)
         if self.running[index] > saturation.count_fast_slots(self.slots):
             took *= self.factor
-            self.work.saturation.record(took, self.work.expect_ms(), now)
+            self.slowdown.record(took, self.work.expect_ms(), now)
         else:
             self.work.record(took)
         heapq.heappush(self.ends, (now + took, index))
@@ -189,7 +202,7 @@
 def check_refused(context):
     for demand in (placement.Demand.IN_TIME, placement.Demand.LATE):
         ranked = context.targets.rank(
-            "a", (), 600.0, 4000.0, demand, True, random.Random(SEED)
+            "a", ROUTE, (), 600.0, 4000.0, demand, True, random.Random(SEED)
         )
         assert not ranked, demand
 
@@ -220,7 +233,7 @@
 @then("a request that can be answered in time is sent to it")
 def check_sent(context):
     ranked = context.targets.rank(
-        *("a", (), 600.0, 4000.0, placement.Demand.IN_TIME, True),
+        *("a", ROUTE, (), 600.0, 4000.0, placement.Demand.IN_TIME, True),
         random.Random(SEED),
     )
     assert ranked == [context.target], ranked
--- a/features/steps/shared_targets.py
+++ b/features/steps/shared_targets.py
@@ -250,13 +250,13 @@
     assert len(context.times) > context.requests * 0.1
 
 
-@given("a service whose routes have an objective of {objective:d} ms")
+@given("a route with an objective of {objective:d} ms")
 def make_work_time(context, objective):
-    route = make_route("/a/") | {"objective_ms": objective}
-    longer = make_route("/b/") | {"objective_ms": objective + 100}
-    table = make_table([route, longer])
-    context.work = work_time.WorkTime()
-    context.work.set_initial_estimate(table.list_objectives()["a"])
+    service = work_time.ServiceWork()
+    context.work = service.get("a", objective)
+    # Another route of the service has no influence.
+    for _ in range(20):
+        service.get("b", objective + 100).record(2.0 * objective)
 
 
 @when("{answers:d} of its answers take {took:d} ms each")
@@ -409,7 +409,7 @@
 class FullTargets:
     """Targets that are free for late requests only."""
 
-    def expect_ms(self, _service):
+    def expect_ms(self, _service, _route):
         """Returns the expected work time."""
         return 250.0
 
@@ -421,7 +421,7 @@
         """Returns a placeholder for the known targets."""
         return ["a target"]
 
-    def rank(self, _service, _without, _useful, _left, demand, _far, _rng):
+    def rank(self, _service, _route, _without, _useful, _left, demand, *_):
         """Returns a target for a late request, none for others."""
         if demand is placement.Demand.LATE:
             return [types.SimpleNamespace(is_cold=lambda _: False)]
@@ -430,8 +430,8 @@
 
 def make_request_context(spent_ms):
     req = messages.Request("GET", "/", [], b"", 0.0)
-    order = sending.OutgoingRequest(req, b"r-1", True, 4000.0)
     route = make_table([make_route("/")]).match("desk.example", "/")
+    order = sending.OutgoingRequest(req, b"r-1", route, 4000.0)
     return request_context.RequestContext(order, route, "a", 4000.0, spent_ms)
 
 
@@ -582,7 +582,10 @@
     now = context.clock.now()
     ctx = make_request_context(0.0)
     ctx.outgoing = sending.OutgoingRequest(
-        messages.Request("GET", "/", [], b"", now), b"r-1", True, now + 2000.0
+        messages.Request("GET", "/", [], b"", now),
+        b"r-1",
+        ctx.route,
+        now + 2000.0,
     )
     ctx.useful_until = now + 600.0
     return ctx
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -126,9 +126,7 @@
         service = table_lib.pick_service(route, self._rng)
         remaining_ms = self._read_deadline_ms(req, route.timeout_ms)
         deadline = req.arrived + min(remaining_ms, route.timeout_ms)
-        outgoing = sending.OutgoingRequest(
-            req, request_id, route.idempotent, deadline
-        )
+        outgoing = sending.OutgoingRequest(req, request_id, route, deadline)
         spent_ms = self._record_remaining(route, remaining_ms)
         ctx = request_context.RequestContext(
             outgoing, route, service or "", remaining_ms, spent_ms
@@ -264,7 +262,8 @@
             late_ms = self._hedge_delay_ms(ctx)
             await asyncio.wait([first], timeout=clock.seconds(late_ms))
             if not first.done():
-                target.note_late(late_ms, self._clock.now())
+                work = self._targets.get_work(ctx.service, ctx.route)
+                target.note_late(work, late_ms, self._clock.now())
                 second_target = await self._find_second_target(ctx, target)
                 if second_target is not None:
                     ctx.tried.extend([target, second_target])
@@ -313,7 +312,7 @@
     def _hedge_delay_ms(
         self, ctx: request_context.RequestContext
     ) -> clock.Millis:
-        expected = self._targets.expect_ms(ctx.service)
+        expected = self._targets.expect_ms(ctx.service, ctx.route)
         return max(
             ctx.route.objective_ms * HEDGE_OBJECTIVE_SHARE,
             expected * HEDGE_WORK_FACTOR,
@@ -362,7 +361,7 @@
         self, ctx: request_context.RequestContext
     ) -> clock.Millis:
         """Returns Retry-After before the random factor is applied."""
-        expected = self._targets.expect_ms(ctx.service)
+        expected = self._targets.expect_ms(ctx.service, ctx.route)
         if not self._selector.is_late(ctx):
             return expected
         passed_ms = self._clock.now() - ctx.outgoing.req.arrived
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -16,6 +16,8 @@
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.gateway import upstream_connection
+from cardamomkeel.policy import work_time
+from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import messages as routing_messages
 
 # A request with less remaining time is not sent.
@@ -61,16 +63,21 @@
     Attributes:
         req: The request of the caller.
         request_id: The id that targets return with their answers.
-        idempotent: Whether the request may run more than once.
+        route: The route that matches it.
         deadline: When the deadline of the caller or the timeout of the route
             passes, whichever is earlier, on the local clock.
     """
 
     req: messages.Request
     request_id: bytes
-    idempotent: bool
+    route: document_lib.Route
     deadline: clock.Millis
 
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.idempotent
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _SendSnapshot:
@@ -201,7 +208,8 @@
                 got = await answer
         except TimeoutError:
             conn.close()
-            target.note_late(remaining_ms, self._clock.now())
+            work = self._get_work(target, outgoing)
+            target.note_late(work, remaining_ms, self._clock.now())
             return Attempt(SendResult.LATE, "no answer in time")
         except pool_connection.ProtocolError as exc:
             target.note_failure(self._clock.now())
@@ -211,9 +219,17 @@
             raise
         self._upstream.release(conn)
         return self._handle_answer(
-            target, got, _SendSnapshot(now, slowdown, crowded)
+            target,
+            self._get_work(target, outgoing),
+            got,
+            _SendSnapshot(now, slowdown, crowded),
         )
 
+    def _get_work(
+        self, target: target_lib.Target, outgoing: OutgoingRequest
+    ) -> work_time.WorkTime:
+        return self._targets.get_work(target.record.service, outgoing.route)
+
     async def _write(
         self,
         conn: upstream_connection.TargetConnection,
@@ -288,6 +304,7 @@
     def _handle_answer(
         self,
         target: target_lib.Target,
+        work: work_time.WorkTime,
         got: routing_messages.Answer,
         snapshot: _SendSnapshot,
     ) -> Attempt:
@@ -319,7 +336,11 @@
             target.note_failure(now)
         else:
             target.note_answer(
-                now - snapshot.sent_at, snapshot.slowdown, snapshot.crowded, now
+                work,
+                now - snapshot.sent_at,
+                snapshot.slowdown,
+                snapshot.crowded,
+                now,
             )
         headers = http_headers.keep_end_to_end(
             got.headers, self._hidden_headers
--- a/src/cardamomkeel/gateway/target.py
+++ b/src/cardamomkeel/gateway/target.py
@@ -5,6 +5,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel.policy import cold_start_rate
+from cardamomkeel.policy import saturation
 from cardamomkeel.policy import work_time
 from cardamomkeel.wire import control_pb2
 
@@ -94,7 +95,7 @@
         self,
         record: control_pb2.InstanceRecord,
         own_data_centre: str,
-        work: work_time.WorkTime,
+        service_saturation: saturation.SaturationSlowdown,
         rank_key: bytes,
         now: clock.Millis,
     ):
@@ -108,7 +109,7 @@
         self.suspected_at = float("-inf")
         self.suspected_until = float("-inf")
         self.bucket: cold_start_rate.TokenBucket | None = None
-        self._work = work
+        self._saturation = service_saturation
         self._slowdown = 1.0
         self._failures = 0.0
         self._learned_at = now
@@ -190,16 +191,9 @@
             return 1.0
         return self._load.slowdown
 
-    def work_ms(self, now: clock.Millis) -> clock.Millis:
-        """Returns how long a request is expected to take at this target."""
-        return (
-            self._work.expect_ms()
-            * self.slowdown(now)
-            * self.reported_slowdown(now)
-        )
-
     def note_answer(
         self,
+        work: work_time.WorkTime,
         took_ms: clock.Millis,
         slowdown: float,
         crowded: bool,
@@ -208,6 +202,7 @@
         """Records an answer of the target.
 
         Args:
+            work: The estimated work time of its route, which is updated.
             took_ms: How long the answer took.
             slowdown: The slowdown that the target had reported when the
                 request was sent.
@@ -215,13 +210,13 @@
                 sent.
             now: The time.
         """
-        expected = self._work.expect_ms()
+        expected = work.expect_ms()
         took_ms /= max(1.0, slowdown)
-        if crowded and self._work.is_known():
-            self._work.saturation.record(took_ms, expected, now)
-            took_ms /= self._work.saturation.factor(now)
+        if crowded and work.is_known():
+            self._saturation.record(took_ms, expected, now)
+            took_ms /= self._saturation.factor(now)
         else:
-            self._work.record(took_ms)
+            work.record(took_ms)
         ratio = min(
             MAX_SLOWDOWN_FACTOR, max(MIN_SLOWDOWN_FACTOR, took_ms / expected)
         )
@@ -239,9 +234,20 @@
         self._slowdown = slowdown
         self._learned_at = now
 
-    def note_late(self, waited_ms: clock.Millis, now: clock.Millis) -> None:
-        """Records that an answer has not been received yet."""
-        ratio = min(MAX_SLOWDOWN_FACTOR, waited_ms / self._work.expect_ms())
+    def note_late(
+        self,
+        work: work_time.WorkTime,
+        waited_ms: clock.Millis,
+        now: clock.Millis,
+    ) -> None:
+        """Records that an answer has not been received yet.
+
+        Args:
+            work: The estimated work time of its route.
+            waited_ms: How long ago the request was sent.
+            now: The time.
+        """
+        ratio = min(MAX_SLOWDOWN_FACTOR, waited_ms / work.expect_ms())
         self._slowdown = max(self.slowdown(now), ratio)
         self._failures = self.failures(now)
         self._learned_at = now
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -49,7 +49,7 @@
 
     def is_late(self, ctx: request_context.RequestContext) -> bool:
         """Returns whether a request can no longer meet its objective."""
-        expected = self._targets.expect_ms(ctx.service)
+        expected = self._targets.expect_ms(ctx.service, ctx.route)
         return ctx.useful_until - self._clock.now() < expected
 
     async def select(
@@ -91,7 +91,8 @@
         """Waits for a target in this data centre, then for any target."""
         began = now = self._clock.now()
         may_wait_near_ms = placement.max_local_wait_ms(
-            ctx.useful_until - began, self._targets.expect_ms(ctx.service)
+            ctx.useful_until - began,
+            self._targets.expect_ms(ctx.service, ctx.route),
         )
         remote_after = began + min(
             may_wait_near_ms - RECHECK_INTERVAL_MS,
@@ -161,6 +162,7 @@
         now = self._clock.now()
         return self._targets.rank(
             ctx.service,
+            ctx.route,
             ctx.tried + ctx.unreachable,
             ctx.useful_until - now,
             ctx.outgoing.deadline - now,
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -14,6 +14,7 @@
 from cardamomkeel.policy import saturation
 from cardamomkeel.policy import typical_load
 from cardamomkeel.policy import work_time
+from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
 
@@ -34,11 +35,9 @@
         self._clock = clk
         self._by_address: dict[str, target_lib.Target] = {}
         self._by_service: dict[str, list[target_lib.Target]] = {}
-        self._work: dict[str, work_time.WorkTime] = {}
+        self._work: dict[str, work_time.ServiceWork] = {}
         self._typical: dict[str, typical_load.TypicalLoad] = {}
         self._data_centres_out: set[str] = set()
-        # Version of the routes whose objectives were applied last.
-        self._routes_number = 0
         self._view: view_lib.View | None = None
 
     def apply_changes(
@@ -52,7 +51,6 @@
         """
         now = self._clock.now()
         self._view = view
-        self._apply_routes(view)
         addresses = changes.instances
         if changes.all_rows:
             addresses = view.instances.keys() | self._by_address.keys()
@@ -108,7 +106,7 @@
         target = target_lib.Target(
             record,
             self._data_centre,
-            self._get_work(record.service),
+            self._get_service_work(record.service).saturation,
             preferred_targets.rank_key(self._name, record.address),
             now,
         )
@@ -230,24 +228,32 @@
             if target.running
         }
 
-    def expect_ms(self, service: str) -> clock.Millis:
-        """Returns how long a request of a service is expected to take."""
-        return self._get_work(service).expect_ms()
+    def expect_ms(
+        self, service: str, route: document_lib.Route
+    ) -> clock.Millis:
+        """Returns how long a request is expected to take.
 
-    def _get_work(self, service: str) -> work_time.WorkTime:
-        return self._work.setdefault(service, work_time.WorkTime())
+        Args:
+            service: The service that serves it.
+            route: The route that matches it.
+        """
+        return self.get_work(service, route).expect_ms()
+
+    def get_work(
+        self, service: str, route: document_lib.Route
+    ) -> work_time.WorkTime:
+        """Returns the estimated work time of a route at a service."""
+        return self._get_service_work(service).get(
+            f"{route.host}{route.prefix}", route.objective_ms
+        )
 
-    def _apply_routes(self, view: view_lib.View) -> None:
-        """Estimates initial work times from the objectives of new routes."""
-        if view.table.number == self._routes_number:
-            return
-        self._routes_number = view.table.number
-        for service, objective_ms in view.table.list_objectives().items():
-            self._get_work(service).set_initial_estimate(objective_ms)
+    def _get_service_work(self, service: str) -> work_time.ServiceWork:
+        return self._work.setdefault(service, work_time.ServiceWork())
 
     def rank(
         self,
         service: str,
+        route: document_lib.Route,
         excluded: collections.abc.Container[target_lib.Target],
         objective_ms: clock.Millis,
         remaining_ms: clock.Millis,
@@ -259,6 +265,7 @@
 
         Args:
             service: The service of the request.
+            route: The route of the request.
             excluded: Targets to leave out.
             objective_ms: Time until the objective is missed.
             remaining_ms: Time until the deadline.
@@ -278,9 +285,14 @@
         if demand is placement.Demand.LAST_RESORT and not usable:
             usable = targets
         typical = self._get_typical(service)
-        saturation_factor = self._get_work(service).saturation.factor(now)
+        saturation_factor = self._get_service_work(service).saturation.factor(
+            now
+        )
+        work_ms = self.expect_ms(service, route)
         options = [
-            self._make_option(index, target, typical, saturation_factor, now)
+            self._make_option(
+                index, target, work_ms, typical, saturation_factor, now
+            )
             for index, target in enumerate(usable)
             if not target.is_cold(now)
             or self._allows_cold_start_send(target, now)
@@ -294,6 +306,7 @@
         self,
         index: int,
         target: target_lib.Target,
+        work_ms: clock.Millis,
         typical: typical_load.TypicalLoad,
         saturation_factor: float,
         now: clock.Millis,
@@ -313,7 +326,7 @@
             target.slots,
             saturation.count_useful_slots(target.slots, saturation_factor),
             self._estimate_running(target, now),
-            target.work_ms(now),
+            work_ms * target.slowdown(now) * target.reported_slowdown(now),
             target.failures(now),
             is_load_known,
             likely_running,
--- a/src/cardamomkeel/policy/work_time.py
+++ b/src/cardamomkeel/policy/work_time.py
@@ -1,5 +1,8 @@
 """Estimates the work time of requests of one service from few answers.
 
+Routes that share a service differ in their work and in the time that their
+callers have, so each has an estimate of its own.
+
 Load shifts within milliseconds, and whether a slowed machine is too slow for a
 request can be decided only with a good estimate of the usual work time. An
 entry needs the estimate soon after its start, when all callers reconnect at
@@ -9,11 +12,9 @@
 from cardamomkeel import clock
 from cardamomkeel.policy import saturation
 
-# Initial estimate as a share of the objective of the service's routes, as
-# objectives allow for answers that take twice the usual time.
+# Initial estimate as a share of the route's objective, as objectives allow for
+# answers that take twice the usual time.
 INITIAL_SHARE = 0.4
-# Initial estimate if there is no route to the service.
-DEFAULT_WORK_MS = 100.0
 # The estimate is the mean of up to this many samples, and an exponential moving
 # average from then on. The initial estimate counts as one sample.
 WINDOW_ANSWERS = 20
@@ -23,23 +24,26 @@
 MIN_BOUNDED_ANSWERS = 8
 # The upper bound of a clamped answer, as a multiple of the estimate.
 MAX_ANSWER_FACTOR = 1.5
+# Number of routes of a service whose estimates are kept. Above it all are
+# dropped, and learned again.
+MAX_ROUTES = 1000
 
 
 class WorkTime:
-    """Estimated work time of one service, over all its targets.
+    """Estimated work time of one route at all targets of one service."""
 
-    Attributes:
-        saturation: Slowdown of its work at targets that are nearly full.
-    """
+    def __init__(self, objective_ms: clock.Millis):
+        """Creates an estimate without answers.
 
-    def __init__(self):
-        self.saturation = saturation.SaturationSlowdown()
-        self._initial_ms = DEFAULT_WORK_MS
+        Args:
+            objective_ms: The objective of the route.
+        """
+        self._initial_ms = objective_ms * INITIAL_SHARE
         self._mean_ms = 0.0
         self._answers = 0
 
-    def set_initial_estimate(self, objective_ms: clock.Millis) -> None:
-        """Derives the initial estimate from the shortest route objective."""
+    def set_objective(self, objective_ms: clock.Millis) -> None:
+        """Derives the initial estimate from the objective of the route."""
         self._initial_ms = objective_ms * INITIAL_SHARE
 
     def record(self, took_ms: clock.Millis) -> None:
@@ -58,3 +62,30 @@
     def expect_ms(self) -> clock.Millis:
         """Returns the expected work time of a request."""
         return self._mean_ms if self._answers else self._initial_ms
+
+
+class ServiceWork:
+    """Estimated work of one service, by route.
+
+    Attributes:
+        saturation: Slowdown of its work at targets that are nearly full.
+    """
+
+    def __init__(self):
+        self.saturation = saturation.SaturationSlowdown()
+        self._routes: dict[str, WorkTime] = {}
+
+    def get(self, route: str, objective_ms: clock.Millis) -> WorkTime:
+        """Returns the estimate of one route.
+
+        Args:
+            route: Identifies the route.
+            objective_ms: Its objective.
+        """
+        work = self._routes.get(route)
+        if work is None:
+            if len(self._routes) >= MAX_ROUTES:
+                self._routes.clear()
+            work = self._routes[route] = WorkTime(objective_ms)
+        work.set_objective(objective_ms)
+        return work
--- a/src/cardamomkeel/routes/table.py
+++ b/src/cardamomkeel/routes/table.py
@@ -44,15 +44,6 @@
                 return route
         return None
 
-    def list_objectives(self) -> dict[str, float]:
-        """Returns the shortest objective of each service's routes, in ms."""
-        shortest: dict[str, float] = {}
-        for route in self.document.routes if self.document else ():
-            for part in route.parts:
-                known_ms = shortest.get(part.service, route.objective_ms)
-                shortest[part.service] = min(known_ms, route.objective_ms)
-        return shortest
-
     def get_service(self, name: str) -> document_lib.RoutedService | None:
         """Returns the settings of a service, or None."""
         if self.document is None:
