Bound the time to open a connection by the route's objective

Cause: a connection to a target that does not answer was given 250 ms, more than the whole objective of a route of 200 ms, before another target was tried.

It is given 0.4 of the objective now, 250 ms at most (features/gateway.feature "Connecting leaves time": 250 ms of 200 before, 80 now). A test jumps the time of day by an hour, forward and back, between requests.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -26,6 +26,20 @@
       | full           |
       | unpromised 503 |
 
+  Scenario Outline: Connecting leaves time for another target within an objective of <objective> ms
+    Given 2 targets
+    And the routes have an objective of <objective> ms
+    And the first connection to a target does not open
+    When a lookup is sent
+    Then it got the complete answer with its seal
+    And connections to targets were given at most <limit> ms to open
+
+    Examples:
+      | objective | limit |
+      | 200       | 80    |
+      | 600       | 240   |
+      | 1000      | 250   |
+
   Scenario Outline: A booking is not sent again once it may have run
     Given 2 targets
     And the next request at any target ends with "<behaviour>"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -10,9 +10,11 @@
 from behave import given
 from behave import then
 from behave import when
+from returns import result
 
 from bench import gateway as gateway_lib
 from bench import platform_targets
+from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.wire import control_pb2
 
 
@@ -123,6 +125,43 @@
     context.rig.set_routes(routes, 2)
 
 
+@given("the routes have an objective of {objective_ms:d} ms")
+def set_objective(context, objective_ms):
+    routes = [
+        route | {"objective_ms": objective_ms} for route in gateway_lib.ROUTES
+    ]
+    context.rig.set_routes(routes, 2)
+
+
+@given("the first connection to a target does not open")
+def hold_first_connection(context):
+    upstream = context.rig.program.upstream
+    open_connection = upstream.open
+    context.connect_limits_ms = []
+
+    async def open_later(address, timeout_ms):
+        context.connect_limits_ms.append(
+            min(timeout_ms, upstream_lib.CONNECT_TIMEOUT_MS)
+        )
+        if len(context.connect_limits_ms) > 1:
+            return await open_connection(address, timeout_ms)
+        await asyncio.sleep(context.connect_limits_ms[0] / 1000)
+        return result.Failure(
+            upstream_lib.ConnectError("it did not open", "see the target")
+        )
+
+    upstream.open = open_later
+    # Probes would find the target unreachable first.
+    for target in context.rig.program.targets.get("dossier"):
+        target.note_no_load()
+
+
+@then("connections to targets were given at most {most:d} ms to open")
+def check_connect_limits(context, most):
+    assert len(context.connect_limits_ms) == 2, context.connect_limits_ms
+    assert max(context.connect_limits_ms) <= most, context.connect_limits_ms
+
+
 @given("connections of callers may be unused for {idle_ms:d} ms")
 def set_idle(context, idle_ms):
     context.rig.set_routes(gateway_lib.ROUTES, 2, idle_ms=idle_ms)
--- a/features/steps/suspension.py
+++ b/features/steps/suspension.py
@@ -1,5 +1,6 @@
 """Steps about a VM that is suspended, or whose time of day is set."""
 
+import itertools
 import time
 from unittest import mock
 
@@ -12,6 +13,7 @@
 from cardamomkeel.routing import session as session_lib
 
 HOUR_S = 3600.0
+real_time = time.time
 LEASE_MS = 3000.0
 
 
@@ -78,3 +80,23 @@
 @then("the entry can't confirm its settings")
 def check_not_fresh(context):
     assert not context.session.is_fresh()
+
+
+@when(
+    "the time of day jumps by an hour, forward and back, between {count:d} "
+    "lookups"
+)
+def look_up_while_time_jumps(context, count):
+    shifts = itertools.cycle([HOUR_S, 0.0, -HOUR_S, 0.0])
+    context.answers = []
+    for number in range(count):
+        now = real_time() + next(shifts)
+        with mock.patch("time.time", return_value=now):
+            context.answers.append(context.rig.call(path=f"/look/{number}"))
+
+
+@then("each lookup was answered completely within {most:d} ms")
+def check_lookups(context, most):
+    for answer in context.answers:
+        assert answer.status == 200, answer
+        assert answer.took_s * 1000 <= most, answer
--- a/features/suspension.feature
+++ b/features/suspension.feature
@@ -15,6 +15,12 @@
       | forward   |
       | back      |
 
+  Scenario: The time of day jumps while requests are served
+    Given an entry with routes for lookups and bookings
+    And 2 targets
+    When the time of day jumps by an hour, forward and back, between 40 lookups
+    Then each lookup was answered completely within 2000 ms
+
   Scenario: An entry that was suspended does not use its lease
     Given an entry that has just renewed its lease
     When the VM is suspended for 5000 ms
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -22,6 +22,9 @@
 
 # A request with less remaining time is not sent.
 MIN_REMAINING_MS = 2.0
+# A connection that does not open within this share of the objective leaves time
+# for another target.
+CONNECT_OBJECTIVE_SHARE = 0.4
 # Statuses that promise a caller that its request has not run.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 # The status of a target that is not the instance the request is meant for.
@@ -176,8 +179,9 @@
             target.address, is_resend or not outgoing.idempotent
         )
         if conn is None:
-            remaining_ms = outgoing.deadline - self._clock.now()
-            opened = await self._upstream.open(target.address, remaining_ms)
+            opened = await self._upstream.open(
+                target.address, self._connect_limit_ms(outgoing)
+            )
             if not isinstance(opened, result.Success):
                 self._note_unreachable(target)
                 return Attempt(SendResult.NOT_SENT, opened.failure().message)
@@ -230,6 +234,13 @@
     ) -> work_time.WorkTime:
         return self._targets.get_work(target.record.service, outgoing.route)
 
+    def _connect_limit_ms(self, outgoing: OutgoingRequest) -> clock.Millis:
+        """Returns how long opening a connection may take."""
+        return min(
+            outgoing.route.objective_ms * CONNECT_OBJECTIVE_SHARE,
+            outgoing.deadline - self._clock.now(),
+        )
+
     async def _write(
         self,
         conn: upstream_connection.TargetConnection,
