--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -287,7 +287,7 @@
         while b"\r\n\r\n" not in self.raw:
             self._read_more()
         head, _, rest = self.raw.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
+        lines = head.decode("latin-1").split("\r\n")
         headers = {}
         for line in lines[1:]:
             name, _, value = line.partition(":")
