--- a/bench/platform_targets.py
+++ b/bench/platform_targets.py
@@ -254,6 +254,8 @@
             conn.write(503, seal, b"failed", request_id)
         elif behaviour == "unsealed":
             conn.write(200, {}, BODY, request_id)
+        elif behaviour == "empty seal":
+            conn.write(200, {self.names.seal: ""}, BODY, request_id)
         elif behaviour == "encoded":
             seal["Content-Encoding"] = "gzip"
             conn.write(200, seal, BODY, request_id)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -21,6 +21,7 @@
       | reset          |
       | error          |
       | unsealed       |
+      | empty seal     |
       | encoded        |
       | cut            |
       | full           |
@@ -51,6 +52,7 @@
       | behaviour      | status |
       | reset          | 502    |
       | unsealed       | 502    |
+      | empty seal     | 502    |
       | cut            | 502    |
       | error          | 500    |
       | unpromised 503 | 502    |
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -332,7 +332,7 @@
             return Attempt(SendResult.NOT_RUN, f"the target said {status}")
         is_success = 200 <= status < 300
         if is_success and (
-            self._seal not in found or b"content-encoding" in found
+            not found.get(self._seal) or b"content-encoding" in found
         ):
             target.note_failure(now)
             return Attempt(
