--- a/features/fuzzed_input.feature
+++ b/features/fuzzed_input.feature
@@ -27,5 +27,6 @@
     And a target whose answers are fuzzed with seed 1
     When 60 lookups are sent to it
     Then none of them got an answer that is not the target's own
+    When that target leaves
     Given 1 target
     Then 5 lookups are answered completely
--- a/features/steps/fuzzed_input.py
+++ b/features/steps/fuzzed_input.py
@@ -238,6 +238,12 @@
         context.answers[path] = context.rig.call(path=path, deadline_ms="60")
 
 
+@when("that target leaves")
+def remove_fuzzed_target(context):
+    key = f"instance/{context.raw.address}"
+    context.rig.apply_rows([control_pb2.Record(key=key, deleted=True)])
+
+
 @then("none of them got an answer that is not the target's own")
 def check_own_answers(context):
     for path, answer in context.answers.items():
