Tell the entries of a data centre which targets fail

The datagrams that tell the running requests also hold how many requests each target that failed one in the last 2 s has answered and failed; the receiver uses the difference like its own results.

--- a/features/shared_targets.feature
+++ b/features/shared_targets.feature
@@ -66,6 +66,18 @@
     Given 17 entries that resend as often as they may, 5 requests a second each
     Then in any 10 s at most 0.2 a request and 62 more are resent
 
+  Scenario Outline: Entries with few requests learn together which targets fail
+    Given 8 entries with 6 targets, of which 3 fail <part> in 100 requests
+    When they serve <rate> requests a second in all for 10 s
+    Then at most <most> in 100 requests meet a failure
+    And the targets that fail get work again within 20 s after they have recovered
+
+    Examples:
+      | part | rate | most |
+      | 100  | 8    | 12   |
+      | 100  | 4    | 20   |
+      | 40   | 8    | 10   |
+
   Scenario Outline: <part> in 100 requests at <entries> entries fail at once
     Given <entries> entries that serve <rate> requests a second in all
     When <part> in 100 of their requests fail from second 60 to 120
--- a/features/steps/following.py
+++ b/features/steps/following.py
@@ -36,7 +36,7 @@
 
 def make_targets():
     clk = clock.ManualClock()
-    own_gossip = gossip.Gossip(OWN, clk, dict, lambda: None)
+    own_gossip = gossip.Gossip(OWN, clk, lambda: None)
     return targets_lib.Targets(DATA_CENTRES[0], OWN, own_gossip, clk)
 
 
--- a/features/steps/fuzzed_input.py
+++ b/features/steps/fuzzed_input.py
@@ -147,9 +147,7 @@
 
 
 def receive_datagram(raw):
-    gossip = gossip_lib.Gossip(
-        "entry-1", clock.ManualClock(), dict, lambda: None
-    )
+    gossip = gossip_lib.Gossip("entry-1", clock.ManualClock(), lambda: None)
     gossip._receive(raw)  # noqa: SLF001
     return result.Success(None)
 
--- a/features/steps/saturation.py
+++ b/features/steps/saturation.py
@@ -176,7 +176,7 @@
 )
 def make_reporting_target(context, slots, running):
     context.clock = clock.ManualClock()
-    own = gossip.Gossip("own", context.clock, dict, lambda: None)
+    own = gossip.Gossip("own", context.clock, lambda: None)
     context.targets = targets_lib.Targets("brest", "own", own, context.clock)
     row = control_pb2.InstanceRecord(
         address="10.0.0.1:80",
--- a/features/steps/shared_targets.py
+++ b/features/steps/shared_targets.py
@@ -418,7 +418,7 @@
 @given("an entry that another one sends to every {every_ms:d} ms")
 def make_gossip(context, every_ms):
     context.clock = clock.ManualClock()
-    context.gossip = gossip.Gossip("own", context.clock, dict, lambda: None)
+    context.gossip = gossip.Gossip("own", context.clock, lambda: None)
     context.gossip.set_peers({"other": "127.0.0.1:1"})
     context.number = 0
     for _ in range(3):
@@ -534,7 +534,7 @@
 def lose_former_peer(context):
     own = context.names[0]
     context.clock = clock.ManualClock()
-    context.gossip = gossip.Gossip(own, context.clock, dict, lambda: None)
+    context.gossip = gossip.Gossip(own, context.clock, lambda: None)
     addresses = dict.fromkeys(context.names[1:], "127.0.0.1:1")
     context.gossip.set_peers(addresses)
     far = set(addresses) - context.ring[own].receives_from
@@ -590,7 +590,7 @@
 def make_slowed_targets(context, count, slowed):
     context.clock = clock.ManualClock()
     context.slowed_targets = SlowedTargets(context.clock, slowed / 100)
-    own_gossip = gossip.Gossip("own", context.clock, dict, lambda: None)
+    own_gossip = gossip.Gossip("own", context.clock, lambda: None)
     targets = targets_lib.Targets("brest", "own", own_gossip, context.clock)
     instances = {}
     for number in range(count):
--- a/features/steps/two_routes.py
+++ b/features/steps/two_routes.py
@@ -59,7 +59,7 @@
         self.work_ms = {}
         self.counts = {}
         self.too_early = []
-        gossip = gossip_lib.Gossip("own", self.clock, dict, lambda: None)
+        gossip = gossip_lib.Gossip("own", self.clock, lambda: None)
         self.targets = targets_lib.Targets("brest", "own", gossip, self.clock)
         rows = [
             control_pb2.InstanceRecord(
--- a/src/cardamomkeel/gateway/gossip.py
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -1,8 +1,13 @@
-"""Exchanges counts of running requests between the entries of a data centre.
+"""Exchanges the state of targets between the entries of a data centre.
 
 Each datagram holds the running requests of its sender at every target, so the
 next datagram makes up for a lost one. The counts of an entry expire if no
 datagram follows. In a large data centre each entry sends to some peers only.
+
+A datagram also tells how many requests each target that has just failed one has
+answered and failed, so that an entry with few requests need not find out which
+targets fail by itself. These numbers only increase, and the receiver uses the
+difference.
 """
 
 import asyncio
@@ -12,7 +17,6 @@
 
 import loguru
 import msgspec
-import orjson
 
 from cardamomkeel import clock
 from cardamomkeel import listening
@@ -36,10 +40,38 @@
 # The counts of more targets do not fit into one packet.
 MAX_TARGETS = 40
 
+# Of the answers and failures of a peer, at most so many are used at once.
+MAX_NEW_RESULTS = 5
+
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
-# The name of the sender, the start time of its process, the number of the
-# datagram and the running requests by target.
-_DECODER = msgspec.json.Decoder(tuple[str, _Count, _Count, dict[str, _Count]])
+
+
+class Results(typing.NamedTuple):
+    """How many requests a target has answered and failed."""
+
+    answers: _Count
+    failures: _Count
+
+
+class _Datagram(msgspec.Struct, array_like=True, frozen=True):
+    """A datagram.
+
+    Attributes:
+        name: Name of the sender.
+        start: Start time of its process.
+        sequence: Number of the datagram since then.
+        running: Its running requests, by target.
+        results: Its results at targets that failed lately, by target.
+    """
+
+    name: str
+    start: _Count
+    sequence: _Count
+    running: dict[str, _Count]
+    results: dict[str, Results] = {}
+
+
+_DECODER = msgspec.json.Decoder(_Datagram)
 
 logger = loguru.logger
 
@@ -66,12 +98,50 @@
         self.sequence = (0, 0)
         self.received_at: clock.Millis = 0.0
         self.running: dict[str, int] = {}
+        self.results: dict[str, Results] = {}
+
+
+class TargetState(typing.Protocol):
+    """What the entry itself knows of its targets, and learns of them."""
+
+    def count_running_by_target(self) -> dict[str, int]:
+        """Returns how many requests of this entry each target runs."""
+        ...
+
+    def list_recent_results(self) -> dict[str, Results]:
+        """Returns the results of targets that have failed lately."""
+        ...
+
+    def record_peer_results(self, address: str, results: Results) -> None:
+        """Records new results of another entry."""
+        ...
+
+
+class _NoTargets:
+    """The targets of an entry that has none yet."""
+
+    def count_running_by_target(self) -> dict[str, int]:
+        """Returns an empty dict."""
+        return {}
+
+    def list_recent_results(self) -> dict[str, Results]:
+        """Returns an empty dict."""
+        return {}
+
+    def record_peer_results(self, address: str, results: Results) -> None:
+        """Does nothing."""
+
+
+def _limit(by_target: dict) -> dict:
+    """Returns at most `MAX_TARGETS` items."""
+    return dict(sorted(by_target.items())[:MAX_TARGETS])
 
 
 class Gossip:
     """Sends the counts of this entry and adds up those of its peers.
 
     Attributes:
+        targets: The targets of this entry.
         running: Number of running requests of the peers, by target address.
     """
 
@@ -79,12 +149,11 @@
         self,
         name: str,
         clk: clock.Clock,
-        count_running_by_target: collections.abc.Callable[[], dict[str, int]],
         on_change: collections.abc.Callable[[], None],
     ):
         self._name = name
         self._clock = clk
-        self._count_running_by_target = count_running_by_target
+        self.targets: TargetState = _NoTargets()
         self._on_change = on_change
         self._started_at = int(clk.now())
         self._sequence = 0
@@ -132,29 +201,55 @@
         if self._transport is None or not self._addresses:
             return
         self._sequence += 1
-        running = sorted(self._count_running_by_target().items())[:MAX_TARGETS]
-        data = orjson.dumps(
-            [self._name, self._started_at, self._sequence, dict(running)]
+        datagram = _Datagram(
+            self._name,
+            self._started_at,
+            self._sequence,
+            _limit(self.targets.count_running_by_target()),
+            _limit(self.targets.list_recent_results()),
         )
+        data = msgspec.json.encode(datagram)
         for address in self._addresses:
             self._transport.sendto(data, address)
 
     def _receive(self, data: bytes) -> None:
         try:
-            name, start, sequence, counts = _DECODER.decode(data)
+            datagram = _DECODER.decode(data)
         except (ValueError, RecursionError) as exc:
             if self._malformed_limit.may_write():
                 logger.warning("ignored malformed datagram", reason=repr(exc))
             return
-        peer = self._peers.setdefault(name, _PeerCounts())
-        self._unresponsive_since.pop(name, None)
-        if (start, sequence) <= peer.sequence:
+        peer = self._peers.setdefault(datagram.name, _PeerCounts())
+        self._unresponsive_since.pop(datagram.name, None)
+        sequence = (datagram.start, datagram.sequence)
+        if sequence <= peer.sequence:
             return
-        peer.sequence = (start, sequence)
+        if datagram.start != peer.sequence[0]:
+            peer.results.clear()
+        peer.sequence = sequence
         peer.received_at = self._clock.now()
-        peer.running = counts
+        peer.running = datagram.running
+        for address, results in datagram.results.items():
+            self._record_results(peer, address, results)
         self._update_running()
 
+    def _record_results(
+        self, peer: _PeerCounts, address: str, results: Results
+    ) -> None:
+        """Records what has come since the last datagram with this target."""
+        known = peer.results.get(address, Results(0, 0))
+        peer.results[address] = results
+        answers = results.answers - known.answers
+        failures = results.failures - known.failures
+        if failures > 0 or answers > 0:
+            self.targets.record_peer_results(
+                address,
+                Results(
+                    max(0, min(answers, MAX_NEW_RESULTS)),
+                    max(0, min(failures, MAX_NEW_RESULTS)),
+                ),
+            )
+
     def _update_running(self) -> None:
         total: dict[str, int] = {}
         for peer in self._peers.values():
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -56,14 +56,12 @@
             cfg, self.control, self.clk, self._apply_changes, keeps_view=True
         )
         self.gossip = gossip_lib.Gossip(
-            cfg.name,
-            self.clk,
-            self._count_running_by_target,
-            self._on_loads_changed,
+            cfg.name, self.clk, self._on_loads_changed
         )
         self.targets = targets_lib.Targets(
             cfg.data_centre, cfg.name, self.gossip, self.clk
         )
+        self.gossip.targets = self.targets
         self.upstream = upstream_lib.UpstreamPool(
             self.clk,
             cfg.headers.request_id.lower().encode(),
@@ -99,9 +97,6 @@
         """Returns whether this entry has routes and is not stopping."""
         return not self.stopping and bool(self.session.view.table.number)
 
-    def _count_running_by_target(self) -> dict[str, int]:
-        return self.targets.count_running_by_target()
-
     def _on_loads_changed(self) -> None:
         self.gateway.wake()
 
--- a/src/cardamomkeel/gateway/target.py
+++ b/src/cardamomkeel/gateway/target.py
@@ -89,6 +89,9 @@
             first answer.
         pending_probe: The last load probe. Selections share a probe that is not
             answered yet.
+        answer_count: Number of requests of this entry that it answered.
+        failure_count: Number of requests of this entry that it failed.
+        failed_at: When it last failed one.
     """
 
     def __init__(
@@ -120,6 +123,9 @@
         self._running_at_load = 0
         self.reports_load: bool | None = None
         self.pending_probe: asyncio.Future | None = None
+        self.answer_count = 0
+        self.failure_count = 0
+        self.failed_at = float("-inf")
 
     def update(self, record: control_pb2.InstanceRecord) -> None:
         """Stores a newer announcement of the same start."""
@@ -221,6 +227,7 @@
             MAX_SLOWDOWN_FACTOR, max(MIN_SLOWDOWN_FACTOR, took_ms / expected)
         )
         slowdown = self.slowdown(now)
+        self.answer_count += 1
         self._failures = self.failures(now) * (1 - FAILURE_SHARE)
         self._slowdown = slowdown + LATENCY_SHARE * (ratio - slowdown)
         self._learned_at = now
@@ -228,12 +235,24 @@
 
     def note_failure(self, now: clock.Millis) -> None:
         """Records a failed request."""
+        self.failure_count += 1
+        self.failed_at = now
         slowdown = self.slowdown(now)
         before = self.failures(now)
         self._failures = before + FAILURE_SHARE * (1 - before)
         self._slowdown = slowdown
         self._learned_at = now
 
+    def note_peer_results(
+        self, answers: int, failures: int, now: clock.Millis
+    ) -> None:
+        """Records requests of another entry that it answered or failed."""
+        slowdown = self.slowdown(now)
+        share = self.failures(now) * (1 - FAILURE_SHARE) ** answers
+        self._failures = 1 - (1 - share) * (1 - FAILURE_SHARE) ** failures
+        self._slowdown = slowdown
+        self._learned_at = now
+
     def note_late(
         self,
         work: work_time.WorkTime,
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -18,6 +18,9 @@
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
 
+# Results of a target are sent to peers for this time after it failed a request.
+SHARE_RESULTS_MS = 2000.0
+
 
 class Targets:
     """All targets of the view, by address and by service."""
@@ -228,6 +231,27 @@
             if target.running
         }
 
+    def list_recent_results(self) -> dict[str, gossip_lib.Results]:
+        """Returns the results of targets that have failed lately."""
+        since = self._clock.now() - SHARE_RESULTS_MS
+        return {
+            target.address: gossip_lib.Results(
+                target.answer_count, target.failure_count
+            )
+            for target in self._by_address.values()
+            if target.failed_at >= since
+        }
+
+    def record_peer_results(
+        self, address: str, results: gossip_lib.Results
+    ) -> None:
+        """Records results that another entry had at a target."""
+        target = self._by_address.get(address)
+        if target is not None:
+            target.note_peer_results(
+                results.answers, results.failures, self._clock.now()
+            )
+
     def expect_ms(
         self, service: str, route: document_lib.Route
     ) -> clock.Millis:
