Wait until targets are not moved before a test relies on their owners

Control moves targets between entries every 5 s; one that is moved after the request with a long deadline has an owner that has promised nothing.

--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -20,6 +20,11 @@
 LONG_LATENCY_MS = 6000
 LONG_DEADLINE_MS = 9000
 SHORT_DEADLINE_MS = 400
+# An owner gives a request less time until its promise to the control group is
+# confirmed.
+MIN_LONG_DEADLINE_MS = 7000
+# Longer than the period in which control moves targets between entries.
+STABLE_S = 6.0
 LOAD_CALLERS = 24
 # A lease with drift, a round of control duties and a poll, with a margin.
 TAKEOVER_TIMEOUT_S = 15
@@ -157,19 +162,36 @@
     # New owners wait until these requests must have ended. What lost targets
     # run until then was sent by their old owners.
     deployment = context.deployment
-    owned = _owned(deployment, "creneau")
+    owned = _wait_for_stable_owners(deployment, "creneau")
     for name, targets in owned.items():
         # An entry may forward a request to the owner of another target.
         while targets and not _has_long_run(deployment, targets):
             address = deployment.callers_addresses[name]
             got = _call(address, "creneau", LONG_DEADLINE_MS)
             assert got.outcome == "answered", got
+    assert _owned(deployment, "creneau") == owned, "targets were moved"
+
+
+def _wait_for_stable_owners(deployment, service):
+    """Returns the targets by owner once none of them is moved any more.
+
+    A target that is moved after a request with a long deadline has an owner
+    that has not sent it.
+    """
+    stable_since = time.monotonic()
+    owned = _owned(deployment, service)
+    while time.monotonic() - stable_since < STABLE_S:
+        time.sleep(STABLE_S / 10)
+        found = _owned(deployment, service)
+        if found != owned:
+            owned, stable_since = found, time.monotonic()
+    return owned
 
 
 def _has_long_run(deployment, targets):
     """Returns whether one of the targets ran a request with a long deadline."""
     return any(
-        run["address"] in targets and run["deadline_ms"] > SHORT_DEADLINE_MS
+        run["address"] in targets and run["deadline_ms"] > MIN_LONG_DEADLINE_MS
         for run in deployment.list_runs()
     )
 
