Start a control VM of a formed group if another one runs already

Cause: in a whole run of the scenario "Control survives losing its leader and a disk" had no answer for 20 s. A member that has formed the group waits until it has seen all others formed, up to 100 ms after they run; since elections come at once, a configuration can be acknowledged and a member lost within that time, and the waiting one never started.

--- /dev/null
+++ b/features/steps/formation.py
@@ -0,0 +1,113 @@
+"""Steps about the forming of a group by its first control VMs."""
+
+import asyncio
+import contextlib
+import pathlib
+import shutil
+import tempfile
+
+from behave import given
+from behave import then
+from grpclib import server as grpc_server
+
+from bench import deployment as deployment_lib
+from cardamomkeel import clock
+from cardamomkeel.control import channels
+from cardamomkeel.control import formation as formation_lib
+from cardamomkeel.replication import disk
+from cardamomkeel.replication import members as members_lib
+from cardamomkeel.wire import control_pb2
+
+REPLIES = {
+    "running in term 2": control_pb2.GreetReply(
+        member_id="control-2.first", term=2, formed=True
+    ),
+    "running under a new id": control_pb2.GreetReply(
+        member_id="control-2.other", formed=True
+    ),
+    "formed, but not yet running": control_pb2.GreetReply(
+        member_id="control-2.first", formed=True
+    ),
+}
+
+
+class Peer(formation_lib._FormationService):  # noqa: SLF001
+    """Another member, which answers each greeting alike."""
+
+    def __init__(self, reply):
+        super().__init__(control_pb2.HardState())
+        self.reply = reply
+
+    async def Greet(self, stream):  # noqa: N802
+        """Answers a greeting."""
+        await stream.recv_message()
+        await stream.send_message(self.reply)
+
+
+def make(context, formed):
+    names = ["control-1", "control-2", "control-3"]
+    context.addresses = {n: deployment_lib.free_address() for n in names}
+    context.folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
+    context.add_cleanup(shutil.rmtree, context.folder)
+    first = members_lib.initial_members(context.addresses)
+    member_id = members_lib.member_id("control-1", "first")
+    folder = context.folder / "data"
+    disk.create(folder, member_id, first, formed=formed)
+    context.formation = formation_lib.Formation(
+        folder,
+        "control-1",
+        context.addresses,
+        {},
+        control_pb2.HardState(member_id=member_id, formed=formed),
+        clock.MonotonicClock(),
+    )
+
+
+@given("a control VM that has formed a group of 3")
+def make_formed(context):
+    make(context, formed=True)
+
+
+@given("a control VM that has not formed a group of 3")
+def make_unformed(context):
+    make(context, formed=False)
+
+
+@given("another member that is {state}, and a third that is lost")
+def set_peer(context, state):
+    context.reply = REPLIES[state]
+
+
+def run(context, ms):
+    """Returns whether the formation ended within a time."""
+
+    async def form():
+        server = grpc_server.Server([Peer(context.reply)])
+        address = context.addresses["control-2"]
+        await server.start(*channels.split_address(address))
+        try:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(context.formation.run(), ms / 1000)
+                return True
+            return False
+        finally:
+            server.close()
+
+    return asyncio.run(form())
+
+
+@then("this one starts within {ms:d} ms")
+def check_starts(context, ms):
+    assert run(context, ms)
+
+
+@then("this one does not start within {ms:d} ms")
+def check_waits(context, ms):
+    assert not run(context, ms)
+
+
+@then("this one joins under a new id within {ms:d} ms")
+def check_joins(context, ms):
+    assert run(context, ms)
+    stored = disk.load(context.folder / "data").unwrap()
+    assert not stored.hard_state.member_id.endswith(".first"), stored
--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -102,10 +102,15 @@
         rounds = 0
         while True:
             replies = await self._greet_all()
+            has_started = any(
+                self._has_formed(n, r) for n, r in replies.items()
+            )
             if self._hard_state.formed:
-                if self._are_all_formed(replies):
+                # A member that runs has seen that all were formed. Others may
+                # be lost since.
+                if has_started or self._are_all_formed(replies):
                     return
-            elif any(self._has_formed(n, r) for n, r in replies.items()):
+            elif has_started:
                 logger.warning("group already formed, joining as new member")
                 create_joining(self._folder, self._name)
                 return
