--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -393,6 +393,20 @@
             "every target is owned",
         )
 
+    def wait_started(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Waits until all targets are owned and every entry holds a lease.
+
+        Some entries may own all targets before the others have joined.
+        """
+        self.wait_ready(timeout_s)
+        wait_for(
+            lambda: all(
+                self.dump_entry(name).get("fresh") for name in self.entries
+            ),
+            timeout_s,
+            "every entry holds a lease",
+        )
+
     def processes(self) -> list[Process]:
         """Returns all processes."""
         return [
--- a/features/environment.py
+++ b/features/environment.py
@@ -41,7 +41,7 @@
     )
     try:
         deployment.start()
-        deployment.wait_ready()
+        deployment.wait_started()
         yield deployment
     finally:
         deployment.kill_all()
