--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -38,6 +38,19 @@
       | an encoded dot in the service   | 404    |
       | an encoded interface name       | 404    |
 
+  Scenario Outline: A refused request does not answer for the one before it
+    Given backend servers that take 500 ms
+    When a lookup is sent by a caller, and <input> on the same connection
+    Then the lookup was not refused
+    Given backend servers that take 40 ms
+    Then the entry still answers a lookup
+
+    Examples:
+      | input                         |
+      | a header value without end    |
+      | a chunk extension without end |
+      | an unknown transfer coding    |
+
   Scenario: A caller sends half a header
     Given the backend servers' record is empty
     When only the bytes "GET /v1/call/dossier/a HTTP/1.1\r\nX-Sl" are sent by a caller
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -1,5 +1,6 @@
 """Steps that send bad input as raw bytes to the callers' port of an entry."""
 
+import contextlib
 import json
 import socket
 import time
@@ -15,6 +16,7 @@
 READ_BYTES = 65536
 OUTCOME = b"cardamomkeel-outcome: "
 
+LOOKUP = b"GET /v1/call/dossier/a HTTP/1.1\r\nHost: a\r\n\r\n"
 REQUESTS = {
     "no HTTP": b"hello there\r\n\r\n",
     "an unknown method": b"FETCH /v1/call/dossier/a HTTP/1.1\r\n\r\n",
@@ -144,6 +146,22 @@
     context.deployment.call_servers("/clear")
 
 
+@when("a lookup is sent by a caller, and {name} on the same connection")
+def send_behind_lookup(context, name):
+    context.answer = b""
+    with _connect(context) as sock, contextlib.suppress(ConnectionError):
+        sock.sendall(LOOKUP)
+        sock.sendall(REQUESTS[name])
+        while part := sock.recv(READ_BYTES):
+            context.answer += part
+
+
+@then("the lookup was not refused")
+def check_lookup_not_refused(context):
+    status_line = context.answer.partition(b"\r\n")[0]
+    assert status_line in (b"", b"HTTP/1.1 200 OK"), context.answer
+
+
 @when("the bytes of {name} are sent by a caller")
 def send_raw(context, name):
     with _connect(context) as sock:
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -24,6 +24,7 @@
 from cardamomkeel import http_framing
 from cardamomkeel import listening
 from cardamomkeel.routing import messages
+from cardamomkeel.settings import addresses
 
 # How long an unused connection of a caller is kept open; common client
 # libraries keep theirs as long.
@@ -90,8 +91,11 @@
         self._unread_timer: asyncio.TimerHandle | None = None
         self._header_bytes = 0
         self._framing = http_framing.FramingBytes(MAX_FRAMING_BYTES)
-        self._discarded = http_framing.DiscardedBytes()
+        self._discarded = http_framing.FramingBytes(
+            http_framing.MAX_DISCARDED_BYTES
+        )
         self._receiving = False
+        self._receives_body = False
         self._lingering = False
         self._task: asyncio.Task | None = None
         self.peers[self._peer] += 1
@@ -125,9 +129,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; discards them while closing."""
-        if self._lingering and self._discarded.count(len(data)):
-            self.transport.abort()
-        if self.transport.is_closing() or self._lingering:
+        if self.transport.is_closing():
+            return
+        if self._lingering:
+            self._discarded.count_received(len(data))
+            if self._discarded.is_exceeded():
+                self.transport.abort()
             return
         self._framing.count_received(len(data))
         super().data_received(data)
@@ -154,6 +161,11 @@
             self._check_transfer_coding(value)
         super().on_header(name, value)
 
+    def on_headers_complete(self) -> None:
+        """Passes the request on to the application."""
+        super().on_headers_complete()
+        self._receives_body = True
+
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body."""
         self._framing.count_body(len(body))
@@ -163,6 +175,7 @@
         """Stops the timeout for receiving a request."""
         self._framing.reset()
         self._receiving = False
+        self._receives_body = False
         self._stop_timer()
         super().on_message_complete()
 
@@ -228,7 +241,6 @@
             raise httptools.HttpParserError
 
     def _refuse_header(self) -> None:
-        self._end_unstarted_response()
         self._refuse(
             errors.RequestError(
                 f"the header has more than {MAX_HEADER_BYTES} bytes or "
@@ -239,14 +251,27 @@
         )
 
     def _refuse(self, error: errors.RequestError) -> None:
-        """Closes the connection; sends the error if no answer is pending."""
+        """Closes the connection; sends the error if no answer is pending.
+
+        The caller would take it for the answer to its first pending request.
+        """
         if self.transport.is_closing():
             return
         logger.info("refused request", reason=str(error), peer=self._peer)
+        if self._receives_body and not self.pipeline:
+            self._end_unstarted_response()
         if self.cycle is None or self.cycle.response_complete:
             self.transport.write(_encode_refusal(error))
         self.transport.close()
 
+    def _end_unstarted_response(self) -> None:
+        """Lets a refusal be sent in place of the application's answer.
+
+        The application still waits for the body if it has not answered.
+        """
+        if self.cycle is not None and not self.cycle.response_started:
+            self.cycle.response_complete = True
+
     def _linger(self) -> None:
         """Closes the sending side and briefly discards what still arrives."""
         self._lingering = True
@@ -267,16 +292,7 @@
             self._timer.cancel()
             self._timer = None
 
-    def _end_unstarted_response(self) -> None:
-        """Lets a refusal be sent in place of the application's answer.
-
-        The application still waits for the body if it has not answered.
-        """
-        if self.cycle is not None and not self.cycle.response_started:
-            self.cycle.response_complete = True
-
     def _handle_receive_timeout(self) -> None:
-        self._end_unstarted_response()
         self._refuse(
             errors.RequestError(
                 "the request did not arrive within "
@@ -380,11 +396,11 @@
         protocol.limits = limits
         return protocol
 
-    host, port = address.rsplit(":", 1)
+    host, port = addresses.split(address)
     loop = asyncio.get_running_loop()
     with listening.report_bind_errors(address):
         server = await loop.create_server(
-            make_protocol, host, int(port), backlog=listening.BACKLOG
+            make_protocol, host, port, backlog=listening.BACKLOG
         )
     try:
         await stop.wait()
