Cancel the running request of a caller that sent others behind it

The server keeps the newest request of a connection as its cycle, so that with another one behind it the running one was neither told of the disconnect nor cancelled; and a connection with a request behind the running one was not read, so that its end was not noticed.

Change: the running cycle is kept and is told, and up to 8 requests are read behind it.

--- a/features/steps/silent.py
+++ b/features/steps/silent.py
@@ -86,13 +86,28 @@
 
 @when("a caller sends a lookup of {service} and disconnects while it runs")
 def send_and_disconnect(context, service):
+    _send_and_disconnect(context, service, count=1)
+
+
+@when(
+    "a caller sends {count:d} lookups of {service} in a row and disconnects "
+    "while the first one runs"
+)
+def send_in_a_row_and_disconnect(context, count, service):
+    _send_and_disconnect(context, service, count)
+
+
+def _send_and_disconnect(context, service, count):
     context.before = len(context.deployment.list_runs())
     address = next(iter(context.deployment.callers_addresses.values()))
     host, port = address.rsplit(":", 1)
     with socket.create_connection((host, int(port))) as sock:
         sock.sendall(
-            f"GET /v1/call/{service}/left HTTP/1.1\r\nHost: a\r\n"
-            "Cardamomkeel-Deadline-Ms: 9000\r\n\r\n".encode()
+            count
+            * (
+                f"GET /v1/call/{service}/left HTTP/1.1\r\nHost: a\r\n"
+                "Cardamomkeel-Deadline-Ms: 9000\r\n\r\n"
+            ).encode()
         )
         until = time.monotonic() + RUN_TIMEOUT_S
         while len(context.deployment.list_runs()) == context.before:
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -38,6 +38,9 @@
 UNREAD_TIMEOUT_MS = 10_000.0
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
+# How many requests may wait behind the one that runs. A caller that disconnects
+# is noticed only while its connection is read.
+MAX_PIPELINED_REQUESTS = 8
 # A header has a few bytes more than its names and values.
 MAX_FRAMING_BYTES = MAX_HEADER_BYTES + 4 * MAX_HEADERS + 100
 SHUTDOWN_GRACE_MS = 5000.0
@@ -97,6 +100,7 @@
         self._receiving = False
         self._receives_body = False
         self._lingering = False
+        self._running: httptools_impl.RequestResponseCycle | None = None
         self._task: asyncio.Task | None = None
         self.peers[self._peer] += 1
         if (
@@ -120,10 +124,13 @@
             del self.peers[self._peer]
         self._stop_timer()
         self.resume_writing()
-        cycle, task = self.cycle, self._task
         super().connection_lost(exc)
+        cycle, task = self._running, self._task
         if cycle is None or cycle.response_complete or task is None:
             return
+        # Requests behind it were not started, and never will be.
+        cycle.disconnected = True
+        cycle.message_event.set()
         if cycle.scope.get(CANCELLABLE):
             task.cancel()
 
@@ -165,6 +172,8 @@
         """Passes the request on to the application."""
         super().on_headers_complete()
         self._receives_body = True
+        if 0 < len(self.pipeline) < MAX_PIPELINED_REQUESTS:
+            self.flow.resume_reading()
 
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body."""
@@ -209,6 +218,7 @@
         )
 
     def _start_asgi_task(self, cycle, app) -> None:
+        self._running = cycle
         self._task = self.loop.create_task(cycle.run_asgi(app))
         self._task.add_done_callback(self.tasks.discard)
         self.tasks.add(self._task)
