Refuse malformed messages between control VMs and entries

Cause: a reply that was cut off, compressed or no message of its type raised AssertionError, NotImplementedError or DecodeError out of the call; in the tasks of a control VM these end the process. Messages to a control VM had no limit on their size: 100 MB of one were received.

--- /dev/null
+++ b/features/control_port.feature
@@ -0,0 +1,57 @@
+Feature: Malformed messages between control VMs and entries end no process
+
+  Scenario: A caller of control sends a message without end
+    Given a control VM that leads a group of one
+    When a message of 4000 MB is sent to it
+    Then it has ended that call after at most 64 MB
+    And it still accepts commands
+
+  Scenario Outline: A caller of control sends <what>
+    Given a control VM that leads a group of one
+    When <what> is sent to it
+    Then it still accepts commands
+
+    Examples:
+      | what                            |
+      | text of another protocol        |
+      | random bytes                    |
+      | a call without a message        |
+      | a truncated message             |
+      | a compressed message            |
+      | a call of an unknown method     |
+
+  Scenario Outline: Fuzzed <method> messages
+    Given a control VM that leads a group of one
+    When 100 fuzzed <method> messages with seed 1 are sent to it
+    Then it still accepts commands
+
+    Examples:
+      | method          |
+      | Vote            |
+      | Append          |
+      | InstallSnapshot |
+      | Greet           |
+      | Stand           |
+      | Join            |
+      | Follow          |
+      | Announce        |
+      | Propose         |
+      | Read            |
+      | ChangeMembers   |
+
+  Scenario Outline: A control VM replies with <what>
+    Given a control VM whose replies are <what>
+    When a command is proposed to it
+    Then the call ends with an error
+    When its rows are polled
+    Then the poll ends without an answer
+
+    Examples:
+      | what                       |
+      | text of another protocol   |
+      | random bytes               |
+      | an ended stream            |
+      | a malformed message        |
+      | a truncated message        |
+      | a compressed message       |
+      | an invalid status          |
--- a/src/cardamomkeel/control/channels.py
+++ b/src/cardamomkeel/control/channels.py
@@ -5,11 +5,11 @@
 
 import anyio
 from grpclib import client as grpc_client
-from grpclib import exceptions as grpc_exceptions
 from returns import result
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel.control import grpc_errors
 from cardamomkeel.settings import addresses
 
 # A connection that was idle for longer may have become unresponsive; another
@@ -99,10 +99,8 @@
                 call = getattr(stub(known.channel), method)
                 return result.Success(await call(req))
         except (
-            OSError,
-            TimeoutError,
-            grpc_exceptions.GRPCError,
-            grpc_exceptions.StreamTerminatedError,
+            *grpc_errors.CALL_FAILED,
+            *grpc_errors.MALFORMED_MESSAGE,
         ) as exc:
             if self._channels.get(address) is known:
                 self.drop(address)
--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -20,6 +20,7 @@
 from cardamomkeel import clock
 from cardamomkeel import listening
 from cardamomkeel.control import channels as channels_lib
+from cardamomkeel.control import grpc_server as grpc_server_lib
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.settings import addresses as addresses_lib
@@ -81,6 +82,7 @@
         clk: clock.Clock,
     ):
         self._folder = folder
+        self._clock = clk
         self._name = name
         self._address = addresses[name]
         self._others = {n: a for n, a in addresses.items() if n != name}
@@ -90,7 +92,7 @@
     async def run(self) -> None:
         """Waits until the replica may start from the data folder."""
         service = _FormationService(self._hard_state)
-        server = grpc_server.Server([service])
+        server = grpc_server_lib.make_server([service], self._clock)
         with listening.report_bind_errors(self._address):
             await server.start(*addresses_lib.split(self._address))
         try:
--- a/src/cardamomkeel/control/poll_stream.py
+++ b/src/cardamomkeel/control/poll_stream.py
@@ -6,10 +6,10 @@
 import anyio
 import anyio.abc
 from grpclib import client as grpc_client
-from grpclib import exceptions as grpc_exceptions
 import loguru
 
 from cardamomkeel import clock
+from cardamomkeel.control import grpc_errors
 from cardamomkeel.control import row_batches
 from cardamomkeel.control import signal
 from cardamomkeel.settings import addresses as addresses_lib
@@ -18,13 +18,6 @@
 
 logger = loguru.logger
 
-STREAM_ERRORS = (
-    OSError,
-    grpc_exceptions.GRPCError,
-    grpc_exceptions.ProtocolError,
-    grpc_exceptions.StreamTerminatedError,
-)
-
 
 @dataclasses.dataclass
 class _OpenStream:
@@ -139,7 +132,7 @@
             if reply is not None:
                 return reply
             self.failure = opened.failure or f"silent for {timeout_ms:.0f} ms"
-        except STREAM_ERRORS as exc:
+        except grpc_errors.CALL_FAILED as exc:
             self.failure = repr(exc)
         if self._open is opened:
             self.close()
@@ -198,9 +191,9 @@
                     async for reply in stream:
                         self._handle_reply(opened, reply)
             opened.failure = "it ended the stream"
-        except STREAM_ERRORS as exc:
+        except grpc_errors.CALL_FAILED as exc:
             opened.failure = repr(exc)
-        except ValueError as exc:
+        except (ValueError, *grpc_errors.MALFORMED_MESSAGE) as exc:
             opened.failure = str(exc)
             logger.error(
                 "received invalid reply from control VM",
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -5,7 +5,6 @@
 import typing
 
 import anyio
-from grpclib import server as grpc_server
 import loguru
 import typer
 
@@ -16,6 +15,7 @@
 from cardamomkeel.control import channels
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.control import formation
+from cardamomkeel.control import grpc_server
 from cardamomkeel.control import instance_registry as registry_lib
 from cardamomkeel.control import joining as joining_lib
 from cardamomkeel.control import node as node_lib
@@ -139,13 +139,14 @@
     )
     row_streams = row_streams_lib.RowStreams(cfg, node, clk)
     registry = registry_lib.InstanceRegistry(node, clk)
-    server = grpc_server.Server(
+    server = grpc_server.make_server(
         [
             service.ReplicationService(node, clk),
             service.ControlService(
                 node, row_streams.stream_server, clk, registry
             ),
-        ]
+        ],
+        clk,
     )
     own_member = control_pb2.Member(
         id=node.replica.id, name=cfg.name, address=cfg.address
--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -28,6 +28,15 @@
         "The stream from this control VM was malformed. The entry closed it and"
         " connects to another control VM.",
     ),
+    kinds.Kind(
+        "refused malformed message",
+        kinds.WARNING,
+        ("method", "reason"),
+        "A message to this control VM could not be read, or is too long. The"
+        " call ended with an error; look for a process of another build, or one"
+        " that is no part of the deployment.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "no successor became leader",
         kinds.WARNING,
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -4,7 +4,6 @@
 import random
 
 import anyio
-from grpclib import server as grpc_server
 import loguru
 from returns import result
 
@@ -13,6 +12,7 @@
 from cardamomkeel.control import channels as channels_lib
 from cardamomkeel.control import formation
 from cardamomkeel.control import group_calls
+from cardamomkeel.control import grpc_server
 from cardamomkeel.control import instance_registry as registry_lib
 from cardamomkeel.control import joining as joining_lib
 from cardamomkeel.control import node as node_lib
@@ -210,13 +210,14 @@
             channels,
             self._clock,
         )
-        server = grpc_server.Server(
+        server = grpc_server.make_server(
             [
                 service.ReplicationService(node, self._clock),
                 service.ControlService(
                     node, row_streams.stream_server, self._clock, registry
                 ),
-            ]
+            ],
+            self._clock,
         )
         current = self._file.current
         with listening.report_bind_errors(self._address):
