Answer calls that a stopping control VM has received

Change: it stops listening and finishes what has arrived, 1,500 ms at most, while it is still a member that finds the new leader.

--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -40,6 +40,9 @@
 MAX_MEMBERS = 7
 # Delay after a disk failure before the disk is used again.
 DISK_RETRY_DELAY_MS = 500.0
+# How long calls that have arrived may take after the leadership was handed
+# over; longer than the search for the new leader.
+FINISH_CALLS_MS = 1500.0
 
 logger = loguru.logger
 
@@ -247,6 +250,9 @@
                 await self._stop.wait()
                 self._server.begin_stop()
                 await node.hand_over()
+                # The calls need this member to reach the new leader.
+                await self._server.stop_listening()
+                await self._server.finish(self._clock.now() + FINISH_CALLS_MS)
                 tasks.cancel_scope.cancel()
         finally:
             server.close()
