Count requests that take several times as long as expected as failures

Cause: a target that takes requests and never answers them was noticed at the deadline of a request alone, by the entry that had sent it; a booking waits there for up to ten times its work, and where every entry has a few requests a second, each finds out for itself.

The answer is still passed on if it arrives. A first target that a later hedge overtook counts the same.

--- a/features/shared_targets.feature
+++ b/features/shared_targets.feature
@@ -78,6 +78,18 @@
       | 100  | 4    | 20   |
       | 40   | 8    | 10   |
 
+  Scenario Outline: Entries learn together which targets never answer
+    Given <entries> entries with <targets> targets, of which <hanging> never answer <part> in 100 requests
+    When they serve <rate> requests a second in all for 10 s
+    Then at most <most> in 100 requests meet a failure
+    And the targets that fail get work again within 20 s after they have recovered
+
+    Examples:
+      | entries | targets | hanging | part | rate | most |
+      | 8       | 6       | 3       | 100  | 8    | 12   |
+      | 8       | 12      | 3       | 60   | 16   | 5    |
+      | 8       | 6       | 3       | 60   | 8    | 12   |
+
   Scenario Outline: <part> in 100 requests at <entries> entries fail at once
     Given <entries> entries that serve <rate> requests a second in all
     When <part> in 100 of their requests fail from second 60 to 120
--- a/features/steps/shared_failures.py
+++ b/features/steps/shared_failures.py
@@ -12,6 +12,7 @@
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.policy import placement
+from cardamomkeel.policy import unanswered
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
@@ -64,11 +65,13 @@
     """Requests at several entries, in virtual time.
 
     Attributes:
+        hangs: Whether a request that fails is never answered.
         counts: The number of requests, by whether they failed.
         runs: The time and address of each request that was sent.
     """
 
-    def __init__(self, entries, targets, failing, part):
+    def __init__(self, entries, targets, failing, part, hangs=False):
+        self.hangs = hangs
         self.rng = random.Random(SEED)
         self.clock = clock.ManualClock()
         self.part = part
@@ -106,7 +109,8 @@
             at, _, run = heapq.heappop(events)
             self.clock.advance(max(0.0, at - self.clock.now()))
             if run is not None:
-                self._end(*run)
+                handle, *args = run
+                handle(*args)
                 continue
             entry = self.rng.choice(self.entries)
             target = entry.choose(self.rng)
@@ -119,17 +123,31 @@
                 and self.rng.random() * 100 < self.part
             )
             took_ms = FAILURE_MS if fails else WORK_MS
-            run = (entry, target, fails, took_ms)
+            if fails and self.hangs:
+                took_ms = ROUTE.timeout_ms
+                work = entry.targets.get_work(SERVICE, ROUTE)
+                limit_ms = unanswered.limit_ms(
+                    work.expect_ms(), ROUTE.objective_ms
+                )
+                run = (self._note_unanswered, entry, target, work, limit_ms)
+                heapq.heappush(events, (at + limit_ms, next(numbers), run))
+            run = (self._end, entry, target, fails, took_ms)
             heapq.heappush(events, (at + took_ms, next(numbers), run))
 
+    def _note_unanswered(self, entry, target, work, limit_ms):
+        entry.targets.record_unanswered(target, work, limit_ms)
+        entry.gossip._send()  # noqa: SLF001
+
     def _end(self, entry, target, fails, took_ms):
         now = self.clock.now()
         entry.targets.record_end(target)
         self.counts[fails] += 1
-        if fails:
+        work = entry.targets.get_work(SERVICE, ROUTE)
+        if fails and self.hangs:
+            target.note_late(work, took_ms, now)
+        elif fails:
             target.note_failure(now)
         else:
-            work = entry.targets.get_work(SERVICE, ROUTE)
             target.note_answer(work, took_ms, 1.0, False, now)
         entry.gossip._send()  # noqa: SLF001
 
@@ -142,6 +160,14 @@
     context.simulation = Simulation(entries, targets, failing, part)
 
 
+@given(
+    "{entries:d} entries with {targets:d} targets, of which {failing:d} never "
+    "answer {part:d} in 100 requests"
+)
+def make_hanging(context, entries, targets, failing, part):
+    context.simulation = Simulation(entries, targets, failing, part, True)
+
+
 @when("they serve {rate:d} requests a second in all for {seconds:d} s")
 def serve(context, rate, seconds):
     context.rate = rate
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -268,7 +268,12 @@
                     tasks.append(
                         self._sender.start(outgoing, second_target, True)
                     )
-            return await self._first_successful_attempt(tasks)
+            attempt = await self._first_successful_attempt(tasks)
+            if not first.done():
+                # The second target was faster, though it was sent to later.
+                work = self._targets.get_work(ctx.service, ctx.route)
+                self._targets.record_unanswered(target, work, late_ms)
+            return attempt
         finally:
             for task in tasks:
                 task.cancel()
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -16,6 +16,7 @@
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.gateway import upstream_connection
+from cardamomkeel.policy import unanswered as unanswered_lib
 from cardamomkeel.policy import work_time
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import messages as routing_messages
@@ -203,6 +204,7 @@
             self._upstream.release(conn)
             return Attempt(SendResult.NOT_SENT, "it can't be passed on safely")
         conn.expect(outgoing.request_id)
+        unanswered = self._watch(outgoing, target)
         try:
             async with asyncio.timeout(clock.seconds(remaining_ms)):
                 answer = await self._write(conn, target, outgoing, head)
@@ -221,6 +223,8 @@
         except asyncio.CancelledError:
             conn.close()
             raise
+        finally:
+            unanswered.cancel()
         self._upstream.release(conn)
         return self._handle_answer(
             target,
@@ -229,6 +233,20 @@
             _SendSnapshot(now, slowdown, crowded),
         )
 
+    def _watch(
+        self, outgoing: OutgoingRequest, target: target_lib.Target
+    ) -> asyncio.TimerHandle:
+        """Starts the timer after which a request counts as unanswered."""
+        work = self._get_work(target, outgoing)
+        limit_ms = unanswered_lib.limit_ms(
+            work.expect_ms(), outgoing.route.objective_ms
+        )
+        return asyncio.get_running_loop().call_later(
+            clock.seconds(limit_ms),
+            self._targets.record_unanswered,
+            *(target, work, limit_ms),
+        )
+
     def _get_work(
         self, target: target_lib.Target, outgoing: OutgoingRequest
     ) -> work_time.WorkTime:
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -431,6 +431,24 @@
         elif target.bucket is not None:
             target.bucket.acquire(now)
 
+    def record_unanswered(
+        self,
+        target: target_lib.Target,
+        work: work_time.WorkTime,
+        waited_ms: clock.Millis,
+    ) -> None:
+        """Counts a request that is not answered yet as a failure.
+
+        Args:
+            target: The target that runs it.
+            work: The estimated work time of its route.
+            waited_ms: How long ago the request was sent.
+        """
+        now = self._clock.now()
+        target.note_late(work, waited_ms, now)
+        target.note_failure(now)
+        self._gossip.schedule_send()
+
     def record_end(self, target: target_lib.Target) -> None:
         """Counts a request as no longer running at a target."""
         target.running -= 1
