--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -106,6 +106,17 @@
     Then its status is 504
     And its answer took 300 to 800 ms
 
+  Scenario: A request that takes many times its work counts as a failure and is answered
+    Given 1 target
+    And work of 20 ms
+    When 10 bookings are sent one after another
+    Given work of 1000 ms
+    When a booking is sent, and 300 ms later the state of its target is read
+    Then its target did not count as failing
+    When a booking is sent, and 800 ms later the state of its target is read
+    Then its target counted as failing
+    And its status is 200
+
   Scenario: Every request that no target answers in time gets the same status
     Given 10 targets
     And a timeout of 30 ms
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -256,6 +256,26 @@
     context.answers = [context.rig.call("POST", "/book/1", b"an urn")]
 
 
+@when("a booking is sent, and {ms:d} ms later the state of its target is read")
+def book_and_read_state(context, ms):
+    rig = context.rig
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(rig.call, "POST", "/book/1", b"an urn")
+        time.sleep(ms / 1000)
+        (context.state,) = rig.program.targets.dump().values()
+        context.answers = [fut.result()]
+
+
+@then("its target did not count as failing")
+def check_not_failing(context):
+    assert context.state["failures"] == 0, context.state
+
+
+@then("its target counted as failing")
+def check_failing(context):
+    assert context.state["failures"] > 0, context.state
+
+
 @when("{count:d} bookings are sent one after another")
 def book_repeatedly(context, count):
     context.answers = {}
