--- a/features/steps/streaming.py
+++ b/features/steps/streaming.py
@@ -133,18 +133,25 @@
 @then("{service} has all of its slots free within {seconds:d} s")
 def check_free(context, service, seconds):
     target = context.deployment.server_addresses[service][0]
+    seen = {}
 
     def is_free():
         servers = context.deployment.call_servers("/servers")
-        if any(server["in_flight"] for server in servers):
-            return False
+        seen["running"] = [s for s in servers if s["in_flight"]]
+        seen["owned"] = {}
         for name in context.deployment.entries:
             owned = context.deployment.dump_entry(name).get("owned", {})
             if target in owned:
-                return owned[target]["free"] == SLOTS
-        return False
+                seen["owned"][name] = owned[target]
+        if seen["running"] or not seen["owned"]:
+            return False
+        return next(iter(seen["owned"].values()))["free"] == SLOTS
 
-    deployment_lib.wait_for(is_free, seconds, "all slots are free")
+    try:
+        deployment_lib.wait_for(is_free, seconds, "all slots are free")
+    except TimeoutError:
+        print(seen)
+        raise
 
 
 @when("a caller slowly fetches {size:d} MB of dossier through another entry")
