--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -17,6 +17,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("breizh-brest", "breizh-vannes", "breizh-rennes")
@@ -47,6 +48,15 @@
 RESTART_DELAY_S = 0.5
 
 
+def run_case(main):
+    """Returns the exit status of a case; 2 if it ended with an error."""
+    try:
+        return main()
+    except Exception:
+        traceback.print_exc()
+        return 2
+
+
 class Record:
     """Writes what is sent, answered and run to `record.txt`."""
 
