Remove a control VM that stops from a group with an even number of voters

Callers saw: an operator replaced a control VM as planned, the new one first. One second after the old one was stopped another VM lost its disk, which the deployment tolerates. No leader was elected any more, the acknowledged configuration could not be read back and every change was answered 503.

Cause: the successor makes the group one of four voters, which needs three. The VM that was stopped stayed a voter until it had been silent for 3 s, counted anew after each election.

Change: a member that stops asks the leader to remove it if the number of voters is even, and votes until that is committed (RPC Leave). A silent voter of an even group is removed after 0.6 s. Odd groups and groups of two keep theirs. This works because the group counts three voters again before the old VM is gone, and two of three are a majority after the loss.

Tests: "A planned replacement and then the loss of a disk leave a majority" and "One of four voters is killed, and 2 s later another loses its disk" failed on (TimeoutError, no configuration within 20 s) and pass now; 96 scenarios of hand_over, control_repair, control_port, log_lines, formation, log_replication, stop_control and platform passed.

--- a/features/control_port.feature
+++ b/features/control_port.feature
@@ -33,6 +33,7 @@
       | Greet           |
       | Stand           |
       | Join            |
+      | Leave           |
       | Follow          |
       | Announce        |
       | Propose         |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -151,3 +151,42 @@
     And two seeds are killed, lose their disks, and are started again
     Then 5 control VMs vote within 20 s
     And every control VM reads back configuration 1
+
+  # Guards against a group that counts a control VM which was stopped for good,
+  # and ends with the next lost disk.
+  @fixture.platform
+  Scenario: A planned replacement and then the loss of a disk leave a majority
+    When the operator sends configuration 1 on 0
+    And an empty control VM elsewhere has joined as a voter
+    And a control VM that follows is stopped for good
+    And the operator sends configuration 2 on 1
+    And another control VM that follows loses its disk and is started again
+    Then every control VM reads back configuration 2
+    And 3 control VMs vote within 20 s
+    When the operator sends configuration 3 on 2
+    Then it is acknowledged with 200
+
+  # The same without a notice: the removed VM is killed.
+  @fixture.platform
+  Scenario: One of four voters is killed, and 2 s later another loses its disk
+    When the operator sends configuration 1 on 0
+    And an empty control VM elsewhere has joined as a voter
+    And a control VM that follows is killed for good
+    And 2000 ms go by
+    And another control VM that follows loses its disk and is started again
+    Then every control VM reads back configuration 1
+    And 3 control VMs vote within 20 s
+
+  @fixture.platform
+  Scenario: One of four voters that is stopped and started again votes again
+    When the operator sends configuration 1 on 0
+    And an empty control VM elsewhere has joined as a voter
+    And a control VM that follows is stopped and started again
+    Then 4 control VMs vote within 20 s
+    And every control VM reads back configuration 1
+
+  @fixture.platform
+  Scenario: One of three voters that is stopped stays a member of its group
+    When the operator sends configuration 1 on 0
+    And a control VM that follows is stopped
+    Then the group counts 3 voters
--- a/features/steps/control_port.py
+++ b/features/steps/control_port.py
@@ -334,6 +334,7 @@
         "Greet": control_pb2.GreetRequest(),
         "Stand": control_pb2.StandRequest(to=vm.id, leader="b.first", term=1),
         "Join": control_pb2.JoinRequest(member=MEMBER),
+        "Leave": control_pb2.LeaveRequest(member_id="b.first"),
         "Follow": control_pb2.FollowRequest(
             number=1, polls=[control_pb2.PollRequest(session=1)]
         ),
@@ -344,7 +345,10 @@
     }
 
 
-REPLICATION = ("Vote", "Append", "InstallSnapshot", "Greet", "Stand", "Join")
+REPLICATION = (
+    *("Vote", "Append", "InstallSnapshot", "Greet", "Stand", "Join"),
+    "Leave",
+)
 
 
 @when("{count:d} fuzzed {method} messages with seed {seed:d} are sent to it")
--- a/features/steps/platform_members.py
+++ b/features/steps/platform_members.py
@@ -1,9 +1,13 @@
 """Steps of a control group in which not all members are seeds."""
 
+import signal
+import time
+
 from behave import then
 from behave import when
 import httpx
 
+from bench import platform as platform_lib
 from cardamomkeel.platform import process
 
 # Offset of the range for traffic between VMs from the port of control.
@@ -75,3 +79,75 @@
         vm.lose_disk()
     for vm in seeds:
         vm.start()
+
+
+def list_voters(fleet):
+    """Returns the ids of the voters by the leader; empty without a leader."""
+    found = find_leader(fleet)
+    if found is None:
+        return set()
+    members = found[1]["members"]["members"]
+    return {member["id"] for member in members if member.get("voter")}
+
+
+def find_follower(fleet):
+    """Waits for a leader; returns an older VM that follows it."""
+    fleet.wait_for(lambda: find_leader(fleet) is not None, LEADER_WITHIN_S)
+    leader, _ = find_leader(fleet)
+    return next(vm for vm in fleet.cores if vm is not leader)
+
+
+@when("an empty control VM elsewhere has joined as a voter")
+def add_member(context):
+    fleet = context.fleet
+    vm = platform_lib.Vm(fleet, "core-new", "core", "brest", f"{fleet.net}.14")
+    vm.bootstrap = False
+    fleet.cores.append(vm)
+    vm.start()
+    count = len(fleet.cores)
+    fleet.wait_for(lambda: len(list_voters(fleet)) == count, LEADER_WITHIN_S)
+
+
+def end_follower(context, number):
+    vm = find_follower(context.fleet)
+    assert vm.kill(number) == (0 if number == signal.SIGTERM else -number)
+    return vm
+
+
+@when("a control VM that follows is stopped for good")
+def stop_for_good(context):
+    context.fleet.cores.remove(end_follower(context, signal.SIGTERM))
+
+
+@when("a control VM that follows is killed for good")
+def kill_for_good(context):
+    context.fleet.cores.remove(end_follower(context, signal.SIGKILL))
+
+
+@when("a control VM that follows is stopped")
+def stop_follower(context):
+    end_follower(context, signal.SIGTERM)
+
+
+@when("a control VM that follows is stopped and started again")
+def restart_follower(context):
+    end_follower(context, signal.SIGTERM).start()
+
+
+@when("another control VM that follows loses its disk and is started again")
+def lose_one(context):
+    vm = find_follower(context.fleet)
+    vm.kill()
+    vm.lose_disk()
+    vm.start()
+
+
+@when("{ms:d} ms go by")
+def wait(_, ms):
+    time.sleep(ms / 1000)
+
+
+@then("the group counts {count:d} voters")
+def check_counted(context, count):
+    voters = list_voters(context.fleet)
+    assert len(voters) == count, voters
--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -66,7 +66,7 @@
             grpc_const.Status.UNAVAILABLE, "the group is being formed"
         )
 
-    Vote = Append = InstallSnapshot = Join = Stand = _refuse
+    Vote = Append = InstallSnapshot = Join = Stand = Leave = _refuse
 
 
 class Formation:
--- a/src/cardamomkeel/control/leader_tasks.py
+++ b/src/cardamomkeel/control/leader_tasks.py
@@ -26,6 +26,11 @@
 BALANCE_PERIOD_MS = 5000.0
 # A member that has not answered for longer may be replaced by a new one.
 DEAD_AFTER_MS = 3000.0
+# The same if the group tolerates as many failures without the member: with it,
+# the next failure may end the group.
+SPARE_DEAD_AFTER_MS = 600.0
+# How often the leader checks for such a member.
+SPARE_CHECK_PERIOD_MS = 100.0
 
 logger = loguru.logger
 
@@ -77,9 +82,10 @@
     def _wait_ms(self) -> clock.Millis:
         if not self._node.replica.is_ready:
             return CHECK_PERIOD_MS
-        return self._node.leases.time_to_expiry_ms(
-            self._clock.now(), CHECK_PERIOD_MS
-        )
+        period_ms = CHECK_PERIOD_MS
+        if members_lib.can_spare_voter(self._node.replica.members):
+            period_ms = SPARE_CHECK_PERIOD_MS
+        return self._node.leases.time_to_expiry_ms(self._clock.now(), period_ms)
 
     async def _run_round(self) -> None:
         now = self._clock.now()
@@ -144,10 +150,8 @@
             if not member.voter and replica.is_caught_up(member.id, now)
         ]
         dead = self._find_dead_voter(now)
-        voters = len(members_lib.voters(replica.members))
-        # A group with an even number of voters tolerates no more failures than
-        # with one voter less.
-        if dead is not None and (learners or voters % 2 == 0):
+        can_spare = members_lib.can_spare_voter(replica.members)
+        if dead is not None and (learners or can_spare):
             self._propose_members(
                 members_lib.without_member(replica.members, dead.name)
             )
@@ -166,16 +170,14 @@
     def _find_dead_voter(self, now: clock.Millis) -> control_pb2.Member | None:
         """Returns an unresponsive voter that may be replaced automatically."""
         replica = self._node.replica
-        if (
-            not self._node.max_members
-            or now - self._leader_since < DEAD_AFTER_MS
-        ):
+        can_spare = members_lib.can_spare_voter(replica.members)
+        deadline = now - (SPARE_DEAD_AFTER_MS if can_spare else DEAD_AFTER_MS)
+        if not self._node.max_members or self._leader_since > deadline:
             return None
         for member in replica.members.members:
             if member.id == replica.id or not member.voter:
                 continue
             progress = replica.followers.get(member.id)
-            deadline = now - DEAD_AFTER_MS
             if progress is not None and progress.acked_sent_at < deadline:
                 return member
         return None
--- a/src/cardamomkeel/control/membership.py
+++ b/src/cardamomkeel/control/membership.py
@@ -1,4 +1,9 @@
-"""Changes to the members of the control group, requested by operators."""
+"""Changes to the members of the control group on request.
+
+Operators add and remove members, and a member that stops may leave.
+"""
+
+import loguru
 
 from cardamomkeel import clock
 from cardamomkeel.control import node as node_lib
@@ -10,6 +15,8 @@
 # How often to check whether a change is committed if no member answers.
 COMMIT_POLL_MS = 250.0
 
+logger = loguru.logger
+
 
 def explain_refused_removal(
     members: control_pb2.Members, live: set[str], name: str
@@ -62,14 +69,41 @@
         return control_pb2.ChangeMembersReply(
             leader=True, status=REFUSED, message=reason
         )
-    if changed == replica.members:
-        return control_pb2.ChangeMembersReply(leader=True, status=OK)
+    if changed != replica.members and not await _commit(node, changed):
+        return not_leader
+    return control_pb2.ChangeMembersReply(leader=True, status=OK)
+
+
+async def _commit(
+    node: node_lib.ControlNode, changed: control_pb2.Members
+) -> bool:
+    """Commits a membership; returns False if the outcome is unknown."""
+    replica = node.replica
     index = replica.propose_members(changed)
     if index is None:
-        return not_leader
+        return False
     node.apply_committed()
     while replica.is_leader and replica.commit_index < index:
         await node.member_acked.wait(clock.seconds(COMMIT_POLL_MS))
-    if replica.commit_index < index:
-        return not_leader
-    return control_pb2.ChangeMembersReply(leader=True, status=OK)
+    return replica.commit_index >= index
+
+
+async def leave(
+    node: node_lib.ControlNode,
+    clk: clock.Clock,
+    req: control_pb2.LeaveRequest,
+) -> control_pb2.LeaveReply:
+    """Removes a member that stops if the group is safer without it."""
+    if not await node.confirm_leadership(clk.now()):
+        return control_pb2.LeaveReply()
+    members = node.replica.members
+    member = members_lib.get_member_by_id(members, req.member_id)
+    if member is None or not member.voter:
+        return control_pb2.LeaveReply(leader=True, removed=True)
+    if not members_lib.can_spare_voter(members):
+        return control_pb2.LeaveReply(leader=True)
+    changed = members_lib.without_member(members, member.name)
+    if not await _commit(node, changed):
+        return control_pb2.LeaveReply()
+    logger.info("removed stopping member", member=member.id)
+    return control_pb2.LeaveReply(leader=True, removed=True)
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -15,6 +15,7 @@
 from cardamomkeel.control import hand_over
 from cardamomkeel.control import leader_tasks as leader_tasks_lib
 from cardamomkeel.control import leases as leases_lib
+from cardamomkeel.control import leaving
 from cardamomkeel.control import signal
 from cardamomkeel.replication import election_timer
 from cardamomkeel.replication import members as members_lib
@@ -318,6 +319,11 @@
         )
         await transfer.run()
 
+    async def leave(self) -> None:
+        """Leaves a group that adds members by itself, before a stop."""
+        if self.max_members:
+            await leaving.leave(self.replica, self._call_member)
+
     def _start_senders(self) -> None:
         if not self.replica.is_leader:
             return
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -60,6 +60,13 @@
         req = await stream.recv_message()
         await stream.send_message(self._join(req.member))
 
+    async def Leave(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Removes a member that stops if the group is safer without it."""
+        req = await stream.recv_message()
+        await stream.send_message(
+            await membership.leave(self._node, self._clock, req)
+        )
+
     def _join(self, member: control_pb2.Member) -> control_pb2.JoinReply:
         replica = self._node.replica
         if not replica.is_ready:
--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -21,6 +21,20 @@
         ("leader",),
         "Before it stopped, the leader handed leadership to another VM.",
     ),
+    kinds.Kind(
+        "removed stopping member",
+        kinds.INFO,
+        ("member",),
+        "A VM that stops asked to leave, since the control group tolerates as"
+        " many failures without it.",
+    ),
+    kinds.Kind(
+        "group did not remove this member before its stop",
+        kinds.WARNING,
+        (),
+        "No leader answered in time. The leader removes the VM once it does not"
+        " answer.",
+    ),
     kinds.Kind(
         "received invalid reply from control VM",
         kinds.ERROR,
--- a/src/cardamomkeel/replication/members.py
+++ b/src/cardamomkeel/replication/members.py
@@ -43,6 +43,17 @@
     return len(voters(members)) // 2 + 1
 
 
+def can_spare_voter(members: control_pb2.Members) -> bool:
+    """Returns whether the group is safer without a voter that is lost.
+
+    A group with an even number of voters tolerates no more failures than with
+    one voter less. Two voters are both kept, since one alone would leave a
+    single copy of the log.
+    """
+    count = len(voters(members))
+    return count > 2 and count % 2 == 0
+
+
 def find_majority_value(
     members: control_pb2.Members, values: dict[str, float], default: float
 ) -> float:
--- a/src/cardamomkeel/wire/control_grpc.py
+++ b/src/cardamomkeel/wire/control_grpc.py
@@ -38,6 +38,10 @@
     async def Greet(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.GreetRequest, cardamomkeel.wire.control_pb2.GreetReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Leave(self, stream: 'grpclib.server.Stream[cardamomkeel.wire.control_pb2.LeaveRequest, cardamomkeel.wire.control_pb2.LeaveReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamomkeel.wire.Replication/Vote': grpclib.const.Handler(
@@ -76,6 +80,12 @@
                 cardamomkeel.wire.control_pb2.GreetRequest,
                 cardamomkeel.wire.control_pb2.GreetReply,
             ),
+            '/cardamomkeel.wire.Replication/Leave': grpclib.const.Handler(
+                self.Leave,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomkeel.wire.control_pb2.LeaveRequest,
+                cardamomkeel.wire.control_pb2.LeaveReply,
+            ),
         }
 
 
@@ -118,6 +128,12 @@
             cardamomkeel.wire.control_pb2.GreetRequest,
             cardamomkeel.wire.control_pb2.GreetReply,
         )
+        self.Leave = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomkeel.wire.Replication/Leave',
+            cardamomkeel.wire.control_pb2.LeaveRequest,
+            cardamomkeel.wire.control_pb2.LeaveReply,
+        )
 
 
 class ControlBase(abc.ABC):
