Close the connections of a control VM's gRPC server with the server

Operators saw: a control VM was lost for good in the second in which the group had formed, and no configuration could be read or changed any more.

Cause: grpclib keeps the connections of a closed server open, answered by its old services. A member greets the others every 100 ms on one connection, so it was told for ever that a member that ran had not started, and waited for the lost one.

Change: `make_server` returns a server that closes its connections. The wait ends with the next greeting, which opens a connection to the running member. The same holds after a disk failure, when another replica starts in the process.

Test: "Another member starts while this one waits, and the third is lost" failed before (no start within 2,000 ms).

--- a/features/formation.feature
+++ b/features/formation.feature
@@ -15,3 +15,10 @@
     Given a control VM that has not formed a group of 3
     And another member that is running in term 2, and a third that is lost
     Then this one joins under a new id within 2000 ms
+
+  # Guards against greetings that are answered, on a connection that stays open,
+  # with what the other member said before it started.
+  Scenario: Another member starts while this one waits, and the third is lost
+    Given a control VM that has formed a group of 3
+    And a third member that is lost, and another that is formed, but not yet running, then running in term 2
+    Then this one starts within 2000 ms
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -8,11 +8,11 @@
 
 from behave import given
 from behave import then
-from grpclib import server as grpc_server
 
 from bench import deployment as deployment_lib
 from cardamomkeel import clock
 from cardamomkeel.control import formation as formation_lib
+from cardamomkeel.control import grpc_server as grpc_server_lib
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.settings import addresses
@@ -29,6 +29,8 @@
         member_id="control-2.first", formed=True
     ),
 }
+# Time for some greetings of a member.
+GREETINGS_MS = 5 * formation_lib.GREET_PAUSE_MS
 
 
 class Peer(formation_lib._FormationService):  # noqa: SLF001
@@ -78,16 +80,33 @@
     context.reply = REPLIES[state]
 
 
+@given(
+    "a third member that is lost, and another that is {first}, then {second}"
+)
+def set_changing_peer(context, first, second):
+    context.reply = REPLIES[second]
+    context.first_reply = REPLIES[first]
+
+
+async def start_peer(context, reply):
+    server = grpc_server_lib.make_server([Peer(reply)], clock.MonotonicClock())
+    await server.start(*addresses.split(context.addresses["control-2"]))
+    return server
+
+
 def run(context, ms):
     """Returns whether the formation ended within a time."""
 
     async def form():
-        server = grpc_server.Server([Peer(context.reply)])
-        address = context.addresses["control-2"]
-        await server.start(*addresses.split(address))
+        forming = asyncio.ensure_future(context.formation.run())
+        if "first_reply" in context:
+            server = await start_peer(context, context.first_reply)
+            await asyncio.sleep(GREETINGS_MS / 1000)
+            server.close()
+        server = await start_peer(context, context.reply)
         try:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(context.formation.run(), ms / 1000)
+                await asyncio.wait_for(forming, ms / 1000)
                 return True
             return False
         finally:
--- a/src/cardamomkeel/control/grpc_server.py
+++ b/src/cardamomkeel/control/grpc_server.py
@@ -1,10 +1,12 @@
 """Makes the gRPC servers of control VMs, which refuse malformed messages."""
 
 import typing
+import weakref
 
 from grpclib import const as grpc_const
 from grpclib import events as grpc_events
 from grpclib import exceptions as grpc_exceptions
+from grpclib import protocol as grpc_protocol
 from grpclib import server as grpc_server
 import loguru
 
@@ -18,6 +20,32 @@
 logger = loguru.logger
 
 
+class _Server(grpc_server.Server):
+    """Closes its connections when it is closed.
+
+    grpclib leaves them open, with the services of the closed server. Another
+    server at the same address would not be heard on them.
+    """
+
+    def __init__(self, services: list[typing.Any]):
+        super().__init__(services)
+        self._protocols: weakref.WeakSet[grpc_protocol.H2Protocol] = (
+            weakref.WeakSet()
+        )
+
+    def _protocol_factory(self) -> grpc_protocol.H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def close(self) -> None:
+        """Stops listening and ends all calls and connections."""
+        super().close()
+        for protocol in list(self._protocols):
+            if hasattr(protocol, "processor"):
+                protocol.processor.close("the server was closed")
+
+
 def make_server(
     services: list[typing.Any], clk: clock.Clock
 ) -> grpc_server.Server:
@@ -42,7 +70,7 @@
 
         event.method_func = handle_checked
 
-    server = grpc_server.Server(services)
+    server = _Server(services)
     grpc_events.listen(server, grpc_events.RecvRequest, check_messages)
     return server
 
