Take no more requests from callers that never wait once a stop is under way

Callers saw, on real machines: an entry got SIGTERM in calm, and lookups that it had passed on ended with a closed connection when the time for the stop was over. Another operator reports the same of requests that came late.

Cause: a response of a stopping entry closed its connection only if no other request of that connection waited. A caller that sends on without waiting kept its connection until the end of the stop, when its requests were cut.

Change: after listening has ended, a connection takes no request behind those it has, and the last response closes it. An incomplete request is told 503 0.5 s later. Listening ends after 2.4 s at the latest, since later requests would have to be finished however long they take.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import socket
 import threading
 import time
@@ -307,6 +308,11 @@
         """Waits for the peer; returns whether it closed without more bytes."""
         return self.sock.recv(1) == b""
 
+    def shut_down(self):
+        """Ends the calls of other threads on this connection."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self):
         """Closes the connection."""
         self.sock.close()
--- a/features/steps/stop_gateway.py
+++ b/features/steps/stop_gateway.py
@@ -1,6 +1,8 @@
 """Steps about planned stops of a gateway, at each moment of a request."""
 
 import asyncio
+import contextlib
+import itertools
 import threading
 import time
 
@@ -168,3 +170,161 @@
 @then("the stop aborted no request")
 def check_not_aborted(context):
     assert context.stopping.result(20), "a request was aborted"
+
+
+@given("each request takes {ms:d} ms")
+def set_work(context, ms):
+    for target in context.rig.farm.targets:
+        target.work_s = ms / 1000
+
+
+@when(
+    "{count:d} callers send a lookup every {ms:d} ms until they are cut off "
+    "while the entry is stopped"
+)
+def send_without_waiting(context, count, ms):
+    conns = [context.rig.connect() for _ in range(count)]
+    context.pipelines = [[] for _ in conns]
+
+    def send(conn, sent):
+        with contextlib.suppress(OSError):
+            while True:
+                sent.append(conn.send())
+                time.sleep(ms / 1000)
+
+    def receive(conn, answers):
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                answers.append(conn.receive().status)
+
+    context.answers = [[] for _ in conns]
+    threads = [
+        threading.Thread(target=job, args=args)
+        for conn, sent, answers in zip(
+            conns, context.pipelines, context.answers, strict=True
+        )
+        for job, args in ((send, (conn, sent)), (receive, (conn, answers)))
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(10 * ms / 1000)
+    context.stopped_at = time.monotonic()
+    begin_stop(context)
+    context.stopping.result(20)
+    for conn in conns:
+        conn.shut_down()
+    for thread in threads:
+        thread.join()
+
+
+@then("each request that reached a target is answered completely")
+def check_reached_answered(context):
+    reached = list_reached(context)
+    for sent, statuses in zip(context.pipelines, context.answers, strict=True):
+        assert 200 in statuses, statuses
+        # Answers come in the order of the requests.
+        lost = [
+            (number, status)
+            for number, status in itertools.zip_longest(sent, statuses)
+            if number in reached and status != 200
+        ]
+        assert not lost, lost
+
+
+def list_reached(context):
+    return {
+        arrival.request_id: arrival.at
+        for target in context.rig.farm.targets
+        for arrival in target.arrivals
+    }
+
+
+@then("no request reached a target later than {ms:d} ms after the stop began")
+def check_reached_early(context, ms):
+    until = context.stopped_at + ms / 1000
+    late = [at for at in list_reached(context).values() if at > until]
+    assert not late, late
+
+
+def add_long_routes(context, timeout_ms):
+    routes = [dict(r, timeout_ms=timeout_ms) for r in gateway_lib.ROUTES]
+    context.rig.set_routes(routes, 1)
+    context.target = context.rig.add_target()
+
+
+@given("routes with a timeout of {ms:d} ms, and 1 target that never answers")
+def add_silent_target(context, ms):
+    add_long_routes(context, ms)
+    context.target.default_behaviour = "hang"
+
+
+@given(
+    "routes with a timeout of {ms:d} ms, and 1 target whose first answer never "
+    "comes"
+)
+def add_once_silent_target(context, ms):
+    add_long_routes(context, ms)
+    context.target.behaviours = ["hang"]
+
+
+def stop_with_requests(context, raws, count):
+    context.conns = []
+    for raw in raws:
+        conn = context.rig.connect()
+        context.add_cleanup(conn.close)
+        conn.send_raw(raw)
+        context.conns.append(conn)
+    wait_for_arrivals(context, count)
+    begin_stop(context)
+
+
+def wait_for_arrivals(context, count):
+    until = time.monotonic() + 5
+    while len(context.target.arrivals) < count:
+        assert time.monotonic() < until, context.target.arrivals
+        time.sleep(0.01)
+
+
+LONG_DEADLINE = b"Deadline-Ms: 20000"
+MAKERS = {"lookup": make_lookup, "booking": make_booking}
+
+
+def make_patient(what, number):
+    raw = MAKERS[what](number)
+    return raw.replace(b"Deadline-Ms: 4000", LONG_DEADLINE)
+
+
+@when(
+    "a {what} was sent on each of {count:d} connections, and the entry is "
+    "stopped"
+)
+def send_and_stop(context, what, count):
+    raws = [make_patient(what, number) for number in range(count)]
+    stop_with_requests(context, raws, count)
+
+
+@when("a caller has sent 2 lookups at once, and the entry is stopped")
+def send_two_and_stop(context):
+    raw = make_patient("lookup", 1) + make_patient("lookup", 2)
+    stop_with_requests(context, [raw], 2)
+
+
+@then("each connection gets a last answer with status {status:d}")
+def check_last_answers(context, status):
+    for conn in context.conns:
+        answer = conn.receive()
+        assert answer.status == status, answer
+        assert answer.headers.get("connection") == "close", answer
+        assert conn.is_closed()
+
+
+@then("the caller gets answers with status {first:d} and {second:d}")
+def check_statuses(context, first, second):
+    (conn,) = context.conns
+    statuses = [conn.receive().status for _ in range(2)]
+    assert statuses == [first, second], statuses
+
+
+@then("no target received a request")
+def check_none_received(context):
+    assert not list_reached(context)
--- a/features/stop_gateway.feature
+++ b/features/stop_gateway.feature
@@ -26,3 +26,21 @@
     When callers connect and send every 20 ms while the entry is stopped
     Then each of their requests is answered completely or reached no entry
     And the stop aborted no request
+
+  # Guards against requests that are taken until the stop ends, and cut then.
+  Scenario: Callers that never wait for their answers while the entry stops
+    Given an entry that takes new connections for 300 ms while it stops
+    And routes for lookups and bookings, and 3 targets
+    And each request takes 400 ms
+    When 4 callers send a lookup every 50 ms until they are cut off while the entry is stopped
+    Then each request that reached a target is answered completely
+    And no request reached a target later than 1500 ms after the stop began
+    And the stop aborted no request
+
+  Scenario: A request that is still incomplete when the stop takes no more
+    Given an entry that takes new connections for 300 ms while it stops
+    And routes for lookups and bookings, and 1 targets
+    When half the body of a booking was sent on each of 2 connections
+    And the entry is stopped, and after 1500 ms the rest is sent
+    Then each connection gets a last answer with status 503
+    And no target received a request
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -37,6 +37,9 @@
 # A stopping process closes connections that were unused for this time. On a
 # connection that was just opened, a request may be on its way.
 MIN_UNUSED_MS = 300.0
+# How long after it stopped to listen a stopping process waits for the rest of a
+# request.
+LAST_REQUEST_MS = 500.0
 
 _SAFE_METHODS = frozenset(["GET", "HEAD"])
 # Duplicates of these headers are rejected, since two parsers may pick different
@@ -121,9 +124,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and rejects invalid requests."""
         if self._closing:
-            self._discarded.count_received(len(data))
-            if self._discarded.is_exceeded():
-                self.abort()
+            self._discard(data)
             return
         if self._receiving and self._headers_done:
             self._start_timer(BODY_STALL_MS, self._reject_slow)
@@ -142,6 +143,16 @@
             if self._framing.is_exceeded():
                 self._reject(431, "too many bytes outside a body")
 
+    def _discard(self, data: bytes) -> None:
+        self._discarded.count_received(len(data))
+        if not self._discarded.is_exceeded():
+            return
+        if not self._pipeline:
+            self.abort()
+        elif not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
     # Called by the parser.
 
     def _reset_request(self) -> None:
@@ -156,6 +167,8 @@
     def on_message_begin(self) -> None:
         """Begins a request and starts its header timer."""
         self._reset_request()
+        if self._closing:
+            return
         self._receiving = True
         self._limits = self._server.limits()
         self._framing.limit = self._limits.header_bytes + MAX_REQUEST_LINE_BYTES
@@ -186,6 +199,8 @@
             _RequestRejected: A header is ambiguous or the body is too long.
         """
         self._headers_done = True
+        if self._closing:
+            return
         seen = set()
         for name, value in self._headers:
             lowered = name.lower()
@@ -218,6 +233,8 @@
 
     def on_message_complete(self) -> None:
         """Queues a complete request; pauses reading if the queue is full."""
+        if self._closing:
+            return
         self._receiving = False
         self._framing.reset()
         self._stop_timer()
@@ -231,6 +248,7 @@
         pipelined = _PipelinedRequest(req, self._parser.should_keep_alive())
         self._pipeline.append(pipelined)
         self._body = []
+        self._closing = self._server.takes_no_more
         self._start_ready()
         if len(self._pipeline) >= MAX_PIPELINED_REQUESTS and not self._paused:
             self._paused = True
@@ -371,6 +389,18 @@
             self._closing = True
             self._transport.close()
 
+    def take_no_more(self) -> None:
+        """Discards requests behind those that were received."""
+        if self._pipeline and not self._closing:
+            self._closing = True
+            self._receiving = False
+            self._stop_timer()
+
+    def reject_incomplete(self) -> None:
+        """Rejects a request that is not complete yet; it has not run."""
+        if self._receiving and not self._closing:
+            self._reject(503, "this process stops")
+
     def abort(self) -> None:
         """Closes the connection at once."""
         if self._transport is not None:
@@ -388,6 +418,7 @@
         rejection_limit: Limits the rate of log lines on invalid requests.
         in_flight: Number of requests in the handler.
         stopping: Whether each response closes its connection.
+        takes_no_more: Whether a connection takes no request behind another.
     """
 
     def __init__(
@@ -405,6 +436,7 @@
         self.connections: set[_Connection] = set()
         self.in_flight = 0
         self.stopping = False
+        self.takes_no_more = False
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -434,16 +466,22 @@
             self._server = None
 
     async def finish(self, until: clock.Millis) -> bool:
-        """Waits for the requests in flight, then closes all connections.
+        """Takes no new requests, waits, then closes all connections.
 
         Args:
             until: When to stop waiting.
 
         Returns:
-            False if requests were aborted.
+            Whether all requests were answered.
         """
+        self.takes_no_more = True
+        for conn in list(self.connections):
+            conn.take_no_more()
+        reject_at = self.clk.now() + LAST_REQUEST_MS
         while self.connections and self.clk.now() < until:
             for conn in list(self.connections):
+                if self.clk.now() >= reject_at:
+                    conn.reject_incomplete()
                 conn.close_if_unused()
             await asyncio.sleep(clock.seconds(CLOSE_CHECK_INTERVAL_MS))
         completed = not self.in_flight
--- a/src/cardamomkeel/platform/timings.py
+++ b/src/cardamomkeel/platform/timings.py
@@ -25,6 +25,12 @@
 # A stopping entry accepts new connections for this share of the stop time,
 # since some callers do not know yet that it is stopping.
 LISTEN_SHARE = 0.4
+# A request that a caller sent later than this after the begin of a stop has to
+# be answered before the stop ends, however long its target takes.
+LATE_REQUEST_MS = 3000
+# How long before that a stopping entry stops to listen: it goes on reading the
+# requests of connections that are open.
+LATE_REQUEST_MARGIN_MS = 600
 # Callers cache the addresses of entries for this time at most.
 KEEP_ADDRESSES_MS = 2000
 
@@ -43,7 +49,8 @@
 
 def listen_on_ms(bounds: node_file.Bounds) -> int:
     """Returns how long a stopping entry accepts new connections."""
-    return int(bounds.grace_s * clock.MS_PER_SECOND * LISTEN_SHARE)
+    listen_ms = bounds.grace_s * clock.MS_PER_SECOND * LISTEN_SHARE
+    return int(min(listen_ms, LATE_REQUEST_MS - LATE_REQUEST_MARGIN_MS))
 
 
 def keep_addresses_ms(bounds: node_file.Bounds) -> int:
