Answer what is unanswered when the time for a stop of an entry is over

Callers saw: connections closed without an answer at the end of a planned stop, where a target had never answered; answers that other targets had given to requests behind it on the connection were lost too.

Cause: `HttpServer.finish` aborted all connections.

Change: the handlers are cancelled and answer, 503 if the request was never offered to a target, 502 otherwise; the answers behind them are written; then the connections are closed.

--- a/features/stop_gateway.feature
+++ b/features/stop_gateway.feature
@@ -37,6 +37,24 @@
     And no request reached a target later than 1500 ms after the stop began
     And the stop aborted no request
 
+  # Guards against connections that end without a word when the stop ends.
+  Scenario Outline: <Requests> whose target never answers when the stop ends
+    Given an entry that takes new connections for 300 ms while it stops
+    And routes with a timeout of 20000 ms, and 1 target that never answers
+    When a <request> was sent on each of 3 connections, and the entry is stopped
+    Then each connection gets a last answer with status 502
+
+    Examples:
+      | Requests | request |
+      | Lookups  | lookup  |
+      | Bookings | booking |
+
+  Scenario: An answer that waits behind one that never comes is not lost
+    Given an entry that takes new connections for 300 ms while it stops
+    And routes with a timeout of 20000 ms, and 1 target whose first answer never comes
+    When a caller has sent 2 lookups at once, and the entry is stopped
+    Then the caller gets answers with status 502 and 200
+
   Scenario: A request that is still incomplete when the stop takes no more
     Given an entry that takes new connections for 300 ms while it stops
     And routes for lookups and bookings, and 1 targets
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -52,6 +52,8 @@
 MAX_CRASHED_TARGETS = 2
 # How long a crashed target may take until it refuses connections.
 CRASH_CHECK_DELAY_MS = 50.0
+# Why a request is not finished when this process ends.
+ENDING = "this entry stops"
 # Remaining time of a caller without a deadline header, while no route is known.
 DEFAULT_DEADLINE_MS = 1000.0
 
@@ -59,7 +61,12 @@
 
 
 class Gateway:
-    """Handles requests of callers with the targets of all entries."""
+    """Handles requests of callers with the targets of all entries.
+
+    Attributes:
+        is_ending: Whether a request that is cancelled is answered, since this
+            process ends.
+    """
 
     def __init__(
         self,
@@ -95,6 +102,7 @@
         self._background_tasks: set[asyncio.Task] = set()
         self._started_at = clk.now()
         self._has_routes = asyncio.Event()
+        self.is_ending = False
 
     def wake(self) -> None:
         """Wakes waiting requests after a change of the view or of loads."""
@@ -104,6 +112,14 @@
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Returns the response to a request of a caller."""
+        try:
+            return await self._handle(req)
+        except asyncio.CancelledError:
+            if not self.is_ending:
+                raise
+            return self._reject(503, ENDING)
+
+    async def _handle(self, req: messages.Request) -> messages.Response:
         view = self._session.view
         if view.table.document is None and not await self._wait_for_routes(req):
             return self._reject(
@@ -133,7 +149,13 @@
         if self._crashes_targets(ctx):
             ctx.reason = "it crashed targets before"
             return self._give_up(ctx)
-        response = await self._serve(ctx)
+        try:
+            response = await self._serve(ctx)
+        except asyncio.CancelledError:
+            if not self.is_ending:
+                raise
+            ctx.reason = ENDING
+            response = self._give_up(ctx)
         self._record_response(ctx, response)
         return response
 
@@ -192,7 +214,9 @@
             target = await self._selector.select(ctx)
             if target is None:
                 return self._give_up(ctx)
+            ctx.is_sending = True
             attempt = await self._send(ctx, target)
+            ctx.is_sending = False
             if attempt.result is sending.SendResult.ANSWERED:
                 if not self._is_resendable_failure(ctx, attempt):
                     return attempt.response
@@ -342,7 +366,7 @@
         """Returns the response to a request that no target answered."""
         if ctx.failed_response is not None:
             return ctx.failed_response
-        if not ctx.may_have_run:
+        if not ctx.may_have_run and not ctx.is_sending:
             return self._reject(503, ctx.reason, ctx)
         is_expired = (
             ctx.is_timed_out or self._clock.now() >= ctx.outgoing.deadline
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -40,6 +40,8 @@
 # How long after it stopped to listen a stopping process waits for the rest of a
 # request.
 LAST_REQUEST_MS = 500.0
+# How long the last responses of a stopping process may take to be sent.
+LAST_RESPONSES_MS = 150.0
 
 _SAFE_METHODS = frozenset(["GET", "HEAD"])
 # Duplicates of these headers are rejected, since two parsers may pick different
@@ -401,6 +403,14 @@
         if self._receiving and not self._closing:
             self._reject(503, "this process stops")
 
+    def end_unanswered(self) -> None:
+        """Has the handlers answer at once; drops requests without one."""
+        while self._pipeline and self._pipeline[-1].task is None:
+            self._pipeline.pop()
+        for pipelined in self._pipeline:
+            if pipelined.response is None:
+                pipelined.task.cancel()
+
     def abort(self) -> None:
         """Closes the connection at once."""
         if self._transport is not None:
@@ -466,7 +476,7 @@
             self._server = None
 
     async def finish(self, until: clock.Millis) -> bool:
-        """Takes no new requests, waits, then closes all connections.
+        """Waits for the requests in flight and takes no new ones.
 
         Args:
             until: When to stop waiting.
@@ -484,7 +494,23 @@
                     conn.reject_incomplete()
                 conn.close_if_unused()
             await asyncio.sleep(clock.seconds(CLOSE_CHECK_INTERVAL_MS))
-        completed = not self.in_flight
+        return not self.in_flight
+
+    async def end_unanswered(self) -> None:
+        """Has the handlers answer at once, and waits for the last responses.
+
+        The handlers are cancelled, and may return a response then.
+        """
+        for conn in list(self.connections):
+            conn.end_unanswered()
+        until = self.clk.now() + LAST_RESPONSES_MS
+        while self.in_flight and self.clk.now() < until:
+            await asyncio.sleep(0)
+        # The callers read the responses and close their side.
+        while self.connections and self.clk.now() < until:
+            await asyncio.sleep(clock.seconds(CLOSE_CHECK_INTERVAL_MS))
+
+    def close(self) -> None:
+        """Closes all connections at once."""
         for conn in list(self.connections):
             conn.abort()
-        return completed
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -155,6 +155,11 @@
         await asyncio.sleep(clock.seconds(remaining_ms))
         await self.server.stop_listening()
         completed = await self.server.finish(until)
+        unanswered = self.server.in_flight
+        if not completed:
+            self.gateway.is_ending = True
+            await self.server.end_unanswered()
+        self.server.close()
         with anyio.move_on_after(clock.seconds(max(0, until - self.clk.now()))):
             await self._leave(finished=True)
         self.upstream.close()
@@ -163,9 +168,7 @@
         if completed:
             logger.info("stopped")
         else:
-            logger.warning(
-                "stopped with requests in flight", count=self.server.in_flight
-            )
+            logger.warning("stopped with requests in flight", count=unanswered)
         return completed
 
     async def _leave(self, finished: bool) -> None:
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -20,6 +20,7 @@
             clock.
         tried: The targets that the request was sent to.
         unreachable: The targets that could not be reached.
+        is_sending: Whether an attempt is in progress.
         may_have_run: Whether a target may have run the request.
         is_timed_out: Whether its time ran out while a target had the request.
         failed_response: The last answer with a status of 500 or more.
@@ -51,6 +52,7 @@
         self.useful_until = outgoing.req.arrived + route.objective_ms - spent_ms
         self.tried: list[target_lib.Target] = []
         self.unreachable: list[target_lib.Target] = []
+        self.is_sending = False
         self.may_have_run = False
         self.is_timed_out = False
         self.failed_response: messages.Response | None = None
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -253,6 +253,7 @@
                 # The calls need this member to reach the new leader.
                 await self._server.stop_listening()
                 await self._server.finish(self._clock.now() + FINISH_CALLS_MS)
+                self._server.close()
                 await node.leave()
                 tasks.cancel_scope.cancel()
         finally:
