Keep bodies in tiny chunks in about the memory of their bytes

Other operators saw: a faulty target sent bytes without end and the machine that had called it ran out of memory. Heads and framing were bounded here, the memory for a body in tiny chunks was not.

Cause: each chunk was an object of its own, 56 bytes for two; the limits count bytes of the body.

Change: `BodyParts` copies short parts together, for requests, answers and streams, so a limit in bytes is a limit of the memory. A connection that fails drops its body.

--- a/features/steps/unbounded_input.py
+++ b/features/steps/unbounded_input.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import concurrent.futures
+import pathlib
+import resource
 import threading
 import time
 
@@ -18,6 +20,7 @@
 
 MB = 1_000_000
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+TINY_CHUNK = b"2\r\nxx\r\n"
 # What is sent once, and what is then sent again and again.
 ANSWERS = {
     "a header value": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x"),
@@ -37,6 +40,7 @@
         CHUNKED + b"ID\r\n\r\n",
         b"1000\r\n" + b"x" * 0x1000 + b"\r\n",
     ),
+    "a body in tiny chunks": (CHUNKED + b"ID\r\n\r\n", TINY_CHUNK),
     "a body without a length": (b"HTTP/1.1 200 OK\r\nID\r\n\r\n", b"x"),
 }
 HEAD = (
@@ -50,6 +54,7 @@
     "a chunk extension": (HEAD + b"\r\n1;", b"x"),
     "a trailer": (HEAD + b"\r\n0\r\nX-Long: ", b"x"),
     "blank lines": (b"", b"\r\n"),
+    "a body in tiny chunks": (HEAD + b"\r\n", TINY_CHUNK),
 }
 LOOP_CHECK_S = 0.01
 
@@ -102,6 +107,51 @@
     context.rig.set_routes(gateway_lib.ROUTES, 1)
 
 
+@given("an entry whose requests may have bodies of {size:d} MB")
+def start_with_short_bodies(context, size):
+    context.rig = gateway_lib.Rig()
+    context.add_cleanup(context.rig.close)
+    context.rig.set_routes(gateway_lib.ROUTES, 1, body_bytes=size * MB)
+
+
+def read_resident_mb():
+    """Returns the resident size of this process, which runs the entry."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / MB
+
+
+class MemoryWatch:
+    """Measures how much this process grows, until it is stopped."""
+
+    def __init__(self):
+        self._stop = threading.Event()
+        self._before = read_resident_mb()
+        self.growth_mb = 0.0
+        self._thread = threading.Thread(target=self._watch)
+        self._thread.start()
+
+    def _watch(self):
+        while not self._stop.wait(LOOP_CHECK_S):
+            growth = read_resident_mb() - self._before
+            self.growth_mb = max(self.growth_mb, growth)
+
+    def stop(self):
+        """Ends the measurement."""
+        self._stop.set()
+        self._thread.join()
+
+
+@then("the process grew by at most {most:d} MB")
+def check_growth(context, most):
+    context.memory.stop()
+    assert context.memory.growth_mb <= most, context.memory.growth_mb
+
+
+def watch_memory(context):
+    context.memory = MemoryWatch()
+    context.add_cleanup(context.memory.stop)
+
+
 @given("a backend server that sends {what} without end")
 def start_flooding_server(context, what):
     add_raw_server(context, what)
@@ -109,6 +159,7 @@
 
 @when("{count:d} bookings are sent at once")
 def send_bookings(context, count):
+    watch_memory(context)
     with concurrent.futures.ThreadPoolExecutor(count) as executor:
         futs = [
             executor.submit(context.rig.call, "POST", f"/book/{number}", b"x")
@@ -136,6 +187,7 @@
 def send_endless_request(context, what):
     start, piece = REQUESTS[what]
     piece = piece * (raw_server.PIECE_BYTES // len(piece))
+    watch_memory(context)
     caller = context.rig.connect()
     context.add_cleanup(caller.close)
     context.written = 0
--- a/features/unbounded_input.feature
+++ b/features/unbounded_input.feature
@@ -63,3 +63,18 @@
       | a chunk extension |
       | a trailer         |
       | blank lines       |
+
+  # Guards against parts of a body that take many times the memory of its bytes.
+  Scenario: An answer in chunks of two bytes takes the memory of its bytes
+    Given an entry whose answers may take 2 MB in all
+    And a target that sends a body in tiny chunks without end
+    When 1 bookings are sent at once
+    Then each of them ends with status 502
+    And the process grew by at most 16 MB
+
+  Scenario: A request in chunks of two bytes takes the memory of its bytes
+    Given an entry whose requests may have bodies of 2 MB
+    And 1 target
+    When a caller sends a body in tiny chunks without end
+    Then the entry has ended the connection after at most 24 MB
+    And the process grew by at most 16 MB
--- a/src/cardamomkeel/backend_servers/body_stream.py
+++ b/src/cardamomkeel/backend_servers/body_stream.py
@@ -4,6 +4,7 @@
 import collections.abc
 import typing
 
+from cardamomkeel import body_parts
 from cardamomkeel import buffers
 from cardamomkeel.backend_servers import client
 from cardamomkeel.routing import messages
@@ -37,7 +38,7 @@
     def __init__(self, source: Source, share: buffers.Share):
         self._source = source
         self._share = share
-        self._parts: list[bytes] = []
+        self._parts = body_parts.BodyParts()
         self._size = 0
         self._is_paused = False
         self._is_complete = False
@@ -107,8 +108,7 @@
             await self._changed.wait()
         if self.failure is not None:
             raise messages.TruncatedBodyError(self.failure.message)
-        data = b"".join(self._parts)
-        self._parts.clear()
+        data = self._parts.join()
         self._size = 0
         self._update_reading()
         return data
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from cardamomkeel import body_parts
 from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import http_framing
@@ -335,7 +336,7 @@
         self._status = 0
         self._headers: messages.Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        self._body = body_parts.BodyParts()
         self._size = 0
         self._complete = False
         self._has_surplus = False
@@ -356,9 +357,7 @@
         The answer has a stream, which returns the body.
         """
         self._stream = body_stream.BodyStream(self, self._share)
-        for part in self._body:
-            self._stream.feed(part)
-        self._body = []
+        self._stream.feed(self._body.join())
         if self._answer.done():
             # The request has timed out or was cancelled.
             self._stream.close()
@@ -376,9 +375,7 @@
         self.resume()
 
     def _finish(self) -> None:
-        answer = messages.Answer(
-            self._status, self._headers, b"".join(self._body)
-        )
+        answer = messages.Answer(self._status, self._headers, self._body.join())
         waiter, self._answer = self._answer, None
         stream, self._stream = self._stream, None
         self.answers += 1
@@ -387,7 +384,7 @@
         elif self._is_head:
             # The parser still expects a body, which an answer to HEAD lacks.
             self._parser = httptools.HttpResponseParser(self)
-        self._headers, self._body = [], []
+        self._headers = []
         if stream is not None:
             stream.complete()
         elif not waiter.done():
@@ -396,6 +393,7 @@
     def _fail(self, reason: str) -> None:
         waiter, self._answer = self._answer, None
         stream, self._stream = self._stream, None
+        self._body.clear()
         if stream is not None:
             stream.fail(client.FailureKind.BROKEN, reason)
         elif waiter is not None and not waiter.done():
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -14,6 +14,7 @@
 import httptools
 import loguru
 
+from cardamomkeel import body_parts
 from cardamomkeel import clock
 from cardamomkeel import http_framing
 from cardamomkeel import http_headers
@@ -118,6 +119,7 @@
         self._server.connections.discard(self)
         self._stop_timer()
         self._closing = True
+        self._body.clear()
         for pipelined in self._pipeline:
             if pipelined.task is not None:
                 pipelined.task.cancel()
@@ -161,7 +163,7 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        self._body = body_parts.BodyParts()
         self._body_bytes = 0
         self._headers_done = False
         self._began_at = 0.0
@@ -244,12 +246,11 @@
             self._parser.get_method().decode("ascii"),
             self._url.decode("latin-1"),
             self._headers,
-            b"".join(self._body),
+            self._body.join(),
             self._began_at,
         )
         pipelined = _PipelinedRequest(req, self._parser.should_keep_alive())
         self._pipeline.append(pipelined)
-        self._body = []
         self._closing = self._server.takes_no_more
         self._start_ready()
         if len(self._pipeline) >= MAX_PIPELINED_REQUESTS and not self._paused:
