Test copies of earlier refusals at each moment, with and without their id

Another operator reports that a copy of an earlier refusal on a kept connection was taken for the answer to a later request, which was told "not run" or sent to a second target. That does not happen here: an answer with the id of another request is discarded, a refusal without an id on a connection that has had an answer ends the attempt as one that may have run, and bytes on an unused connection close it.

--- a/features/duplicate_answers.feature
+++ b/features/duplicate_answers.feature
@@ -17,6 +17,23 @@
       | a success               | before the next answer, cut in two   |
       | a success               | between the two requests             |
       | a refusal               | in one segment with the next answer  |
+      | a refusal               | before the next answer, cut in two   |
+      | a refusal               | between the two requests             |
+
+  # Guards against a promise that a request has not run, made by the copy of an
+  # earlier refusal.
+  Scenario Outline: The copy of a refusal comes without its id <when>
+    Given an entry of the platform that prefers this server to another one
+    When the first answer is a refusal, and a copy without its id comes <when>
+    And two bookings are sent one after the other to this server first
+    Then the second one was not refused
+    And the second one reached no other server
+
+    Examples:
+      | when                                |
+      | in one segment with the next answer |
+      | before the next answer, cut in two  |
+      | between the two requests            |
 
   Scenario: A refusal without an id may be a copy, so it promises nothing
     Given an entry of the platform that uses only this server
--- a/features/steps/duplicate_answers.py
+++ b/features/steps/duplicate_answers.py
@@ -27,8 +27,8 @@
 def start_server(context):
     async def respond(req, write):
         if req.number == 1 and len(context.raw.requests) == 1:
-            context.copy = make_answer(req, context.kind)
-            await write(context.copy)
+            await write(make_answer(req, context.kind))
+            context.copy = make_answer(req, context.copy_kind)
             if context.moment == "between the two requests":
                 await asyncio.sleep(PAUSE_S)
                 await write(context.copy)
@@ -59,7 +59,7 @@
 
 @when("the first answer is {kind} and its copy comes {moment}")
 def choose_copy(context, kind, moment):
-    context.kind = kind
+    context.kind = context.copy_kind = kind
     context.moment = moment
     without_ids = kind == "a success without an id"
     context.own_kind = kind if without_ids else "a success"
@@ -68,9 +68,45 @@
 @when("every answer is a refusal without an id")
 def refuse_without_id(context):
     context.kind = context.own_kind = "a refusal without an id"
+    context.copy_kind = context.kind
     context.moment = "never"
 
 
+@given("an entry of the platform that prefers this server to another one")
+def start_entry_with_two(context):
+    start_entry(context)
+    # Requests go to another data centre only if the own one can't serve them.
+    context.other = context.rig.add_target(data_centre="vannes")
+
+
+@when("the first answer is a refusal, and a copy without its id comes {moment}")
+def choose_copy_without_id(context, moment):
+    choose_copy(context, "a refusal", moment)
+    context.copy_kind = "a refusal without an id"
+
+
+@when("two bookings are sent one after the other to this server first")
+def send_to_first(context):
+    context.statuses = []
+    for number in (1, 2):
+        answer = context.rig.call("POST", f"/book/{number}", b"an urn")
+        context.statuses.append(answer.status)
+        if number == 1:
+            context.rig.do(asyncio.sleep(3 * PAUSE_S))
+
+
+@then("the second one was not refused")
+def check_not_refused(context):
+    assert "/book/2" in [req.path for req in context.raw.requests]
+    assert context.statuses[1] in (200, 502), context.statuses
+
+
+@then("the second one reached no other server")
+def check_no_other(context):
+    paths = [arrival.path for arrival in context.other.arrivals]
+    assert paths == ["/book/1"], paths
+
+
 @when("two bookings are sent one after the other")
 def send_bookings(context):
     context.bodies = []
