Leave targets alone that say they leave or that push back

Cause: no code read `Server-Leaving` or `Retry-After` in an answer of a target. An entry that was cut off from control went on with a target that had left, and a target that wanted nothing for some seconds got requests all the same.

Change: the header is noted while it is parsed, in any answer on a connection of the target, and ends the selection of that incarnation in this entry; it is hidden from callers. 503 with Retry-After holds the target, with a bound from `recovery-s`; it comes back by one request, then two, four. A request that no target can serve in time is refused at once with the time until the first returns (`policy/push_back.py`, `policy/departures.py`). Waits end at once, too, where every target of the service has been tried or taken out of service.

Telling the other entries was weighed and left out (docs/design/platform.md).

`FullTargets` stands in for the new question to the targets instead of one that is not asked any more.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -51,6 +51,7 @@
     Attributes:
         farm: Runs the targets.
         program: The gateway.
+        routes_record: The row of the routes; None before there is one.
     """
 
     def __init__(self, **settings):
@@ -59,6 +60,7 @@
         self.version = 0
         self.rows = {}
         self.program = None
+        self.routes_record = None
         self.loop = uvloop.new_event_loop()
         self._pool = concurrent.futures.ThreadPoolExecutor(64)
         self._thread = threading.Thread(target=self._run_loop, daemon=True)
@@ -127,17 +129,13 @@
         document = structs.convert(
             content, document_lib.RoutesDocument, "the test"
         ).unwrap()
-        self.apply_rows(
-            [
-                control_pb2.Record(
-                    key="routes",
-                    routes=control_pb2.RoutesRecord(
-                        number=number,
-                        document=structs.encode(document),
-                    ),
-                )
-            ]
+        self.routes_record = control_pb2.Record(
+            key="routes",
+            routes=control_pb2.RoutesRecord(
+                number=number, document=structs.encode(document)
+            ),
         )
+        self.apply_rows([self.routes_record])
 
     def add_target(
         self, data_centre=OWN_DATA_CENTRE, service="dossier", **more
--- a/bench/platform_fault_kinds.py
+++ b/bench/platform_fault_kinds.py
@@ -71,6 +71,11 @@
     if number == signal.SIGKILL:
         for vm in vms:
             _record_disruption(run, vm, began, began + DOWNTIME_S)
+    else:
+        for vm in vms:
+            run.restarts.append(
+                platform_soak.Disruption(vm.name, began, began + DOWNTIME_S)
+            )
     for vm in vms:
         vm.process.send_signal(number)
     for vm in vms:
@@ -141,6 +146,25 @@
     )
 
 
+def leave_in_answers(run: platform_soak.Run) -> None:
+    """Makes a target say in its answers that it leaves, and adds another one.
+
+    Its heartbeats go on saying that it is ready.
+    """
+    target = _pick_target(run)
+    run.fleet.add_target(target.service, target.zone)
+    target.leaving = "1"
+    time.sleep(platform_soak.DRAIN_S + TARGET_FAULT_S)
+
+
+def push_back(run: platform_soak.Run) -> None:
+    """Makes a target push back for a while."""
+    target = _pick_target(run)
+    target.push_back = [str(TARGET_FAULT_S)]
+    time.sleep(TARGET_FAULT_S)
+    target.push_back = None
+
+
 def crash_target(run: platform_soak.Run) -> None:
     """Stops a target without deregistering it."""
     target = _remove_target(run)
@@ -241,6 +265,8 @@
         change_often,
         say_farewell,
         drain_target,
+        leave_in_answers,
+        push_back,
         crash_target,
         reset_answers,
         hang,
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -29,6 +29,9 @@
 DRAIN_S = 2.0
 EVACUATION_S = 5.0
 RECOVERY_S = 15.0
+# How many requests may reach a target that pushes back, after this time.
+MAX_AFTER_PUSH_BACK = 2
+PUSH_BACK_DELAY_S = 0.5
 # These statuses guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 
@@ -43,6 +46,7 @@
         content: The body of the answer.
         entry: The name of the entry that received the request.
         sent_at: Monotonic time at which the request was sent.
+        answered_at: Monotonic time at which it was answered, or None.
         disconnected_at: Monotonic time at which the connection ended without
             an answer; None if it did not.
     """
@@ -56,6 +60,7 @@
     content: bytes = b""
     entry: str = ""
     sent_at: float = 0.0
+    answered_at: float | None = None
     disconnected_at: float | None = None
 
 
@@ -103,6 +108,7 @@
         removed: Targets that no longer announce themselves.
         disruptions: When VMs were killed or frozen. At other times, entries
             must not drop requests.
+        restarts: When entries were stopped with SIGTERM and started again.
         config_number: The newest configuration that was acknowledged.
         steps: The faults so far, for the report.
     """
@@ -114,6 +120,7 @@
         self.out_of_service: list[OutOfService] = []
         self.removed: set = set()
         self.disruptions: list[Disruption] = []
+        self.restarts: list[Disruption] = []
         self.config_number = 1
         self.steps: list[str] = []
         self._stop = threading.Event()
@@ -179,6 +186,7 @@
             call.seal = reply.headers.get("response-seal")
             call.content = reply.content
             call.status = reply.status_code
+            call.answered_at = time.monotonic()
 
     def _make_call(self, rng: random.Random) -> Call:
         request_id = secrets.token_hex(8)
@@ -247,6 +255,7 @@
                 f"{call.entry}, which was neither killed nor frozen"
             )
     violations += [f"no caller sent {request_id}" for request_id in arrivals]
+    violations += _check_signals(run)
     for out in run.out_of_service:
         violations += _check_out_of_service(out)
     return violations
@@ -300,3 +309,71 @@
         for arrival in list(target.arrivals)
         if arrival.ran and out.since < arrival.at < out.until
     ]
+
+
+def _check_signals(run: Run) -> list[str]:
+    """Returns violations at targets that leave or push back."""
+    calls = {call.request_id: call for call in run.calls}
+    by_path = collections.defaultdict(list)
+    for target in run.fleet.farm.targets:
+        for arrival in list(target.arrivals):
+            call = calls.get(arrival.request_id)
+            if call is not None:
+                by_path[call.entry, target.address].append((arrival, call))
+    excuses = run.disruptions + run.restarts
+    violations = []
+    for (entry, address), pairs in by_path.items():
+        own = [fault for fault in excuses if fault.entry == entry]
+        path = f"from {entry} reached {address}"
+        violations += [
+            f"{call.request_id} {path} at {call.sent_at:.2f}, which had left"
+            for call in _find_after_leaving(pairs, own)
+        ]
+        violations += [
+            f"{count} requests {path}, which pushed back"
+            for count in _count_after_push_backs(pairs, own)
+        ]
+    return violations
+
+
+def _is_excused(excuses: list[Disruption], since: float, until: float) -> bool:
+    return any(
+        fault.since <= until and fault.until + CONTACT_S >= since
+        for fault in excuses
+    )
+
+
+def _find_after_leaving(
+    pairs: list[tuple], excuses: list[Disruption]
+) -> list[Call]:
+    """Returns the requests sent too late after an answer was passed on."""
+    told_at = min(
+        (
+            call.answered_at
+            for arrival, call in pairs
+            if arrival.says_leaving and arrival.ran and call.answered_at
+        ),
+        default=float("inf"),
+    )
+    return [
+        call
+        for _, call in pairs
+        if call.sent_at > told_at + DRAIN_S
+        and not _is_excused(excuses, told_at, call.sent_at)
+    ]
+
+
+def _count_after_push_backs(
+    pairs: list[tuple], excuses: list[Disruption]
+) -> list[int]:
+    """Returns how many requests came while the target wanted none."""
+    counts = []
+    for refused, _ in pairs:
+        since = refused.at + PUSH_BACK_DELAY_S
+        until = refused.at + refused.push_back_s
+        if since >= until or _is_excused(excuses, refused.at, until):
+            continue
+        count = sum(since < arrival.at < until for arrival, _ in pairs)
+        if count > MAX_AFTER_PUSH_BACK:
+            counts.append(count)
+    return counts
--- a/bench/platform_targets.py
+++ b/bench/platform_targets.py
@@ -15,6 +15,8 @@
 
 from cardamomkeel.gateway import names as names_lib
 
+# How long after an answer its late copy is sent.
+LATE_S = 0.03
 BODY = b"the whole answer of a target"
 # The header names of the published pages.
 NAMES = names_lib.HeaderNames(
@@ -27,9 +29,18 @@
     retry_after="Retry-After",
     reported_instance="Instance-Id",
     cold="Warmup-Ms",
+    leaving="Server-Leaving",
 )
 
 
+def read_seconds(value):
+    """Returns a number of seconds; 0 for anything else."""
+    try:
+        return float(value)
+    except ValueError:
+        return 0.0
+
+
 @dataclasses.dataclass
 class Arrival:
     """A request that reached a target."""
@@ -44,6 +55,10 @@
     ran: bool = False
     is_finished: bool = False
     is_cancelled: bool = False
+    # Whether the answer said that the target leaves, and for how long it asked
+    # for no more requests.
+    says_leaving: bool = False
+    push_back_s: float = 0.0
 
 
 class _Connection(asyncio.Protocol):
@@ -113,11 +128,19 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def write(self, status, headers, body, request_id=None):
+    def write(self, status, headers, body, request_id=None, kind="own"):
+        says_leaving = self.target.leaving_in == kind
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         if request_id is not None:
             lines.append(f"{self.target.names.request_id}: {request_id}")
         lines.extend(f"{name}: {value}" for name, value in headers.items())
+        names = self.target.names
+        if self.target.leaving is not None and says_leaving:
+            lines.append(f"{names.leaving}: {self.target.leaving}")
+        if status == 503 and self.target.push_back is not None:
+            lines += [
+                f"{names.retry_after}: {v}" for v in self.target.push_back
+            ]
         head = "\r\n".join(lines) + "\r\n\r\n"
         self.transport.write(head.encode() + body)
 
@@ -140,6 +163,16 @@
         answers_early: Whether the next request is answered before its body
             is complete.
         ignores_input: Whether received bytes are ignored.
+        health_instance: The instance that health checks name; empty for its
+            own.
+        leaving: The header value with which the server says that it leaves;
+            None if it does not say so.
+        leaving_in: Which answers have that header: those to requests
+            ("own"), only "interim" ones, only those of "another" request,
+            only a second "copy", or only those to "health" checks.
+        push_back: The values of Retry-After in refusals; None if the server
+            does not push back. It refuses all requests while it does.
+        push_back_promises: Whether such a refusal says that it did not run.
         arrivals: The received requests, without health checks.
         probed_at: The times of the health checks.
         connections_opened: The number of connections so far.
@@ -158,6 +191,11 @@
         self.answers_early = False
         self.warmup_ms = 0
         self.ignores_input = False
+        self.health_instance = ""
+        self.leaving = None
+        self.leaving_in = "own"
+        self.push_back = None
+        self.push_back_promises = True
         self.behaviours = []
         self.default_behaviour = "ok"
         self.run_limit = None
@@ -203,12 +241,13 @@
         if arrival.path == "/health":
             self.probed_at.append(time.monotonic())
             headers = {
-                self.names.reported_instance: self.instance,
+                self.names.reported_instance: self.health_instance
+                or self.instance,
                 **self.load(),
             }
             if self.warmup_ms:
                 headers[self.names.cold] = str(self.warmup_ms)
-            conn.write(200, headers, b"")
+            conn.write(200, headers, b"", kind="health")
             return
         self.arrivals.append(arrival)
         expected = self.names.instance.lower()
@@ -224,6 +263,10 @@
         )
         if arrival.path == self.farm.crash_path:
             behaviour = "crash"
+        arrival.says_leaving = self.leaving == "1"
+        if self.push_back is not None:
+            arrival.push_back_s = read_seconds(self.push_back[0])
+            behaviour = "full" if self.push_back_promises else "unpromised 503"
         arrival.ran = behaviour != "full"
         self.running += 1
         try:
@@ -269,12 +312,21 @@
             head += f"{self.names.seal}: {seal_value}\r\n\r\n"
             conn.transport.write(head.encode() + BODY)
             conn.transport.close()
+        elif behaviour == "interim":
+            leaving = f"{self.names.leaving}: {self.leaving}"
+            head = f"HTTP/1.1 103 Early Hints\r\n{leaving}\r\n\r\n"
+            conn.transport.write(head.encode())
+            conn.write(200, seal, BODY, request_id)
         elif behaviour == "stray first":
-            conn.write(200, seal, b"of another", "another-request")
+            conn.write(200, seal, b"of another", "another-request", "another")
             conn.write(200, seal, BODY, request_id)
         elif behaviour == "twice":
             conn.write(200, seal, BODY, request_id)
+            conn.write(200, seal, BODY, request_id, "copy")
+        elif behaviour == "late copy":
             conn.write(200, seal, BODY, request_id)
+            await asyncio.sleep(LATE_S)
+            conn.write(200, seal, BODY, request_id, "copy")
         elif behaviour == "crash":
             await self.stop()
         else:
--- a/features/steps/duplicate_answers.py
+++ b/features/steps/duplicate_answers.py
@@ -13,11 +13,14 @@
 from features import raw_server
 
 PAUSE_S = 0.03
+PUSH_BACK = "Retry-After: 0.2\r\n"
 REFUSAL = "Not-Executed: 1\r\nCardamomkeel-Not-Run: full\r\n"
 
 
 def make_answer(req, kind):
     with_id = not kind.endswith("without an id")
+    if kind == "a push-back":
+        return req.make_answer(status=503, more=REFUSAL + PUSH_BACK)
     if kind.startswith("a refusal"):
         return req.make_answer(status=503, with_id=with_id, more=REFUSAL)
     return req.make_answer(with_id=with_id)
--- a/features/steps/shared_targets.py
+++ b/features/steps/shared_targets.py
@@ -453,9 +453,9 @@
         """Returns that a target is near."""
         return True
 
-    def get(self, _service):
-        """Returns a placeholder for the known targets."""
-        return ["a target"]
+    def time_to_return_ms(self, _service, _excluded):
+        """Returns that a target takes requests now."""
+        return 0.0
 
     def rank(self, _service, _route, _without, _useful, _left, demand, *_):
         """Returns a target for a late request, none for others."""
--- a/features/steps/together.py
+++ b/features/steps/together.py
@@ -57,6 +57,8 @@
     "arrived with another body": ({}, [{"body": b"two urns"}]),
     "was rejected with 404": ({"status": 404}, []),
     "ran on a target after its farewell": ({}, [{"at": 12.5}]),
+    "reached a target that had left": ({"sent_at": 32.2}, [{"at": 32.2}]),
+    "reached a target that pushed back": ({}, [{"at": 31.5}]),
     "was dropped by an entry that stopped": (
         {"status": None, "sent_at": 20.0, "disconnected_at": 20.5},
         [{}],
@@ -64,6 +66,37 @@
 }
 
 
+# Requests that the same entry sent to the same target before.
+EARLIER_CALLS = [
+    platform_soak.Call(
+        f"r-0{number}",
+        "POST",
+        "/book/1",
+        b"an urn",
+        503 if number else 200,
+        "seal-r-00",
+        platform_targets.BODY,
+        "front-1",
+        30.0,
+        30.1,
+    )
+    for number in range(4)
+]
+REFUSAL = {"ran": False, "push_back_s": 2.0}
+EARLIER_ARRIVALS = {
+    "reached a target that had left": [
+        {"request_id": "r-00", "at": 30.05, "says_leaving": True}
+    ],
+    "reached a target that pushed back": [
+        {"request_id": "r-00"},
+        *(
+            {"request_id": f"r-0{number}", "at": at} | REFUSAL
+            for number, at in ((1, 30.0), (2, 30.8), (3, 30.9))
+        ),
+    ],
+}
+
+
 @given("a booking that {what}")
 def judge_booking(context, what):
     answer, arrivals = FAULTY_BOOKINGS[what]
@@ -82,14 +115,21 @@
     )
     target = types.SimpleNamespace(address="10.0.0.1:80", arrivals=[])
     target.arrivals = [make_arrival(**changes) for changes in arrivals]
+    target.arrivals += [
+        make_arrival(**changes) for changes in EARLIER_ARRIVALS.get(what, [])
+    ]
     out = platform_soak.OutOfService("farewell", (target,), since=12.0)
     # front-2 is killed while the booking runs, front-1 long before.
     disruptions = [
         platform_soak.Disruption("front-2", 20.0, 21.0),
         platform_soak.Disruption("front-1", 12.0, 13.0),
     ]
+    has_earlier = what in EARLIER_ARRIVALS
     run = types.SimpleNamespace(
-        calls=[call], out_of_service=[out], disruptions=disruptions
+        calls=[call, *(EARLIER_CALLS if has_earlier else [])],
+        out_of_service=[] if has_earlier else [out],
+        disruptions=disruptions,
+        restarts=[],
     )
     run.fleet = types.SimpleNamespace(
         farm=types.SimpleNamespace(targets=[target])
--- a/features/together.feature
+++ b/features/together.feature
@@ -29,6 +29,9 @@
       | 5    | silence_connections,evacuate        |
       | 6    | cut_one_way,delay_target,drain_target |
       | 7    | reset_connections,silence_target,kill_control |
+      | 8    | leave_in_answers,freeze_entry,push_back       |
+      | 9    | push_back,stop_entries,leave_in_answers       |
+      | 10   | leave_in_answers,cut_off_target,kill_control  |
 
   Scenario Outline: The judge of the platform reports a booking that <what>
     Given a booking that <what>
@@ -44,3 +47,5 @@
       | was rejected with 404                | was rejected with 404  |
       | ran on a target after its farewell   | while out of service   |
       | was dropped by an entry that stopped | was dropped by front-1 |
+      | reached a target that had left       | which had left         |
+      | reached a target that pushed back    | which pushed back      |
--- a/src/cardamomkeel/daemons/gateway.py
+++ b/src/cardamomkeel/daemons/gateway.py
@@ -65,6 +65,7 @@
         stop_within_ms=cfg.stop_within_ms,
         listen_on_ms=cfg.listen_on_ms,
         keep_addresses_ms=cfg.keep_addresses_ms,
+        longest_hold_ms=cfg.longest_hold_ms,
         link_bytes_per_s=cfg.link_bytes_per_second,
         buffer_bytes=cfg.buffer_bytes,
     )
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -382,10 +382,14 @@
     ) -> messages.Response:
         headers = []
         if status == 503:
-            if ctx is not None:
+            least_factor = MIN_RETRY_AFTER_FACTOR
+            if ctx is not None and ctx.retry_after_ms:
+                # An earlier return would find the targets as they are.
+                retry_after_ms, least_factor = ctx.retry_after_ms, 1.0
+            elif ctx is not None:
                 retry_after_ms = self._retry_after_ms(ctx)
             retry_after_ms *= self._rng.uniform(
-                MIN_RETRY_AFTER_FACTOR, MAX_RETRY_AFTER_FACTOR
+                least_factor, MAX_RETRY_AFTER_FACTOR
             )
             name = self._names.retry_after.encode()
             headers.append((name, b"%.3f" % clock.seconds(retry_after_ms)))
--- a/src/cardamomkeel/gateway/load_probes.py
+++ b/src/cardamomkeel/gateway/load_probes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 
 from returns import result
 
@@ -14,6 +15,7 @@
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.gateway import names as names_lib
 from cardamomkeel.gateway import target as target_lib
+from cardamomkeel.gateway import target_signals
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 
@@ -28,12 +30,14 @@
         self,
         upstream: upstream_lib.UpstreamPool,
         targets: targets_lib.Targets,
+        signals: target_signals.TargetSignals,
         names: names_lib.HeaderNames,
         metrics: metrics_lib.Metrics,
         clk: clock.Clock,
     ):
         self._upstream = upstream
         self._targets = targets
+        self._signals = signals
         self._metrics = metrics
         self._clock = clk
         self._load = names.load.lower().encode()
@@ -71,6 +75,7 @@
         path = self._targets.health_path(target)
         head = f"GET {path} HTTP/1.1\r\nHost: {target.address}\r\n\r\n"
         conn.expect(b"")
+        conn.on_leaving = functools.partial(self._signals.note_leaving, target)
         probed_at = self._clock.now()
         answer = conn.request(head.encode(), b"", False)
         try:
--- a/src/cardamomkeel/gateway/names.py
+++ b/src/cardamomkeel/gateway/names.py
@@ -14,9 +14,11 @@
         seal: Set by targets on every answer of their own.
         load: Load of a target.
         not_run: Set by a target that did not run the request.
-        retry_after: Seconds until a rejected request may be sent again.
+        retry_after: Seconds until a rejected request may be sent again; from a
+            target, until it wants requests of this entry again.
         reported_instance: The instance of a target, in answers to probes.
         cold: Remaining cold start of a target in milliseconds.
+        leaving: "1" in the answers of a target that stops soon.
     """
 
     request_id: str = "Cardamomkeel-Request-Id"
@@ -28,3 +30,4 @@
     retry_after: str = "Retry-After"
     reported_instance: str = "Cardamomkeel-Instance"
     cold: str = "Cardamomkeel-Cold-Ms"
+    leaving: str = "Cardamomkeel-Leaving"
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -18,6 +18,7 @@
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import settings as settings_lib
+from cardamomkeel.gateway import target_signals
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.routing import session as session_lib
@@ -41,6 +42,8 @@
         session: The session with the control group.
         gossip: Exchanges counts of running requests within the data centre.
         targets: The state of each target.
+        signals: What targets say of themselves.
+        prober: Asks targets for their load.
         server: The HTTP server for callers.
         stopping: Whether a planned stop has begun.
     """
@@ -64,24 +67,42 @@
         self.upstream = upstream_lib.UpstreamPool(
             self.clk,
             cfg.headers.request_id.lower().encode(),
+            cfg.headers.leaving.lower().encode(),
             cfg.body_bytes,
             buffers.Budget(cfg.buffer_bytes).share(buffers.ENTRIES_SHARE),
         )
-        prober = load_probes.LoadProber(
-            self.upstream, self.targets, cfg.headers, self.metrics, self.clk
+        self.signals = target_signals.TargetSignals(
+            self.targets,
+            cfg.headers,
+            cfg.longest_hold_ms,
+            self.metrics,
+            self.clk,
+        )
+        self.prober = load_probes.LoadProber(
+            self.upstream,
+            self.targets,
+            self.signals,
+            cfg.headers,
+            self.metrics,
+            self.clk,
         )
         delay = last_byte_delay.LastByteDelay(
-            prober, cfg.link_bytes_per_s, self.metrics, self.clk
+            self.prober, cfg.link_bytes_per_s, self.metrics, self.clk
         )
         sender = sending.Sender(
-            self.upstream, self.targets, delay, cfg.headers, self.clk
+            self.upstream,
+            self.targets,
+            self.signals,
+            delay,
+            cfg.headers,
+            self.clk,
         )
         self.gateway = gateway_lib.Gateway(
             cfg,
             self.session,
             self.targets,
             sender,
-            prober,
+            self.prober,
             self._report,
             self.metrics,
             self.clk,
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -23,6 +23,8 @@
         is_sending: Whether an attempt is in progress.
         may_have_run: Whether a target may have run the request.
         is_timed_out: Whether its time ran out while a target had the request.
+        retry_after_ms: The earliest time at which a target may serve it, if it
+            was refused because all targets push back; 0 otherwise.
         failed_response: The last answer with a status of 500 or more.
         reason: Why the last attempt failed.
     """
@@ -55,5 +57,6 @@
         self.is_sending = False
         self.may_have_run = False
         self.is_timed_out = False
+        self.retry_after_ms: clock.Millis = 0.0
         self.failed_response: messages.Response | None = None
         self.reason = ""
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import functools
 
 from returns import result
 
@@ -13,6 +14,7 @@
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import names as names_lib
 from cardamomkeel.gateway import target as target_lib
+from cardamomkeel.gateway import target_signals
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.gateway import upstream_connection
@@ -28,6 +30,8 @@
 CONNECT_OBJECTIVE_SHARE = 0.4
 # Statuses that promise a caller that its request has not run.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
+# The status of a target that may name a time in which it wants no requests.
+PUSHED_BACK = 503
 # The status of a target that is not the instance the request is meant for.
 MISDIRECTED = 421
 
@@ -106,12 +110,14 @@
         self,
         upstream: upstream_lib.UpstreamPool,
         targets: targets_lib.Targets,
+        signals: target_signals.TargetSignals,
         delay: last_byte_delay.LastByteDelay,
         names: names_lib.HeaderNames,
         clk: clock.Clock,
     ):
         self._upstream = upstream
         self._targets = targets
+        self._signals = signals
         self._last_byte_delay = delay
         self._clock = clk
         self._id = names.request_id.encode()
@@ -131,7 +137,9 @@
                 self._instance.lower(),
             ]
         )
-        self._hidden_headers = frozenset([b"content-length", self._load])
+        self._hidden_headers = frozenset(
+            [b"content-length", self._load, names.leaving.lower().encode()]
+        )
 
     async def send(
         self,
@@ -193,7 +201,8 @@
         if not self._targets.is_current(target):
             self._upstream.release(conn)
             return Attempt(
-                SendResult.NOT_SENT, "it left while a connection was opened"
+                SendResult.NOT_SENT,
+                "it left or pushed back while a connection was opened",
             )
         remaining_ms = outgoing.deadline - now
         if remaining_ms < MIN_REMAINING_MS:
@@ -204,6 +213,7 @@
             self._upstream.release(conn)
             return Attempt(SendResult.NOT_SENT, "it can't be passed on safely")
         conn.expect(outgoing.request_id)
+        conn.on_leaving = functools.partial(self._signals.note_leaving, target)
         unanswered = self._watch(outgoing, target)
         try:
             async with asyncio.timeout(clock.seconds(remaining_ms)):
@@ -342,6 +352,8 @@
         found = {name.lower(): value for name, value in got.headers}
         self._targets.record_load(target, found.get(self._load))
         status = got.status
+        if status == PUSHED_BACK:
+            self._signals.note_refusal(target, got.headers)
         if self._not_run in found or status == MISDIRECTED:
             if status == MISDIRECTED:
                 # Another instance listens at the address now.
@@ -364,6 +376,7 @@
         if status >= 500:
             target.note_failure(now)
         else:
+            target.note_return(snapshot.sent_at)
             target.note_answer(
                 work,
                 now - snapshot.sent_at,
--- a/src/cardamomkeel/gateway/target.py
+++ b/src/cardamomkeel/gateway/target.py
@@ -5,6 +5,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel.policy import cold_start_rate
+from cardamomkeel.policy import push_back
 from cardamomkeel.policy import saturation
 from cardamomkeel.policy import work_time
 from cardamomkeel.wire import control_pb2
@@ -77,6 +78,8 @@
         slots: How many requests it runs at a time.
         near: Whether it is in the data centre of this entry.
         is_out: Whether operators have taken it out of service.
+        is_leaving: Whether it has said that it stops soon.
+        push_back: Its hold and its return, if it has pushed back.
         is_preferred: Whether this entry prefers it to other targets.
         rank_key: Orders targets to pick those that this entry prefers.
         running: Number of requests of this entry that it runs.
@@ -105,6 +108,8 @@
         self.rank_key = rank_key
         self._own_data_centre = own_data_centre
         self.is_out = False
+        self.is_leaving = False
+        self.push_back: push_back.PushBack | None = None
         self.is_preferred = True
         self.update(record)
         self.running = 0
@@ -137,6 +142,41 @@
         self.slots = max(1, record.slots)
         self.near = record.data_centre == self._own_data_centre
 
+    @property
+    def incarnation(self) -> tuple[str, str, int]:
+        """What tells this start of the server from all others."""
+        record = self.record
+        return record.address, record.instance, record.born_ms
+
+    def held_ms(self, now: clock.Millis) -> clock.Millis:
+        """Returns how much longer it gets no requests since it pushed back."""
+        if self.push_back is None:
+            return 0.0
+        return max(0.0, self.push_back.held_until - now)
+
+    def may_take_more(self, now: clock.Millis) -> bool:
+        """Returns whether neither its leaving nor a hold forbids a request."""
+        if self.is_leaving:
+            return False
+        return self.push_back is None or self.push_back.allows(
+            self.running, now
+        )
+
+    def note_push_back(self, until: clock.Millis) -> None:
+        """Records that it wants no requests until some time."""
+        if self.push_back is None:
+            self.push_back = push_back.PushBack(until)
+        else:
+            self.push_back.extend(until)
+
+    def note_return(self, sent_at: clock.Millis) -> None:
+        """Records an answer to a request that was sent at some time."""
+        if self.push_back is None:
+            return
+        self.push_back.record_answer(sent_at)
+        if self.push_back.has_recovered():
+            self.push_back = None
+
     def _decay_factor(self, now: clock.Millis) -> float:
         return 0.5 ** ((now - self._learned_at) / HALF_LIFE_MS)
 
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -10,6 +10,7 @@
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import wait_queue
 from cardamomkeel.policy import placement
+from cardamomkeel.policy import push_back
 
 # A request waits for a target in the data centre of its entry for at most this
 # share of its objective.
@@ -68,8 +69,7 @@
             )
             if target is not None:
                 return target
-        if not self._targets.get(ctx.service):
-            ctx.reason = f"no target of {ctx.service} is known"
+        if self._is_pointless(ctx):
             return None
         waiter = queue.try_join(late, ctx.route.priority)
         if waiter is None:
@@ -82,6 +82,26 @@
             queue.leave(waiter)
             queue.wake()
 
+    def _is_pointless(self, ctx: request_context.RequestContext) -> bool:
+        """Returns whether no target can serve a request before its deadline.
+
+        Sets `ctx.reason` then, and the time at which one may.
+        """
+        return_ms = self._targets.time_to_return_ms(ctx.service, ctx.tried)
+        if return_ms is None:
+            if not ctx.tried:
+                ctx.reason = f"no target of {ctx.service} is known"
+            return True
+        remaining_ms = ctx.outgoing.deadline - self._clock.now()
+        work_ms = self._targets.expect_ms(ctx.service, ctx.route)
+        if not return_ms or push_back.should_wait(
+            return_ms, work_ms, remaining_ms, remaining_ms * MAX_WAIT_SHARE
+        ):
+            return False
+        ctx.reason = f"all targets of {ctx.service} push back"
+        ctx.retry_after_ms = return_ms
+        return True
+
     async def _wait(
         self,
         ctx: request_context.RequestContext,
@@ -109,6 +129,8 @@
                 )
                 if target is not None:
                     return target
+                if self._is_pointless(ctx):
+                    return None
             if not await queue.wait(
                 waiter, min(wait_until - now, RECHECK_INTERVAL_MS)
             ):
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -8,6 +8,7 @@
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.policy import cold_start_rate
+from cardamomkeel.policy import departures
 from cardamomkeel.policy import incarnations
 from cardamomkeel.policy import placement
 from cardamomkeel.policy import preferred_targets
@@ -41,6 +42,7 @@
         self._work: dict[str, work_time.ServiceWork] = {}
         self._typical: dict[str, typical_load.TypicalLoad] = {}
         self._data_centres_out: set[str] = set()
+        self._departures = departures.Departures()
         self._view: view_lib.View | None = None
 
     def apply_changes(
@@ -113,6 +115,7 @@
             preferred_targets.rank_key(self._name, record.address),
             now,
         )
+        target.is_leaving = target.incarnation in self._departures
         self._by_address[record.address] = target
         self._by_service.setdefault(record.service, []).append(target)
         self.begin_cold_start(target, self._remaining_cold_ms(record), now)
@@ -201,9 +204,45 @@
         return "/" if service is None else service.health_path
 
     def is_current(self, target: target_lib.Target) -> bool:
-        """Returns whether a target is still known and in service."""
+        """Returns whether a target is known, in service, and wants requests."""
         known = self._by_address.get(target.address)
-        return known is target and not target.is_out
+        return (
+            known is target
+            and not target.is_out
+            and not target.is_leaving
+            and not target.held_ms(self._clock.now())
+        )
+
+    def record_leaving(self, target: target_lib.Target) -> None:
+        """Sends nothing more to this start of a target."""
+        target.is_leaving = True
+        self._departures.add(target.incarnation)
+
+    def time_to_return_ms(
+        self,
+        service: str,
+        excluded: collections.abc.Container[target_lib.Target],
+    ) -> clock.Millis | None:
+        """Returns when the first target may get a request.
+
+        Args:
+            service: The service.
+            excluded: Targets to leave out.
+
+        Returns:
+            The time until then, 0 for now; None if there is no target.
+        """
+        now = self._clock.now()
+        return min(
+            (
+                target.held_ms(now)
+                for target in self.get(service)
+                if not target.is_leaving
+                and not target.is_out
+                and target not in excluded
+            ),
+            default=None,
+        )
 
     def get(self, service: str) -> list[target_lib.Target]:
         """Returns the targets of a service."""
@@ -303,6 +342,7 @@
             for target in self.get(service)
             if (include_remote or target.near)
             and not target.is_out
+            and target.may_take_more(now)
             and target not in excluded
         ]
         usable = [t for t in targets if not t.is_down(now)]
@@ -468,6 +508,8 @@
                 "slow_now": target.reported_slowdown(now),
                 "cold": target.is_cold(now),
                 "down": target.is_down(now),
+                "leaving": target.is_leaving,
+                "held_ms": round(target.held_ms(now)),
             }
             for address, target in self._by_address.items()
         }
--- a/src/cardamomkeel/gateway/upstream.py
+++ b/src/cardamomkeel/gateway/upstream.py
@@ -47,6 +47,7 @@
         self,
         clk: clock.Clock,
         id_header: bytes,
+        leaving_header: bytes,
         max_body_bytes: int,
         share: buffers.Share,
     ):
@@ -56,12 +57,14 @@
             clk: The clock.
             id_header: The header in which an answer returns the request id,
                 in lower case.
+            leaving_header: The header of targets that leave, in lower case.
             max_body_bytes: Length limit of the body of an answer.
             share: Limits the memory for the bodies of all answers.
         """
         self._clock = clk
         self._share = share
         self._id_header = id_header
+        self._leaving_header = leaving_header
         self._max_body_bytes = max_body_bytes
         self._unused: dict[
             str, collections.deque[upstream_connection.TargetConnection]
@@ -123,6 +126,7 @@
                         self._clock,
                         self._note_closed,
                         self._id_header,
+                        self._leaving_header,
                         self._max_body_bytes,
                         self._share,
                     ),
--- a/src/cardamomkeel/gateway/upstream_connection.py
+++ b/src/cardamomkeel/gateway/upstream_connection.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections.abc
+import contextlib
+
+import httptools
 
 from cardamomkeel import buffers
 from cardamomkeel import clock
@@ -9,6 +12,18 @@
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.routing import messages
 
+# The value of the header by which a target says that it leaves.
+LEAVES = b"1"
+
+
+class _HeaderReader:
+    """Reads the headers of an answer that no request waits for."""
+
+    def __init__(
+        self, on_header: collections.abc.Callable[[bytes, bytes], None]
+    ):
+        self.on_header = on_header
+
 
 class TargetConnection(pool_connection.Connection):
     """Buffers whole answers, each with the id of its request.
@@ -16,6 +31,8 @@
     Attributes:
         idle_ms: How long the target keeps the connection open unused; None if
             it sent no Keep-Alive header.
+        on_leaving: Called when any answer on the connection, expected or not,
+            says that its target leaves.
     """
 
     def __init__(
@@ -24,6 +41,7 @@
         clk: clock.Clock,
         on_closed: collections.abc.Callable[[pool_connection.Connection], None],
         id_header: bytes,
+        leaving_header: bytes,
         max_body_bytes: int,
         share: buffers.Share,
     ):
@@ -32,6 +50,8 @@
         self._ends_at_close = False
         self._held_back = b""
         self.idle_ms: clock.Millis | None = None
+        self._leaving_header = leaving_header
+        self.on_leaving: collections.abc.Callable[[], None] | None = None
         super().__init__(address, clk, on_closed, share, id_header)
 
     def begin_request(
@@ -51,6 +71,32 @@
         if held_back and not self._transport.is_closing():
             self._transport.write(held_back)
 
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses received bytes, also of an answer that comes late."""
+        if self._answer is None and not self.closed:
+            parser = httptools.HttpResponseParser(
+                _HeaderReader(self._note_leaving)
+            )
+            received = self.get_buffer(nbytes)[:nbytes]
+            with contextlib.suppress(
+                httptools.HttpParserError, httptools.HttpParserUpgrade
+            ):
+                parser.feed_data(received)
+        super().buffer_updated(nbytes)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header, and notes a target that leaves."""
+        self._note_leaving(name, value)
+        super().on_header(name, value)
+
+    def _note_leaving(self, name: bytes, value: bytes) -> None:
+        if (
+            name.lower() == self._leaving_header
+            and value.strip() == LEAVES
+            and self.on_leaving is not None
+        ):
+            self.on_leaving()
+
     def _reset_answer(self, is_head: bool) -> None:
         super()._reset_answer(is_head)
         self._ends_at_close = False
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -29,6 +29,7 @@
     "address": "the other end of the connection, IP address and port",
     "addresses": "the control VMs that are called from now on",
     "asked": "how many members were requested to become the leader",
+    "asked_ms": "the time in which a target wants no requests, ms",
     "base": "number of the configuration that the new one is based on",
     "callers": "the address for callers, IP address and port",
     "cold_ms": "remaining time of the cold start, ms",
@@ -36,6 +37,7 @@
     "count": "number of lines, requests, connections or targets",
     "data_centre": "name of the data centre",
     "fingerprint": "hash of the path, caller and body of a request",
+    "held_ms": "the time in which a target is sent no requests, ms",
     "in_flight": "requests in flight",
     "index": "index of the newest compacted entry of the log",
     "instance": "id of one start of a target",
@@ -68,6 +70,7 @@
     "targets": "IP addresses and ports, in the order of the attempts",
     "term": "term of the leader",
     "took_ms": "time from the first byte of the request to the answer, ms",
+    "value": "the value of a header, cut to 100 bytes",
     "why": "the observation that caused the reset",
 }
 
--- a/src/cardamomkeel/log_lines/targets.py
+++ b/src/cardamomkeel/log_lines/targets.py
@@ -42,6 +42,29 @@
         ("reason",),
         "The announcement of a backend server is invalid.",
     ),
+    kinds.Kind(
+        "target leaves",
+        kinds.INFO,
+        ("target", "instance"),
+        "The target said in an answer that it stops soon. This entry sends it"
+        " nothing more.",
+    ),
+    kinds.Kind(
+        "target pushed back",
+        kinds.INFO,
+        ("target", "instance", "asked_ms", "held_ms"),
+        "The target refused a request and asked for no more of them. This entry"
+        " sends it none for `held_ms`.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
+    kinds.Kind(
+        "ignored push-back",
+        kinds.WARNING,
+        ("target", "value"),
+        "The target refused a request with a Retry-After that is no number of"
+        " seconds; it is sent requests as before.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "target reset to cold start",
         kinds.INFO,
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -53,6 +53,7 @@
         stop_within_ms=timings.stop_within_ms(bounds),
         listen_on_ms=timings.listen_on_ms(bounds),
         keep_addresses_ms=timings.keep_addresses_ms(bounds),
+        longest_hold_ms=timings.longest_hold_ms(bounds),
         link_bytes_per_s=own.limits.link_mbps * BYTES_PER_MBIT,
         buffer_bytes=get_buffer_bytes(own.limits),
     )
--- a/src/cardamomkeel/platform/header_names.py
+++ b/src/cardamomkeel/platform/header_names.py
@@ -16,4 +16,5 @@
     reported_instance="Instance-Id",
     # "Warmup" is the cold start, during which a target handles little load.
     cold="Warmup-Ms",
+    leaving="Server-Leaving",
 )
--- a/src/cardamomkeel/platform/node_file.py
+++ b/src/cardamomkeel/platform/node_file.py
@@ -128,6 +128,7 @@
     retry_budget_ratio: NonNegative = 0.2
     retry_budget_slack: NonNegative = 10
     budget_window_s: Positive = 10
+    recovery_s: NonNegative = 15
 
 
 class Timeouts(_Table):
--- a/src/cardamomkeel/platform/timings.py
+++ b/src/cardamomkeel/platform/timings.py
@@ -31,6 +31,9 @@
 # How long before that a stopping entry stops to listen: it goes on reading the
 # requests of connections that are open.
 LATE_REQUEST_MARGIN_MS = 600
+# A target that asks for more time than this many recoveries of the deployment
+# is tried once after them.
+RECOVERIES_PER_HOLD = 4
 # Callers cache the addresses of entries for this time at most.
 KEEP_ADDRESSES_MS = 2000
 
@@ -56,3 +59,9 @@
 def keep_addresses_ms(bounds: node_file.Bounds) -> int:
     """Returns how long callers may cache the addresses of entries."""
     return int(min(KEEP_ADDRESSES_MS, bounds.ttl_max_s * clock.MS_PER_SECOND))
+
+
+def longest_hold_ms(bounds: node_file.Bounds) -> int:
+    """Returns the longest time for which a target may ask for no requests."""
+    recovery_ms = bounds.recovery_s * clock.MS_PER_SECOND
+    return int(RECOVERIES_PER_HOLD * recovery_ms)
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -131,6 +131,8 @@
         stop_within_ms: The maximum duration of a planned stop; requests that
             are still in flight then are aborted and logged.
         listen_on_ms: How long a stopping entry accepts new connections.
+        longest_hold_ms: The longest time for which a target that pushes back
+            gets no requests; it bounds what a faulty target can ask for.
         link_bytes_per_second: Bandwidth of the link of this VM; 0 if it does
             not limit requests.
         buffer_bytes: How many bytes of answers this process may buffer.
@@ -153,6 +155,7 @@
     keep_addresses_ms: int = pydantic.Field(2000, ge=100)
     stop_within_ms: int = pydantic.Field(6000, ge=0)
     listen_on_ms: int = pydantic.Field(2500, ge=0)
+    longest_hold_ms: int = pydantic.Field(60_000, ge=0)
     link_bytes_per_second: float = pydantic.Field(0.0, ge=0)
     buffer_bytes: int = pydantic.Field(256 * 1024 * 1024, ge=MIN_BUFFER_BYTES)
     log_level: str = "INFO"
