Ignore offers of an upgrade and serve the requests behind them

The body of a request with an offer did not reach its target.

Cause: the parser stops behind the head of such a request; the server took all later bytes for the other protocol and dropped them.

Change: another parser reads the body and what follows, in the entry of the platform and in the product's own. CONNECT is refused with 501.

--- a/features/callers_port.feature
+++ b/features/callers_port.feature
@@ -18,3 +18,9 @@
     Given a callers' port that closes connections with answers unread for 300 ms
     When a caller requests 20 MB and reads nothing
     Then within 2000 ms its call has ended with no more than 4 MB written
+
+  # Guards against bytes that are dropped behind an offer of another protocol.
+  Scenario: A call follows one that offers an upgrade, at once
+    Given a callers' port whose calls take 20 ms, with two parts each
+    When a call offers an upgrade, and another one follows at once
+    Then both calls are answered
--- a/features/gateway_input.feature
+++ b/features/gateway_input.feature
@@ -56,3 +56,25 @@
     When a lookup is sent that lists its id and its deadline as headers of its connection
     Then its status is 200
     And the target got its id and a deadline
+
+  # Guards against a connection that answers nothing more after an offer of
+  # another protocol, which an entry may ignore.
+  Scenario Outline: A <second> follows a <first> that offers an upgrade, <when>
+    When a <first> offers an upgrade, and a <second> follows <when>
+    Then both are answered with 200
+    And the target got both
+
+    Examples:
+      | first   | second  | when             |
+      | lookup  | lookup  | after its answer |
+      | lookup  | lookup  | at once          |
+      | booking | booking | after its answer |
+      | booking | booking | at once          |
+      | lookup  | booking | at once          |
+      | booking in chunks | booking | at once          |
+      | booking in chunks | lookup  | after its answer |
+
+  Scenario: CONNECT is rejected
+    When a caller sends the bytes of CONNECT
+    Then it is rejected with 501 and its connection ends
+    And no target was reached
--- a/features/steps/callers_port.py
+++ b/features/steps/callers_port.py
@@ -203,3 +203,32 @@
 def check_unread(context, limit_ms, max_mb):
     assert context.elapsed_ms < limit_ms, context.elapsed_ms
     assert context.written <= max_mb * MB, context.written
+
+
+@when("a call offers an upgrade, and another one follows at once")
+def call_behind_offer(context):
+    offer = b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    closing = b"Connection: close\r\n\r\n"
+    first = REQUEST.replace(b"\r\n\r\n", b"\r\n" + offer)
+    second = REQUEST.replace(b"\r\n\r\n", b"\r\n" + closing)
+
+    async def run():
+        address = deployment_lib.free_address()
+        stopped = anyio.Event()
+        port = asyncio.create_task(http1.serve(context.app, address, stopped))
+        while not await _is_open(address):
+            await asyncio.sleep(0.01)
+        reader, writer = await _connect(address)
+        writer.write(first + second)
+        data, _ = await asyncio.wait_for(_read(reader), 5)
+        writer.close()
+        stopped.set()
+        await port
+        return data
+
+    context.answers = asyncio.run(run())
+
+
+@then("both calls are answered")
+def check_both(context):
+    assert context.answers.count(b"HTTP/1.1 200") == 2, context.answers
--- a/features/steps/gateway_input.py
+++ b/features/steps/gateway_input.py
@@ -41,10 +41,48 @@
     "a control character in the path": b"GET /look/\x01 HTTP/1.1\r\n"
     + FIELDS
     + b"\r\n",
+    "CONNECT": b"CONNECT desk.example:80 HTTP/1.1\r\n" + FIELDS + b"\r\n",
     "another protocol": b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
 }
 
 
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+OFFER += b"HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n"
+SENT = {
+    "lookup": (GET, b"\r\n"),
+    "booking in chunks": (POST + CHUNKED, b"\r\n3\r\nurn\r\n0\r\n\r\n"),
+    "booking": (POST, b"Content-Length: 3\r\n\r\nurn"),
+}
+
+
+@when("a {first} offers an upgrade, and a {second} follows {moment}")
+def send_after_offer(context, first, second, moment):
+    head, rest = SENT[first]
+    offering = head + OFFER + rest
+    following = b"".join(SENT[second]).replace(b"r-raw", b"r-second")
+    if moment == "at once":
+        send(context, offering + following)
+    else:
+        send(context, offering)
+        context.conn.send_raw(following)
+    context.answers.append(context.conn.receive())
+
+
+@then("both are answered with 200")
+def check_both_answered(context):
+    assert [a.status for a in context.answers] == [200, 200], context.answers
+
+
+@then("the target got both")
+def check_both_arrived(context):
+    (target,) = context.rig.farm.targets
+    found = [arrival.request_id for arrival in target.arrivals]
+    assert sorted(found) == ["r-raw", "r-second"], found
+    for arrival in target.arrivals:
+        body = b"urn" if arrival.method == "POST" else b""
+        assert arrival.body == body, arrival
+
+
 def send(context, raw):
     context.conn = context.rig.connect()
     context.add_cleanup(context.conn.close)
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -22,6 +22,7 @@
 from cardamomkeel import clock
 from cardamomkeel import errors
 from cardamomkeel import http_framing
+from cardamomkeel import http_upgrades
 from cardamomkeel import listening
 from cardamomkeel.routing import messages
 from cardamomkeel.settings import addresses
@@ -144,10 +145,29 @@
                 self.transport.abort()
             return
         self._framing.count_received(len(data))
-        super().data_received(data)
+        self._parse(data)
         if self._framing.is_exceeded():
             self._refuse_header()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes; an offer of another protocol is ignored."""
+        self._unset_keepalive_if_required()
+        while data:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                data = data[exc.args[0] :]
+                resumed = http_upgrades.ResumedParser(
+                    self.parser, self.headers, self
+                )
+                self.parser = resumed.parser
+                resumed.read_head()
+            except httptools.HttpParserError:
+                self.send_400_response("")
+                return
+            else:
+                return
+
     def on_message_begin(self) -> None:
         """Starts the timeout for receiving a request."""
         super().on_message_begin()
@@ -182,6 +202,8 @@
 
     def on_message_complete(self) -> None:
         """Stops the timeout for receiving a request."""
+        if self.parser.should_upgrade():
+            return
         self._framing.reset()
         self._receiving = False
         self._receives_body = False
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -18,6 +18,7 @@
 from cardamomkeel import clock
 from cardamomkeel import http_framing
 from cardamomkeel import http_headers
+from cardamomkeel import http_upgrades
 from cardamomkeel import listening
 from cardamomkeel.gateway import messages
 from cardamomkeel.log_lines import limits as log_limits
@@ -134,10 +135,7 @@
             self._start_timer(BODY_STALL_MS, self._reject_slow)
         self._framing.count_received(len(data))
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Other protocols are not supported: ignore the following bytes.
-            self._closing = True
+            self._parse(data)
         except httptools.HttpParserError as exc:
             status = 400
             if isinstance(exc.__context__, _RequestRejected):
@@ -147,6 +145,20 @@
             if self._framing.is_exceeded():
                 self._reject(431, "too many bytes outside a body")
 
+    def _parse(self, data: bytes) -> None:
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                data = data[exc.args[0] :]
+                resumed = http_upgrades.ResumedParser(
+                    self._parser, self._headers, self
+                )
+                self._parser = resumed.parser
+                resumed.read_head()
+            else:
+                return
+
     def _discard(self, data: bytes) -> None:
         self._discarded.count_received(len(data))
         if not self._discarded.is_exceeded():
@@ -200,11 +212,14 @@
         """Checks the headers and answers `Expect: 100-continue`.
 
         Raises:
-            _RequestRejected: A header is ambiguous or the body is too long.
+            _RequestRejected: A tunnel is asked for, a header is ambiguous or
+                the body is too long.
         """
         self._headers_done = True
         if self._closing:
             return
+        if self._parser.get_method() == b"CONNECT":
+            raise _RequestRejected(501)
         seen = set()
         for name, value in self._headers:
             lowered = name.lower()
@@ -237,7 +252,7 @@
 
     def on_message_complete(self) -> None:
         """Queues a complete request; pauses reading if the queue is full."""
-        if self._closing:
+        if self._closing or self._parser.should_upgrade():
             return
         self._receiving = False
         self._framing.reset()
