Form the control group though a member lost its disk before it had formed

Cause: a member id other than the first one was taken for a sign that the group had formed, so the two others gave up their places and all three asked each other to join.

Change: only a term shows that a group has formed. A member under a new id and without a term belongs to none. A majority of the initial members with their first disks, which have not voted, may form it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -190,3 +190,10 @@
     When the operator sends configuration 1 on 0
     And a control VM that follows is stopped
     Then the group counts 3 voters
+
+  @fixture.platform
+  Scenario: A control VM fails and loses its disk before it has written anything
+    When the second control VM is killed and started again with an empty disk
+    And the operator sends configuration 1 on 0
+    Then it is acknowledged with 200
+    And 3 control VMs vote within 20 s
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -29,6 +29,8 @@
         member_id="control-2.first", formed=True
     ),
 }
+REPLIES["waiting to join under a new id"] = REPLIES["running under a new id"]
+REPLIES["not running"] = control_pb2.GreetReply(member_id="control-2.first")
 # Time for some greetings of a member.
 GREETINGS_MS = 5 * formation_lib.GREET_PAUSE_MS
 
@@ -88,9 +90,28 @@
     context.first_reply = REPLIES[first]
 
 
-async def start_peer(context, reply):
+@given(
+    "another member that is {state}, and a third that waits to join under a "
+    "new id"
+)
+def set_peer_and_joining(context, state):
+    set_peer(context, state)
+    context.third = control_pb2.GreetReply(
+        member_id="control-3.other", formed=True
+    )
+
+
+@given(
+    "another member that waits to join under a new id, and a third that does "
+    "so too"
+)
+def set_two_joining(context):
+    set_peer_and_joining(context, "waiting to join under a new id")
+
+
+async def start_peer(context, reply, name="control-2"):
     server = grpc_server_lib.make_server([Peer(reply)], clock.MonotonicClock())
-    await server.start(*addresses.split(context.addresses["control-2"]))
+    await server.start(*addresses.split(context.addresses[name]))
     return server
 
 
@@ -103,14 +124,18 @@
             server = await start_peer(context, context.first_reply)
             await asyncio.sleep(GREETINGS_MS / 1000)
             server.close()
-        server = await start_peer(context, context.reply)
+        servers = [await start_peer(context, context.reply)]
+        if "third" in context:
+            third = await start_peer(context, context.third, "control-3")
+            servers.append(third)
         try:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(forming, ms / 1000)
                 return True
             return False
         finally:
-            server.close()
+            for server in servers:
+                server.close()
 
     return asyncio.run(form())
 
@@ -130,3 +155,11 @@
     assert run(context, ms)
     stored = disk.load(context.folder / "data").unwrap()
     assert not stored.hard_state.member_id.endswith(".first"), stored
+
+
+@then("this one forms the group within {ms:d} ms")
+def check_forms(context, ms):
+    assert run(context, ms)
+    stored = disk.load(context.folder / "data").unwrap()
+    assert stored.hard_state.formed, stored
+    assert stored.hard_state.member_id.endswith(".first"), stored
--- a/features/steps/platform_members.py
+++ b/features/steps/platform_members.py
@@ -13,6 +13,8 @@
 # Offset of the range for traffic between VMs from the port of control.
 FIRST_INTERNAL_OFFSET = 3
 LEADER_WITHIN_S = 20.0
+# Longer than the others take to exchange greetings.
+RESTART_S = 0.5
 
 
 def get_state(fleet, vm):
@@ -151,3 +153,13 @@
 def check_counted(context, count):
     voters = list_voters(context.fleet)
     assert len(voters) == count, voters
+
+
+@when("the second control VM is killed and started again with an empty disk")
+def lose_at_start(context):
+    vm = context.fleet.cores[1]
+    vm.kill()
+    vm.lose_disk()
+    assert not vm.bootstrap
+    time.sleep(RESTART_S)
+    vm.start()
--- a/src/cardamomkeel/control/formation.py
+++ b/src/cardamomkeel/control/formation.py
@@ -3,8 +3,9 @@
 A new data folder may replace a lost one. The VM must then not vote again, since
 the group relies on the votes recorded in the lost folder. A VM with a new
 folder therefore starts as a voter only once every other initial member has
-reported that the group has not formed yet. If the group has formed, the VM
-joins as a new member, which is a learner before it becomes a voter.
+reported that the group has not formed yet, or that it has lost its disk and
+belongs to no group. If the group has formed, the VM joins as a new member,
+which is a learner before it becomes a voter.
 """
 
 import pathlib
@@ -105,19 +106,21 @@
         rounds = 0
         while True:
             replies = await self._greet_all()
-            has_started = any(
-                self._has_formed(n, r) for n, r in replies.items()
-            )
+            has_leader = any(reply.term > 0 for reply in replies.values())
             if self._hard_state.formed:
                 # A member that runs has seen that all were formed. Others may
                 # be lost since.
-                if has_started or self._are_all_formed(replies):
+                if (
+                    has_leader
+                    or self._count_first(replies) < len(replies)
+                    or self._are_all_formed(replies)
+                ):
                     return
-            elif has_started:
+            elif has_leader:
                 logger.warning("group already formed, joining as new member")
                 create_joining(self._folder, self._name)
                 return
-            elif len(replies) == len(self._others):
+            elif self._may_form(replies):
                 self._hard_state.formed = True
                 disk.save_hard_state(self._folder, self._hard_state)
                 continue
@@ -133,9 +136,24 @@
         formed = [name for name, reply in replies.items() if reply.formed]
         return len(formed) == len(self._others)
 
-    def _has_formed(self, name: str, reply: control_pb2.GreetReply) -> bool:
-        first = members_lib.member_id(name, members_lib.INITIAL_INCARNATION)
-        return reply.term > 0 or reply.member_id != first
+    def _may_form(self, replies: dict[str, control_pb2.GreetReply]) -> bool:
+        """Returns whether no group can have formed, by all other members.
+
+        A member under a new id, without a term, has lost its disk and belongs
+        to no group. It can't have been elected, nor have elected another one,
+        without the others: a majority of the initial members has not voted.
+        """
+        members = len(self._others) + 1
+        has_majority = self._count_first(replies) + 1 > members // 2
+        return len(replies) == len(self._others) and has_majority
+
+    def _count_first(self, replies: dict[str, control_pb2.GreetReply]) -> int:
+        """Returns how many replies are of members with their first disk."""
+        return sum(
+            reply.member_id
+            == members_lib.member_id(name, members_lib.INITIAL_INCARNATION)
+            for name, reply in replies.items()
+        )
 
     async def _greet_all(self) -> dict[str, control_pb2.GreetReply]:
         replies = {}
