Drop an order to end an evacuation whose connection ends right behind it

Cause: the handler ran before the end of the connection, right behind the order, cancelled it.

Change: the handler waits 20 ms before it proposes, in which the end of the connection cancels it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -197,3 +197,17 @@
     And the operator sends configuration 1 on 0
     Then it is acknowledged with 200
     And 3 control VMs vote within 20 s
+
+  # Guards against an order that was held up until its caller had given up and
+  # sent a newer one.
+  @fixture.platform
+  Scenario: An order that arrives with the end of its connection does nothing
+    When the operator sends configuration 1 on 0
+    Given a target of dossier and one of keepsake
+    Then a lookup and a booking are answered by their services
+    When the data centre is evacuated
+    Then lookups are refused within 2000 ms
+    When each control VM gets an order to end it, with the end of the connection
+    Then lookups are refused for 2000 ms
+    When the evacuation of the data centre ends
+    Then a lookup and a booking are answered by their services
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -5,6 +5,7 @@
 import json
 import secrets
 import signal
+import socket
 import time
 
 from behave import given
@@ -397,3 +398,22 @@
         files = [p for p in (vm.folder / "data").rglob("*") if p.is_file()]
         size = sum(path.stat().st_size for path in files)
         assert size < max_bytes, (size, len(context.sent))
+
+
+@when("each control VM gets an order to end it, with the end of the connection")
+def send_given_up(context):
+    fleet = context.fleet
+    order = b"DELETE /-/evacuations/brest HTTP/1.1\r\nHost: control\r\n\r\n"
+    for vm in fleet.cores:
+        # The bytes arrive together, as after a cut.
+        vm.process.send_signal(signal.SIGSTOP)
+        with socket.create_connection((vm.ip, fleet.port)) as sock:
+            sock.sendall(order)
+        vm.process.send_signal(signal.SIGCONT)
+
+
+@then("lookups are refused for {ms:d} ms")
+def check_refused_for(context, ms):
+    until = time.monotonic() + ms / 1000
+    while time.monotonic() < until:
+        assert context.fleet.call().status_code == 503
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -3,6 +3,7 @@
 import dataclasses
 import secrets
 
+import anyio
 import loguru
 import orjson
 from returns import result
@@ -25,6 +26,9 @@
 OPERATOR = "platform"
 # Operators and backend servers try another control VM after this status.
 UNAVAILABLE = 503
+# How long an order waits for the end of its connection before it is carried
+# out.
+GIVEN_UP_CHECK_MS = 20.0
 
 logger = loguru.logger
 
@@ -230,6 +234,10 @@
             return _make_response(
                 404, error=f"there is no data centre {zone!r}"
             )
+        # An order that was held up on its way may come after newer ones, and
+        # nothing in it tells. Its caller has given it up: the end of the
+        # connection is right behind it, and cancels the call.
+        await anyio.sleep(clock.seconds(GIVEN_UP_CHECK_MS))
         change_id = secrets.token_hex(8)
         if method == "POST":
             command = control_pb2.Command(
