--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -163,7 +163,7 @@
         """Stops after the requests in flight.
 
         Returns:
-            False if requests were aborted when the time for the stop was over.
+            False if requests had no answer when the time for the stop was over.
         """
         began = self.clk.now()
         until = began + self.cfg.stop_within_ms
--- a/src/cardamomkeel/log_lines/programs.py
+++ b/src/cardamomkeel/log_lines/programs.py
@@ -44,8 +44,8 @@
         "stopped with requests in flight",
         kinds.WARNING,
         ("count",),
-        "The time limit of the stop is over; this number of requests was"
-        " aborted.",
+        "The time limit of the stop is over; this number of requests had no"
+        " answer yet and was answered 502 or 503.",
     ),
     kinds.Kind(
         "closed connections in use",
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -129,7 +129,8 @@
         resend_window_ms: The window in which resends are counted.
         keep_addresses_ms: How long callers may cache the addresses of entries.
         stop_within_ms: The maximum duration of a planned stop; requests that
-            are still in flight then are aborted and logged.
+            are still in flight then are answered 502 or 503 and counted in
+            the log.
         listen_on_ms: How long a stopping entry accepts new connections.
         longest_hold_ms: The longest time for which a target that pushes back
             gets no requests; it bounds what a faulty target can ask for.
