Read downloads and client accounts of configurations, and make room for admission checks

Cause: a configuration with a route of type download was refused whole, and tenants were passed over. Change: downloads are idempotent; accounts, with digests of their keys, are a part of the routes document; heartbeats carry the version of the software; the gateway asks a list of admission checks, empty so far, before it selects a target. The new scenario is answered 400 by the code before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -28,6 +28,14 @@
     Then each invalid configuration is answered 400
     And every control VM reads back configuration 1
 
+  @fixture.platform
+  Scenario: Routes of downloads, and client accounts, are accepted
+    When the operator sends downloads and client accounts as 1 on 0
+    Then it is acknowledged with 200
+    Given a target of dossier and one of keepsake
+    Then a lookup and a booking are answered by their services
+    And every control VM reads back configuration 1
+
   @fixture.platform
   Scenario: Invalid heartbeats are refused, and valid ones stay in effect
     When the operator sends configuration 1 on 0
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -121,6 +121,26 @@
     fleet.wait_for(lambda: get_version(fleet, fleet.cores[0]) == number, 20)
 
 
+@when(
+    "the operator sends downloads and client accounts as {number:d} on {base:d}"
+)
+def send_downloads(context, number, base):
+    config = platform_lib.make_config(number, base)
+    types = config["routes"]["columns"].index("type")
+    config["routes"]["rows"][0][types] = "download"
+    config["routes"]["columns"].append("auth-exempt")
+    for row in config["routes"]["rows"]:
+        row.append(True)
+    config["tenants"] = {
+        "columns": ["name", "api-keys", "priority", "rate-per-s", "burst"],
+        "rows": [
+            ["one", ["key-1", "key-2"], 1, 5, 7],
+            ["two", [], *[None] * 3],
+        ],
+    }
+    context.answer = context.fleet.call_control("PUT", "/-/config", config)
+
+
 def list_invalid():
     """Returns configurations that are invalid by the platform's pages."""
     valid = platform_lib.make_config(9, 1)
@@ -140,6 +160,13 @@
     no_service = change("service", None)
     short_row = copy.deepcopy(valid)
     short_row["routes"]["rows"][0].pop()
+
+    def with_tenants(*rows):
+        columns = ["name", "api-keys", "priority", "rate-per-s", "burst"]
+        tenants = {"columns": columns, "rows": [list(row) for row in rows]}
+        return platform_lib.make_config(9, 1, tenants=tenants)
+
+    one = ("one", ["key-1"], 0, 5, 5)
     return [
         json.dumps(config).encode()
         for config in (
@@ -155,6 +182,11 @@
             change("timeout-ms", "2000"),
             platform_lib.make_config(1, 1),
             {k: v for k, v in valid.items() if k != "services"},
+            with_tenants(one, ("two", ["key-1"], 0, 5, 5)),
+            with_tenants(one, ("one", ["key-2"], 0, 5, 5)),
+            with_tenants(("one", ["key-1"], 0, -1, 5)),
+            with_tenants(("one", ["key-1"], 0, 5, "5")),
+            with_tenants(("one", "key-1", 0, 5, 5)),
         )
     ] + [json.dumps(valid).encode()[:-20], b"", b"[]", b"\xff"]
 
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Serves requests of callers: routing, target selection and resending."""
 
 import asyncio
+import collections.abc
 import contextlib
 import random
 import typing
@@ -10,6 +11,7 @@
 from cardamomkeel import clock
 from cardamomkeel import http_headers
 from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.gateway import admission
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import request_context
@@ -79,6 +81,7 @@
         metrics: metrics_lib.Metrics,
         clk: clock.Clock,
         rng: random.Random,
+        checks: collections.abc.Sequence[admission.Check] = (),
     ):
         self._cfg = cfg
         self._session = session
@@ -91,6 +94,7 @@
         self._metrics = metrics
         self._clock = clk
         self._rng = rng
+        self._checks = checks
         self._log = request_log.RequestLog(metrics, clk)
         self._names = cfg.headers
         self._id_name = cfg.headers.request_id.lower().encode()
@@ -145,6 +149,21 @@
         ctx = request_context.RequestContext(
             outgoing, route, service or "", remaining_ms, spent_ms
         )
+        admitted: list[admission.Check] = []
+        try:
+            for check in self._checks:
+                refusal = await check.admit(ctx)
+                if refusal is not None:
+                    return self._refuse(ctx, refusal)
+                admitted.append(check)
+            return await self._serve_admitted(ctx)
+        finally:
+            for check in admitted:
+                check.note_end(ctx, ctx.has_reached_target())
+
+    async def _serve_admitted(
+        self, ctx: request_context.RequestContext
+    ) -> messages.Response:
         self._get_resends(ctx.service).record_request(self._clock.now())
         if self._crashes_targets(ctx):
             ctx.reason = "it crashed targets before"
@@ -218,6 +237,7 @@
             attempt = await self._send(ctx, target)
             ctx.is_sending = False
             if attempt.result is sending.SendResult.ANSWERED:
+                ctx.is_answered = True
                 if not self._is_resendable_failure(ctx, attempt):
                     return attempt.response
                 ctx.failed_response = attempt.response
@@ -373,6 +393,15 @@
         )
         return self._reject(504 if is_expired else 502, ctx.reason, ctx)
 
+    def _refuse(
+        self,
+        ctx: request_context.RequestContext,
+        refusal: admission.Refusal,
+    ) -> messages.Response:
+        """Returns the response to a request that is not admitted."""
+        ctx.retry_after_ms = refusal.retry_after_ms
+        return self._reject(refusal.status, refusal.reason, ctx)
+
     def _reject(
         self,
         status: int,
@@ -381,7 +410,7 @@
         retry_after_ms: clock.Millis = 0.0,
     ) -> messages.Response:
         headers = []
-        if status == 503:
+        if status in (429, 503):
             least_factor = MIN_RETRY_AFTER_FACTOR
             if ctx is not None and ctx.retry_after_ms:
                 # An earlier return would find the targets as they are.
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -14,6 +14,8 @@
         outgoing: The request as it is sent to targets.
         route: The route that matched.
         service: The service that was picked from the route.
+        account: The client account whose key the request carries; None if it
+            needs none.
         remaining_ms: How long the caller still waits, from its deadline header.
         spent_ms: How long the caller had waited before this attempt.
         useful_until: When the objective of the route is missed, on the local
@@ -22,6 +24,7 @@
         unreachable: The targets that could not be reached.
         is_sending: Whether an attempt is in progress.
         may_have_run: Whether a target may have run the request.
+        is_answered: Whether a target has answered it.
         is_timed_out: Whether its time ran out while a target had the request.
         retry_after_ms: The earliest time at which a target may serve it, if it
             was refused because all targets push back; 0 otherwise.
@@ -49,6 +52,7 @@
         self.outgoing = outgoing
         self.route = route
         self.service = service
+        self.account: document_lib.Account | None = None
         self.remaining_ms = remaining_ms
         self.spent_ms = spent_ms
         self.useful_until = outgoing.req.arrived + route.objective_ms - spent_ms
@@ -57,6 +61,18 @@
         self.is_sending = False
         self.may_have_run = False
         self.is_timed_out = False
+        self.is_answered = False
         self.retry_after_ms: clock.Millis = 0.0
         self.failed_response: messages.Response | None = None
         self.reason = ""
+
+    def has_reached_target(self) -> bool:
+        """Returns whether a target may have run the request."""
+        return self.may_have_run or self.is_answered
+
+    @property
+    def priority(self) -> int:
+        """The rank under overload; 0 is served first."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -71,7 +71,7 @@
                 return target
         if self._is_pointless(ctx):
             return None
-        waiter = queue.try_join(late, ctx.route.priority)
+        waiter = queue.try_join(late, ctx.priority)
         if waiter is None:
             # A free slot belongs to the request at the head of the queue.
             ctx.reason = "too many requests wait"
--- a/src/cardamomkeel/platform/configurations.py
+++ b/src/cardamomkeel/platform/configurations.py
@@ -13,13 +13,15 @@
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel.accounts import digests
 from cardamomkeel.routes import change
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.settings import structs
 
 REMEDY = "send it in full, as docs/operators/platform.md tells"
-# Whether a request may run more than once, by the type of its route.
-_IDEMPOTENT = {"safe": True, "unsafe": False}
+# Whether a request may run more than once, by the type of its route. The
+# answers of a download are long.
+_IDEMPOTENT = {"safe": True, "download": True, "unsafe": False}
 
 Number = typing.Annotated[float, pydantic.Field(strict=True)]
 Integer = typing.Annotated[int, pydantic.Field(strict=True)]
@@ -45,7 +47,7 @@
     name: Text = ""
     hostname: Text
     path_prefix: Text
-    type: typing.Literal["safe", "unsafe"]
+    type: typing.Literal["safe", "download", "unsafe"]
     timeout_ms: Number
     # "aim" on the wire: the time within which an answer is of full use. It is
     # not a limit.
@@ -55,6 +57,7 @@
     attempts: Integer
     service: Text | None = None
     traffic_split: list[_Part] | None = None
+    auth_exempt: typing.Annotated[bool, pydantic.Field(strict=True)] = False
 
 
 class _Service(_Row):
@@ -67,6 +70,15 @@
     warmup_per_s: Number | None = None
 
 
+class _Tenant(_Row):
+    # "Tenant" on the wire is the client account.
+    name: Text
+    api_keys: list[Text] = []
+    priority: Integer | None = None
+    rate_per_s: Number | None = None
+    burst: Number | None = None
+
+
 class _Limits(_Row):
     max_header_bytes: Integer = 16_384
     max_body_bytes: Integer = 67_108_864
@@ -106,6 +118,7 @@
     routes: _Table
     services: _Table
     limits: _Limits = _Limits()
+    tenants: _Table | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -162,6 +175,17 @@
         "timeout_ms": row.timeout_ms,
         "objective_ms": row.aim_ms,
         "priority": row.priority,
+        "keyless": row.auth_exempt,
+    }
+
+
+def _make_account(row: _Tenant) -> dict[str, typing.Any]:
+    return {
+        "name": row.name,
+        "key_digests": [digests.make(key.encode()) for key in row.api_keys],
+        "priority": row.priority,
+        "rate_per_s": row.rate_per_s or 0.0,
+        "burst": row.burst or 0.0,
     }
 
 
@@ -184,6 +208,10 @@
     routes = [_Route.model_validate(row) for row in decoded.routes.records()]
     services = [_Service.model_validate(r) for r in decoded.services.records()]
     limits = decoded.limits
+    accounts = None
+    if decoded.tenants is not None:
+        tenants = map(_Tenant.model_validate, decoded.tenants.records())
+        accounts = [_make_account(row) for row in tenants]
     content = {
         "routes": [_make_route(row) for row in routes],
         "services": _make_services(services),
@@ -193,6 +221,7 @@
             "header_ms": limits.header_timeout_ms,
             "idle_ms": limits.idle_timeout_ms,
         },
+        "accounts": accounts,
     }
     number = parse_version(decoded.version)
     return number, parse_version(decoded.base_version), content
--- a/src/cardamomkeel/platform/heartbeats.py
+++ b/src/cardamomkeel/platform/heartbeats.py
@@ -37,6 +37,8 @@
     warmup_left_ms: typing.Annotated[
         float, pydantic.Field(strict=True, ge=0, lt=1e9)
     ] = 0.0
+    # The version of its software.
+    version: configurations.Text = ""
     # Start time in Unix milliseconds, not an age. Distinguishes two starts
     # under one id.
     born: _Count = 0
@@ -81,5 +83,6 @@
             slots=beat.slots,
             state=_STATES[beat.state],
             cold_ms=int(beat.warmup_left_ms),
+            software=beat.version,
         )
     )
--- a/src/cardamomkeel/routes/document.py
+++ b/src/cardamomkeel/routes/document.py
@@ -45,6 +45,7 @@
         timeout_ms: The longest time that a caller waits for an answer.
         objective_ms: The latency up to which an answer is of full use.
         priority: The rank under overload; 0 is served first.
+        keyless: Whether its requests need no key of a client account.
     """
 
     name: str = ""
@@ -56,6 +57,7 @@
     timeout_ms: typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_MS)]
     objective_ms: Positive
     priority: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    keyless: bool = False
 
     def __post_init__(self):
         """Checks the objective against the timeout.
@@ -88,6 +90,24 @@
     cold_per_s: NonNegative | None = None
 
 
+class Account(_Strict, kw_only=True):
+    """A client account, whose requests carry one of its keys.
+
+    Attributes:
+        name: The name of the account, which targets are told.
+        key_digests: The digests of its keys; see accounts/digests.py.
+        priority: Goes before the priority of the route; None if it has none.
+        rate_per_s: Its requests per second over all entries; 0 for no limit.
+        burst: How many requests it may send beyond the rate.
+    """
+
+    name: Name
+    key_digests: tuple[str, ...] = ()
+    priority: typing.Annotated[int, msgspec.Meta(ge=0)] | None = None
+    rate_per_s: NonNegative = 0.0
+    burst: NonNegative = 0.0
+
+
 class CallerLimits(_Strict):
     """Limits on the requests and connections of callers.
 
@@ -111,19 +131,26 @@
         routes: The routes; no two have the same host and prefix.
         services: The services that routes may name, by name.
         limits: Limits on the requests and connections of callers.
+        accounts: The client accounts; None if requests need no keys.
     """
 
     routes: tuple[Route, ...]
     services: dict[str, RoutedService]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[Account, ...] | None = None
 
     def __post_init__(self):
-        """Checks the routes against each other and the services.
+        """Checks the routes against each other, and the accounts.
 
         Raises:
-            ValueError: Two routes have the same host and prefix, or a route
-                names a service that is not listed.
+            ValueError: Two routes have the same host and prefix, a route names
+                a service that is not listed, or two accounts share a name or a
+                key.
         """
+        self._check_routes()
+        self._check_accounts()
+
+    def _check_routes(self) -> None:
         routes_seen: set[tuple[str, str]] = set()
         for route in self.routes:
             key = (route.host.lower(), route.prefix)
@@ -140,3 +167,21 @@
                         f"{part.service}, which is no service; add it or "
                         "correct the name"
                     )
+
+    def _check_accounts(self) -> None:
+        holders: dict[str, str] = {}
+        names: set[str] = set()
+        for account in self.accounts or ():
+            if account.name in names:
+                raise ValueError(
+                    f"the account {account.name} is listed twice; remove one "
+                    "of them"
+                )
+            names.add(account.name)
+            for digest in account.key_digests:
+                holder = holders.setdefault(digest, account.name)
+                if holder != account.name:
+                    raise ValueError(
+                        f"the accounts {holder} and {account.name} share a "
+                        "key; withdraw it from one of them"
+                    )
