--- a/src/cardamomkeel/operators/commandline_options.py
+++ b/src/cardamomkeel/operators/commandline_options.py
@@ -30,7 +30,6 @@
         help="File with the operators' secret.",
     ),
 ]
-
 ChangeId = typing.Annotated[
     str, typer.Option(help="Id of the change; repeat it to resend the change.")
 ]
