Accounts: ask requests for a key of a client account

Cause: every key was accepted, and passed on to targets with whatever name of an account the caller claimed. Change: where the routes have accounts, an entry finds the account by the digest of the key, answers 401 without a valid one (503 while it has no lease, as the key may be new), removes the key and the caller's own account header before anything else reads them, and tells targets the account's name. A request that has waited is checked again. Names that can't be sent in a header, and digests that are none, are refused; errors on configurations show no values. Routes without accounts pass headers on as before.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -119,12 +119,15 @@
 
         self.do(apply())
 
-    def set_routes(self, routes, number, services=None, **limits):
+    def set_routes(
+        self, routes, number, services=None, accounts=None, **limits
+    ):
         """Sends routes to the gateway."""
         content = {
             "routes": routes,
             "services": services or {"dossier": {"cold_ms": 0}},
             "limits": limits,
+            "accounts": accounts,
         }
         document = structs.convert(
             content, document_lib.RoutesDocument, "the test"
--- a/bench/platform_targets.py
+++ b/bench/platform_targets.py
@@ -30,6 +30,7 @@
     reported_instance="Instance-Id",
     cold="Warmup-Ms",
     leaving="Server-Leaving",
+    account="Tenant",
 )
 
 
--- a/src/cardamomkeel/gateway/admission.py
+++ b/src/cardamomkeel/gateway/admission.py
@@ -31,6 +31,14 @@
         """Returns why a request is refused, or None if it is admitted."""
         ...
 
+    def recheck(self, ctx: request_context.RequestContext) -> Refusal | None:
+        """Returns why a request may not be sent now; it may have waited.
+
+        Args:
+            ctx: A request that this check has admitted.
+        """
+        ...
+
     def note_end(self, ctx: request_context.RequestContext, ran: bool) -> None:
         """Records the end of a request that this check has admitted.
 
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -58,6 +58,8 @@
 ENDING = "this entry stops"
 # Remaining time of a caller without a deadline header, while no route is known.
 DEFAULT_DEADLINE_MS = 1000.0
+# Tells a caller without a valid key how to send one.
+CHALLENGE = (b"WWW-Authenticate", b"Bearer")
 
 logger = loguru.logger
 
@@ -233,6 +235,10 @@
             target = await self._selector.select(ctx)
             if target is None:
                 return self._give_up(ctx)
+            for check in self._checks:
+                refusal = check.recheck(ctx)
+                if refusal is not None:
+                    return self._refuse(ctx, refusal)
             ctx.is_sending = True
             attempt = await self._send(ctx, target)
             ctx.is_sending = False
@@ -400,7 +406,8 @@
     ) -> messages.Response:
         """Returns the response to a request that is not admitted."""
         ctx.retry_after_ms = refusal.retry_after_ms
-        return self._reject(refusal.status, refusal.reason, ctx)
+        self._log.log_refused(refusal, ctx)
+        return self._make_error(refusal.status, refusal.reason, ctx)
 
     def _reject(
         self,
@@ -408,6 +415,19 @@
         reason: str,
         ctx: request_context.RequestContext | None = None,
         retry_after_ms: clock.Millis = 0.0,
+    ) -> messages.Response:
+        if ctx is None:
+            self._log.log_rejected(status, reason)
+        else:
+            self._log.log_failed(status, reason, ctx)
+        return self._make_error(status, reason, ctx, retry_after_ms)
+
+    def _make_error(
+        self,
+        status: int,
+        reason: str,
+        ctx: request_context.RequestContext | None,
+        retry_after_ms: clock.Millis = 0.0,
     ) -> messages.Response:
         headers = []
         if status in (429, 503):
@@ -422,10 +442,8 @@
             )
             name = self._names.retry_after.encode()
             headers.append((name, b"%.3f" % clock.seconds(retry_after_ms)))
-        if ctx is None:
-            self._log.log_rejected(status, reason)
-        else:
-            self._log.log_failed(status, reason, ctx)
+        if status == 401:
+            headers.append(CHALLENGE)
         body = reason.encode("utf-8", "replace")
         headers.append((b"Content-Type", b"text/plain; charset=utf-8"))
         return messages.Response(status, headers, body)
--- a/src/cardamomkeel/gateway/names.py
+++ b/src/cardamomkeel/gateway/names.py
@@ -19,6 +19,7 @@
         reported_instance: The instance of a target, in answers to probes.
         cold: Remaining cold start of a target in milliseconds.
         leaving: "1" in the answers of a target that stops soon.
+        account: The client account that a request belongs to, for targets.
     """
 
     request_id: str = "Cardamomkeel-Request-Id"
@@ -31,3 +32,4 @@
     reported_instance: str = "Cardamomkeel-Instance"
     cold: str = "Cardamomkeel-Cold-Ms"
     leaving: str = "Cardamomkeel-Leaving"
+    account: str = "Cardamomkeel-Account"
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -14,6 +14,7 @@
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import http_server
+from cardamomkeel.gateway import key_check
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import sending
@@ -107,6 +108,7 @@
             self.metrics,
             self.clk,
             random.Random(),
+            [key_check.KeyCheck(self.session, cfg.headers.account)],
         )
         self.server = http_server.HttpServer(
             self.gateway, self.clk, lambda: self.session.view.table.limits
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -16,6 +16,7 @@
         service: The service that was picked from the route.
         account: The client account whose key the request carries; None if it
             needs none.
+        key_digest: The digest of that key; empty for none.
         remaining_ms: How long the caller still waits, from its deadline header.
         spent_ms: How long the caller had waited before this attempt.
         useful_until: When the objective of the route is missed, on the local
@@ -53,6 +54,7 @@
         self.route = route
         self.service = service
         self.account: document_lib.Account | None = None
+        self.key_digest = ""
         self.remaining_ms = remaining_ms
         self.spent_ms = spent_ms
         self.useful_until = outgoing.req.arrived + route.objective_ms - spent_ms
--- a/src/cardamomkeel/gateway/request_log.py
+++ b/src/cardamomkeel/gateway/request_log.py
@@ -4,6 +4,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
+from cardamomkeel.gateway import admission
 from cardamomkeel.gateway import request_context
 from cardamomkeel.log_lines import limits
 
@@ -17,6 +18,7 @@
         self._metrics = metrics
         self._clock = clk
         self._failed_limit = limits.Limit("answered request with error", clk)
+        self._refused_limit = limits.Limit("refused request of account", clk)
         self._rejected_limit = limits.Limit(
             "rejected request before routing", clk
         )
@@ -33,6 +35,28 @@
                 "rejected request before routing", status=status, reason=reason
             )
 
+    def log_refused(
+        self, refusal: admission.Refusal, ctx: request_context.RequestContext
+    ) -> None:
+        """Logs a request that an admission check has refused."""
+        self._metrics.count(
+            "account_refusals",
+            "Requests refused for their key or their account.",
+            status=str(refusal.status),
+            reason=refusal.reason,
+        )
+        if not self._refused_limit.may_write():
+            return
+        logger.info(
+            "refused request of account",
+            request_id=ctx.outgoing.request_id.decode("latin-1"),
+            account=ctx.account.name if ctx.account is not None else "",
+            status=refusal.status,
+            reason=refusal.reason,
+            route=ctx.route.name,
+            retry_after_ms=round(refusal.retry_after_ms, 1),
+        )
+
     def log_failed(
         self, status: int, reason: str, ctx: request_context.RequestContext
     ) -> None:
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -74,12 +74,14 @@
         route: The route that matches it.
         deadline: When the deadline of the caller or the timeout of the route
             passes, whichever is earlier, on the local clock.
+        account: The name of its client account; empty for none.
     """
 
     req: messages.Request
     request_id: bytes
     route: document_lib.Route
     deadline: clock.Millis
+    account: bytes = b""
 
     @property
     def idempotent(self) -> bool:
@@ -123,6 +125,7 @@
         self._id = names.request_id.encode()
         self._deadline = names.deadline.encode()
         self._instance = names.instance.encode()
+        self._account = names.account.encode()
         self._seal = names.seal.lower().encode()
         self._load = names.load.lower().encode()
         self._not_run = names.not_run.lower().encode()
@@ -332,6 +335,8 @@
         if not http_headers.is_safe_header(self._id, outgoing.request_id):
             return None
         lines.append(b"%s: %s\r\n" % (self._id, outgoing.request_id))
+        if outgoing.account:
+            lines.append(b"%s: %s\r\n" % (self._account, outgoing.account))
         lines.append(b"%s: %d\r\n" % (self._deadline, remaining_ms))
         instance = target.record.instance.encode()
         lines.append(b"%s: %s\r\n" % (self._instance, instance))
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -26,6 +26,7 @@
 }
 # The meanings of the other fields, with their units.
 FIELDS = {
+    "account": "name of the client account; empty if it is not known",
     "address": "the other end of the connection, IP address and port",
     "addresses": "the control VMs that are called from now on",
     "asked": "how many members were requested to become the leader",
@@ -58,6 +59,8 @@
     "peer": "the caller, IP address and port",
     "reason": "the cause, with the values that it depends on",
     "request_id": "id that the caller gave one attempt",
+    "retry_after_ms": "when the caller may send the request again, ms; 0 if it "
+    "is not told",
     "route": "the route that matches the request",
     "service": "the service",
     "session": "session of an entry with the control group",
--- a/src/cardamomkeel/log_lines/requests.py
+++ b/src/cardamomkeel/log_lines/requests.py
@@ -27,6 +27,21 @@
         "No route fits the request, or there are no routes yet.",
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
+    kinds.Kind(
+        "refused request of account",
+        kinds.INFO,
+        (
+            "request_id",
+            "account",
+            "status",
+            "reason",
+            "route",
+            "retry_after_ms",
+        ),
+        "The key of the request belongs to no account, or its account has"
+        " reached its limit. The request was sent to no target.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "rejected invalid request",
         kinds.INFO,
--- a/src/cardamomkeel/platform/configurations.py
+++ b/src/cardamomkeel/platform/configurations.py
@@ -34,7 +34,11 @@
 
 class _Row(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(
-        alias_generator=_to_kebab_case, populate_by_name=True, extra="ignore"
+        alias_generator=_to_kebab_case,
+        populate_by_name=True,
+        extra="ignore",
+        # An error that shows a value may show a key.
+        hide_input_in_errors=True,
     )
 
 
--- a/src/cardamomkeel/platform/header_names.py
+++ b/src/cardamomkeel/platform/header_names.py
@@ -17,4 +17,6 @@
     # "Warmup" is the cold start, during which a target handles little load.
     cold="Warmup-Ms",
     leaving="Server-Leaving",
+    # "Tenant" on the wire is the client account.
+    account="Tenant",
 )
--- a/src/cardamomkeel/routes/document.py
+++ b/src/cardamomkeel/routes/document.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cardamomkeel import http_headers
+
 # The longest time that a caller may wait for an answer.
 MAX_TIMEOUT_MS = 600_000
 # An objective that exceeds the timeout by this much is rejected as a mistake.
@@ -13,6 +15,7 @@
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/([^?#\s]*/)?$")]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+Digest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{32}$")]
 NonNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -102,11 +105,25 @@
     """
 
     name: Name
-    key_digests: tuple[str, ...] = ()
+    key_digests: tuple[Digest, ...] = ()
     priority: typing.Annotated[int, msgspec.Meta(ge=0)] | None = None
     rate_per_s: NonNegative = 0.0
     burst: NonNegative = 0.0
 
+    def __post_init__(self):
+        """Checks the name, which is sent in a header.
+
+        Raises:
+            ValueError: The name can't be sent.
+        """
+        value = self.name.encode()
+        is_padded = self.name != self.name.strip()
+        if is_padded or not http_headers.is_safe_header(b"account", value):
+            raise ValueError(
+                f"the account {self.name!r} can't be named in a header; remove "
+                "control characters, and spaces at both ends, from its name"
+            )
+
 
 class CallerLimits(_Strict):
     """Limits on the requests and connections of callers.
--- a/src/cardamomkeel/routes/table.py
+++ b/src/cardamomkeel/routes/table.py
@@ -2,6 +2,7 @@
 
 import random
 
+from cardamomkeel.accounts import directory as directory_lib
 from cardamomkeel.routes import document as document_lib
 
 
@@ -12,6 +13,7 @@
         document: The routes as operators wrote them; None for none.
         number: The number of the document; 0 for none.
         limits: The limits for callers.
+        accounts: The client accounts; None if requests need no keys.
     """
 
     def __init__(
@@ -22,6 +24,9 @@
         self.limits = (
             document_lib.CallerLimits() if document is None else document.limits
         )
+        self.accounts: directory_lib.Directory | None = None
+        if document is not None and document.accounts is not None:
+            self.accounts = directory_lib.Directory(document.accounts)
         self._hosts: dict[str, list[document_lib.Route]] = {}
         for route in document.routes if document else ():
             self._hosts.setdefault(route.host.lower(), []).append(route)
--- a/src/cardamomkeel/settings/page.py
+++ b/src/cardamomkeel/settings/page.py
@@ -28,6 +28,7 @@
     "`routes` of the routes": document.Route,
     "`parts` of a route": document.Part,
     "`services.NAME` of the routes": document.RoutedService,
+    "`accounts` of the routes": document.Account,
     "`limits` of the routes": document.CallerLimits,
     "`cardamomkeel-gateway --settings`": process.GatewaySettings,
     "`cardamomkeel-entry --settings`": process.EntrySettings,
