Use real digests in the checks of routes

Cause: accounts now refuse digests that are none; the texts of these tests had "aa". The checks are the same.

--- a/features/steps/routes_check.py
+++ b/features/steps/routes_check.py
@@ -10,6 +10,7 @@
 import typer.testing
 
 from bench import platform as platform_lib
+from cardamomkeel.accounts import digests
 from cardamomkeel.operators import cmdline
 from cardamomkeel.platform import check as platform_check
 from features.steps import routes as routes_steps
@@ -31,11 +32,11 @@
     "keepsake": {}
   },
   "accounts": [
-    {"name": "clinic", "key_digests": ["aa"], "rate_per_s": 5}
+    {"name": "clinic", "key_digests": ["DIGEST"], "rate_per_s": 5}
   ],
   "limits": {"header_bytes": 16384, "header_ms": 3000}
 }
-"""
+""".replace("DIGEST", digests.make(b"key-1"))
 USED = ('    "keepsake": {}\n', "\n"), ("4},\n", "4}\n")
 CHANGES = {
     "no change": [],
@@ -44,7 +45,7 @@
     "weights of 0": [('"weight": 1', '"weight": 0')],
     "a late objective": [('"objective_ms": 600', '"objective_ms": 2600')],
     "no request while cold": [('"cold_per_s": 4', '"cold_per_s": 0')],
-    "an account without a key": [('["aa"]', "[]")],
+    "an account without a key": [(f'["{digests.make(b"key-1")}"]', "[]")],
     "a burst without a rate": [('"rate_per_s": 5', '"burst": 5')],
     "too low a rate": [('"rate_per_s": 5', '"rate_per_s": 0.5')],
     "accounts without use": [('"attempts"', '"keyless": true, "attempts"')],
@@ -110,13 +111,17 @@
 @when("routes are compared with others")
 def compare_others(context):
     content = routes_steps.make_routes(attempts=2, objective_ms=600)
-    content["accounts"] = [{"name": "clinic", "key_digests": ["bb"]}]
+    content["accounts"] = [
+        {"name": "clinic", "key_digests": [digests.make(b"key-2")]}
+    ]
     other = routes_steps.make_routes()
     other["routes"].append(other["routes"][0] | {"prefix": "/confirm/"})
     other["services"] = {"creneau": {}}
     for route in other["routes"]:
         route["parts"] = [{"service": "creneau", "weight": 1}]
-    other["accounts"] = [{"name": "clinic", "key_digests": ["aa"]}]
+    other["accounts"] = [
+        {"name": "clinic", "key_digests": [digests.make(b"key-1")]}
+    ]
     new, old = (write(context, json.dumps(text)) for text in (content, other))
     check(context, "routes", "check", new, "--against", old)
 
