Data centres: decide which share of a service's requests leaves

Each request decided for itself, in each entry, by a constant cost and a wait, without knowing what room the others had. Entries report demand, work time, outcomes and running requests four times a second to two summing entries of their data centre, which exchange the sums with other data centres and hand them on along a tree. Each entry decides from the sums the share of each service that leaves, so that the last request gains what its way costs, with hysteresis, a part of the room told for each data centre in need, and an allowance for requests that waited. Old and lost reports expire; without them requests decide as before.

--- a/features/steps/shared_targets.py
+++ b/features/steps/shared_targets.py
@@ -445,6 +445,8 @@
 class FullTargets:
     """Targets that are free for late requests only."""
 
+    choice = None
+
     def expect_ms(self, _service, _route):
         """Returns the expected work time."""
         return 250.0
--- a/src/cardamomkeel/daemons/gateway.py
+++ b/src/cardamomkeel/daemons/gateway.py
@@ -68,6 +68,11 @@
         longest_hold_ms=cfg.longest_hold_ms,
         link_bytes_per_s=cfg.link_bytes_per_second,
         buffer_bytes=cfg.buffer_bytes,
+        leaving=settings_lib.LeavingSettings(
+            max_share=cfg.leave_share,
+            cost_per_mb=cfg.leave_cost_per_mb,
+            bytes_per_s=cfg.leave_bytes_per_second,
+        ),
     )
 
 
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -15,6 +15,7 @@
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import request_context
+from cardamomkeel.gateway import request_counts
 from cardamomkeel.gateway import request_log
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import settings as settings_lib
@@ -165,6 +166,7 @@
         self, ctx: request_context.RequestContext
     ) -> messages.Response:
         self._get_resends(ctx.service).record_request(self._clock.now())
+        request_counts.count_request(self._targets, ctx)
         if self._crashes_targets(ctx):
             ctx.reason = "it crashed targets before"
             return self._give_up(ctx)
@@ -234,8 +236,13 @@
             if target is None:
                 return self._give_up(ctx)
             ctx.is_sending = True
+            began = self._clock.now()
             attempt = await self._send(ctx, target)
             ctx.is_sending = False
+            took_ms = self._clock.now() - began
+            request_counts.count_attempt(
+                self._targets, ctx, target, attempt, took_ms
+            )
             if attempt.result is sending.SendResult.ANSWERED:
                 ctx.is_answered = True
                 if not self._is_resendable_failure(ctx, attempt):
--- a/src/cardamomkeel/gateway/gossip.py
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -20,6 +20,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel import listening
+from cardamomkeel.gateway import data_centre_reports
 from cardamomkeel.log_lines import limits
 from cardamomkeel.policy import peers
 from cardamomkeel.settings import addresses
@@ -127,6 +128,8 @@
 
     Attributes:
         running: Number of running requests of the peers, by target address.
+        on_report: Takes in the reports that arrive at the same address, and
+            raises ValueError for malformed ones.
     """
 
     def __init__(
@@ -150,6 +153,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._send_timer: asyncio.TimerHandle | None = None
         self.running: dict[str, int] = {}
+        self.on_report: collections.abc.Callable[[bytes], None] | None = None
 
     async def start(self, address: str, targets: TargetState) -> None:
         """Listens at an address.
@@ -203,8 +207,18 @@
         for address in self._addresses:
             self._transport.sendto(data, address)
 
+    def send_report(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a report to another entry."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, address)
+
     def _receive(self, data: bytes) -> None:
         try:
+            if self.on_report is not None and data.startswith(
+                data_centre_reports.REPORT_BYTE
+            ):
+                self.on_report(data)
+                return
             datagram = _DECODER.decode(data)
         except (ValueError, RecursionError) as exc:
             if self._malformed_limit.may_write():
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -11,11 +11,14 @@
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.control import client as client_lib
+from cardamomkeel.gateway import data_centre_choice
+from cardamomkeel.gateway import data_centre_reports
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
+from cardamomkeel.gateway import room_counts
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.gateway import target_signals
@@ -41,7 +44,9 @@
     Attributes:
         session: The session with the control group.
         gossip: Exchanges counts of running requests within the data centre.
+        reports: Exchanges demand and room with other data centres.
         targets: The state of each target.
+        choice: Decides which requests leave their data centre.
         signals: What targets say of themselves.
         prober: Asks targets for their load.
         server: The HTTP server for callers.
@@ -64,6 +69,21 @@
         self.targets = targets_lib.Targets(
             cfg.data_centre, cfg.name, self.gossip, self.clk
         )
+        self.reports = data_centre_reports.DataCentreReports(
+            cfg.name, cfg.data_centre, self.gossip.send_report, self.clk
+        )
+        self.choice = data_centre_choice.DataCentreChoice(
+            cfg.leaving,
+            cfg.data_centre,
+            self.reports,
+            room_counts.RoomCounts(self.targets, self.clk),
+            self.metrics,
+            self.clk,
+            random.Random(),
+        )
+        if cfg.leaving.max_share > 0:
+            self.gossip.on_report = self.reports.receive
+            self.targets.choice = self.choice
         self.upstream = upstream_lib.UpstreamPool(
             self.clk,
             cfg.headers.request_id.lower().encode(),
@@ -126,6 +146,13 @@
         self.targets.apply_changes(view, changes)
         if changes.all_rows or changes.entries:
             self._update_gossip_peers(view)
+            self.reports.set_entries(
+                {
+                    entry.name: (entry.data_centre, entry.entries_address)
+                    for entry in view.entries.values()
+                    if not entry.leaving
+                }
+            )
         self.gateway.wake()
 
     def _update_gossip_peers(self, view: view_lib.View) -> None:
@@ -151,6 +178,8 @@
         await self.server.start(self.cfg.callers_address)
         tasks.start_soon(self.session.run)
         tasks.start_soon(self.gossip.run)
+        if self.targets.choice is not None:
+            tasks.start_soon(self.choice.run)
         tasks.start_soon(self._expire_connections)
         logger.info("started", callers=self.cfg.callers_address)
 
@@ -221,5 +250,6 @@
             },
             "in_flight": self.server.in_flight,
             "connections": len(self.server.connections),
+            "leaving": self.choice.dump(),
             "targets": self.targets.dump(),
         }
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -22,6 +22,8 @@
             clock.
         tried: The targets that the request was sent to.
         unreachable: The targets that could not be reached.
+        leaves_to: The data centre in which it looks for a target, if it
+            leaves its own.
         is_sending: Whether an attempt is in progress.
         may_have_run: Whether a target may have run the request.
         is_answered: Whether a target has answered it.
@@ -58,6 +60,7 @@
         self.useful_until = outgoing.req.arrived + route.objective_ms - spent_ms
         self.tried: list[target_lib.Target] = []
         self.unreachable: list[target_lib.Target] = []
+        self.leaves_to: str | None = None
         self.is_sending = False
         self.may_have_run = False
         self.is_timed_out = False
--- a/src/cardamomkeel/gateway/settings.py
+++ b/src/cardamomkeel/gateway/settings.py
@@ -23,6 +23,26 @@
     lease_ms: int = 3000
 
 
+@dataclasses.dataclass(frozen=True)
+class LeavingSettings:
+    """Settings of requests that leave their data centre.
+
+    Attributes:
+        max_share: Bound on the share of a service's requests; at 0 no share is
+            decided, and each request looks for a target elsewhere by itself.
+        cost_per_mb: How many requests answered in time a megabyte on the way
+            has to bring.
+        bytes_per_s: Bound on the bytes of a service that leave one data centre;
+            0 for none.
+        delay_ms: Additional time to an answer from another data centre.
+    """
+
+    max_share: float = 0.0
+    cost_per_mb: float = 5.0
+    bytes_per_s: float = 0.0
+    delay_ms: float = 2.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
     """The settings of one gateway.
@@ -49,6 +69,7 @@
             gets no requests.
         link_bytes_per_s: Bandwidth of the link of this VM; 0 if it does not
             limit any request.
+        leaving: Which requests leave their data centre.
     """
 
     name: str
@@ -70,3 +91,4 @@
     buffer_bytes: int = DEFAULT_BUFFER_BYTES
     longest_hold_ms: int = 60_000
     link_bytes_per_s: float = 0.0
+    leaving: LeavingSettings = LeavingSettings()
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -63,10 +63,7 @@
         queue = self._queues[ctx.service]
         late = self.is_late(ctx)
         if not len(queue):
-            near = self._targets.has_near_target(ctx.service)
-            target = await self.try_select(
-                ctx, _demand(late), include_remote=not near
-            )
+            target = await self._try_first(ctx, _demand(late))
             if target is not None:
                 return target
         if self._is_pointless(ctx):
@@ -82,6 +79,21 @@
             queue.leave(waiter)
             queue.wake()
 
+    async def _try_first(
+        self, ctx: request_context.RequestContext, demand: placement.Demand
+    ) -> target_lib.Target | None:
+        """Returns a target without waiting, elsewhere if the request leaves."""
+        near = self._targets.has_near_target(ctx.service)
+        choice = self._targets.choice
+        if choice is not None:
+            ctx.leaves_to = choice.draw(ctx.service)
+            if ctx.leaves_to is not None:
+                target = await self.try_select(ctx, demand)
+                ctx.leaves_to = None
+                if target is not None:
+                    return target
+        return await self.try_select(ctx, demand, include_remote=not near)
+
     def _is_pointless(self, ctx: request_context.RequestContext) -> bool:
         """Returns whether no target can serve a request before its deadline.
 
@@ -191,6 +203,7 @@
             demand,
             include_remote,
             self._rng,
+            ctx.leaves_to,
         )
 
     def _needs_probe(
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -5,6 +5,7 @@
 import typing
 
 from cardamomkeel import clock
+from cardamomkeel.gateway import data_centre_choice
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.policy import cold_start_rate
@@ -24,7 +25,12 @@
 
 
 class Targets:
-    """All targets of the view, by address and by service."""
+    """All targets of the view, by address and by service.
+
+    Attributes:
+        choice: Decides which requests leave the data centre; None if each
+            request may.
+    """
 
     def __init__(
         self,
@@ -44,6 +50,7 @@
         self._data_centres_out: set[str] = set()
         self._departures = departures.Departures()
         self._view: view_lib.View | None = None
+        self.choice: data_centre_choice.DataCentreChoice | None = None
 
     def apply_changes(
         self, view: view_lib.View, changes: view_lib.Changes
@@ -254,14 +261,24 @@
         One of its targets has to be known, in service, reachable and warm.
         """
         now = self._clock.now()
-        return any(
-            target.near
-            and self.is_current(target)
+        return any(self.is_useful(t, now) for t in self.get(service) if t.near)
+
+    def is_useful(self, target: target_lib.Target, now: clock.Millis) -> bool:
+        """Returns whether a target is known, in service, reachable and warm."""
+        return (
+            self.is_current(target)
             and not target.is_down(now)
             and not target.is_cold(now)
-            for target in self.get(service)
         )
 
+    def list_services(self) -> list[str]:
+        """Returns the services that have had targets."""
+        return list(self._by_service)
+
+    def saturation_factor(self, service: str, now: clock.Millis) -> float:
+        """Returns the slowdown of a service's nearly full targets."""
+        return self._get_service_work(service).saturation.factor(now)
+
     def count_running_by_target(self) -> dict[str, int]:
         """Returns how many requests of this entry each target address runs."""
         return {
@@ -323,6 +340,7 @@
         demand: placement.Demand,
         include_remote: bool,
         rng: random.Random,
+        leaves_to: str | None = None,
     ) -> list[target_lib.Target]:
         """Returns the targets that a request may be sent to, best first.
 
@@ -335,13 +353,16 @@
             demand: What the request requires of a target.
             include_remote: Whether to include targets of other data centres.
             rng: Random numbers for the ranking.
+            leaves_to: The only data centre whose targets are included; None
+                for all.
         """
         now = self._clock.now()
         targets = [
             target
-            for target in self.get(service)
-            if (include_remote or target.near)
-            and not target.is_out
+            for target in self._list_in_reach(
+                service, include_remote, leaves_to
+            )
+            if not target.is_out
             and target.may_take_more(now)
             and target not in excluded
         ]
@@ -349,9 +370,7 @@
         if demand is placement.Demand.LAST_RESORT and not usable:
             usable = targets
         typical = self._get_typical(service)
-        saturation_factor = self._get_service_work(service).saturation.factor(
-            now
-        )
+        saturation_factor = self.saturation_factor(service, now)
         work_ms = self.expect_ms(service, route)
         options = [
             self._make_option(
@@ -366,6 +385,22 @@
         )
         return [usable[option.index] for option in ranked]
 
+    def _list_in_reach(
+        self, service: str, include_remote: bool, leaves_to: str | None
+    ) -> list[target_lib.Target]:
+        """Returns the targets in the data centres that a request may go to."""
+        targets = self.get(service)
+        if leaves_to is not None:
+            return [t for t in targets if t.data_centre == leaves_to]
+        if not include_remote:
+            return [t for t in targets if t.near]
+        allowed = None
+        if self.choice is not None and self.has_near_target(service):
+            allowed = self.choice.list_allowed(service)
+        if allowed is None:
+            return targets
+        return [t for t in targets if t.near or t.data_centre in allowed]
+
     def _make_option(
         self,
         index: int,
@@ -460,6 +495,8 @@
     def record_start(self, target: target_lib.Target) -> None:
         """Counts a request as running at a target."""
         target.running += 1
+        if self.choice is not None:
+            self.choice.note_sent(target)
         self.record_send(target)
         self._gossip.schedule_send()
 
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -61,7 +61,10 @@
     "route": "the route that matches the request",
     "service": "the service",
     "session": "session of an entry with the control group",
+    "rooms": "demand, capacity and running requests in slots, and the age of"
+    " these figures in ms, by data centre",
     "sessions": "sessions of entries with the control group",
+    "shares": "shares of the requests, by data centre they leave to",
     "signal": "number of the signal",
     "state": "`ready`, `cold` or `draining`",
     "status": "status of the answer",
@@ -71,6 +74,7 @@
     "term": "term of the leader",
     "took_ms": "time from the first byte of the request to the answer, ms",
     "value": "the value of a header, cut to 100 bytes",
+    "way_cost": "cost of the way of one request, in requests answered in time",
     "why": "the observation that caused the reset",
 }
 
--- a/src/cardamomkeel/log_lines/targets.py
+++ b/src/cardamomkeel/log_lines/targets.py
@@ -49,6 +49,14 @@
         "The target said in an answer that it stops soon. This entry sends it"
         " nothing more.",
     ),
+    kinds.Kind(
+        "share that leaves changed",
+        kinds.INFO,
+        ("service", "shares", "way_cost", "rooms"),
+        "The share of the requests of this service that this entry sends to"
+        " other data centres, and what it was decided from.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "target pushed back",
         kinds.INFO,
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -136,6 +136,13 @@
             gets no requests; it bounds what a faulty target can ask for.
         link_bytes_per_second: Bandwidth of the link of this VM; 0 if it does
             not limit requests.
+        leave_share: The largest share of a service's requests that leaves a
+            data centre for another with more room; 0 lets each request look
+            for a target elsewhere by itself.
+        leave_cost_per_mb: How many requests answered in time each megabyte
+            between data centres has to bring.
+        leave_bytes_per_second: Bound on the bytes of one service that leave
+            one data centre; 0 for none.
         buffer_bytes: How many bytes of answers this process may buffer.
         log_level: The lowest level of log lines that are written.
     """
@@ -158,6 +165,9 @@
     listen_on_ms: int = pydantic.Field(2500, ge=0)
     longest_hold_ms: int = pydantic.Field(60_000, ge=0)
     link_bytes_per_second: float = pydantic.Field(0.0, ge=0)
+    leave_share: float = pydantic.Field(0.0, ge=0, le=1)
+    leave_cost_per_mb: float = pydantic.Field(5.0, ge=0)
+    leave_bytes_per_second: float = pydantic.Field(0.0, ge=0)
     buffer_bytes: int = pydantic.Field(256 * 1024 * 1024, ge=MIN_BUFFER_BYTES)
     log_level: str = "INFO"
 
