--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -334,7 +334,7 @@
         self,
         service: str,
         route: document_lib.Route,
-        excluded: collections.abc.Container[target_lib.Target],
+        excluded: collections.abc.Collection[target_lib.Target],
         objective_ms: clock.Millis,
         remaining_ms: clock.Millis,
         demand: placement.Demand,
@@ -360,7 +360,7 @@
         targets = [
             target
             for target in self._list_in_reach(
-                service, include_remote, leaves_to
+                service, include_remote, leaves_to, bool(excluded)
             )
             if not target.is_out
             and target.may_take_more(now)
@@ -386,16 +386,27 @@
         return [usable[option.index] for option in ranked]
 
     def _list_in_reach(
-        self, service: str, include_remote: bool, leaves_to: str | None
+        self,
+        service: str,
+        include_remote: bool,
+        leaves_to: str | None,
+        is_resend: bool,
     ) -> list[target_lib.Target]:
-        """Returns the targets in the data centres that a request may go to."""
+        """Returns the targets in the data centres that a request may go to.
+
+        Second tries may go anywhere, as the budget of resends bounds them.
+        """
         targets = self.get(service)
         if leaves_to is not None:
             return [t for t in targets if t.data_centre == leaves_to]
         if not include_remote:
             return [t for t in targets if t.near]
         allowed = None
-        if self.choice is not None and self.has_near_target(service):
+        if (
+            self.choice is not None
+            and not is_resend
+            and self.has_near_target(service)
+        ):
             allowed = self.choice.list_allowed(service)
         if allowed is None:
             return targets
