--- a/bench/platform.py
+++ b/bench/platform.py
@@ -97,6 +97,7 @@
                         "data-dir": None
                         if self.role == "front"
                         else str(data_folder),
+                        "limits": fleet.limits,
                     },
                     "network": {
                         "listen": listen,
@@ -145,9 +146,11 @@
         fronts: The entry VMs.
         relays: Relays between entries and backend servers; None for direct
             connections.
+        limits: The resource limits that the settings files name.
     """
 
-    def __init__(self, fronts=2, cores=3, relayed=False):
+    def __init__(self, fronts=2, cores=3, relayed=False, limits=None):
+        self.limits = limits or {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
         self.net = f"127.{10 + next(_nets) % 200}.{secrets.randbelow(250)}"
         self.port = 20000 + secrets.randbelow(8000)
--- a/bench/platform_targets.py
+++ b/bench/platform_targets.py
@@ -152,6 +152,7 @@
         address: Host and port.
         instance: The id of this instance of the server.
         work_s: The duration of a request.
+        body: The body of a correct answer.
         slow_percent: The reported duration of work, in percent of normal.
         behaviours: The behaviours for the next requests, in order; "ok" is
             a correct answer.
@@ -185,6 +186,7 @@
         self.instance = instance
         self.slots = slots
         self.work_s = 0.02
+        self.body = BODY
         self.slow_percent = 100
         self.slowed_ms = 0
         self.slowed_until = 0.0
@@ -330,7 +332,7 @@
         elif behaviour == "crash":
             await self.stop()
         else:
-            conn.write(200, seal, BODY, request_id)
+            conn.write(200, seal, self.body, request_id)
 
 
 class Farm:
--- a/features/environment.py
+++ b/features/environment.py
@@ -107,6 +107,18 @@
     )
 
 
+@behave.fixture
+def small_buffers(context):
+    """Starts one entry that may hold few bytes of bodies."""
+    rows = {"dossier": {"idempotent": True, "slots": 50, "cold_slots": 50}}
+    shape = deployment_lib.Shape(
+        ("brest",), {"dossier": 1}, json.dumps({"services": rows}), 50, 1
+    )
+    yield from _run_deployment(
+        context, shape, entry_settings={"buffer_bytes": 8 * 1024 * 1024}
+    )
+
+
 @behave.fixture
 def ar_gwenn_skouarn(context):
     yield from _run_deployment(context, AR_GWENN_SKOUARN)
@@ -162,6 +174,7 @@
     "fixture.many_targets": many_targets,
     "fixture.sparse_relayed": sparse_relayed,
     "fixture.long_bodies": long_bodies,
+    "fixture.small_buffers": small_buffers,
     "fixture.ar_gwenn_skouarn": ar_gwenn_skouarn,
     "fixture.cart_commons": cart_commons,
     "fixture.folder": folder,
