Bound what callers may hold, in bytes, connections and processor time

Cause: only the single body was bounded. Nothing counted what all connections of a process hold, or how many there are; a complete body was copied once or twice; a whole read was parsed at once, at a call for each chunk of a byte.

Change: one budget over all ports of a process, 0.86 of memory-mb less the idle size, for connections, bodies from their announced length on, bytes that wait to be parsed, answers, and answers that are not taken. Without room a body waits up to 0.9 s unread, then 503 with Retry-After; connections that stood still for a second go first, most bytes times time first (policy/memory_pressure.py, pure). Connections: half of the descriptors for callers, a sixteenth for each other port. Costly bytes are parsed in slices of 2 KiB, one connection a turn, in both HTTP servers. Long bodies and answers lie in pages of their own, without copies.

--- a/bench/platform_targets.py
+++ b/bench/platform_targets.py
@@ -84,7 +84,7 @@
             self.parser.feed_data(data)
 
     def on_message_begin(self):
-        self.url, self.headers, self.body = b"", {}, b""
+        self.url, self.headers, self.body = b"", {}, bytearray()
 
     def on_url(self, url):
         self.url += url
@@ -119,7 +119,7 @@
             self.parser.get_method().decode(),
             self.url.decode(),
             self.headers,
-            self.body,
+            bytes(self.body),
             time.monotonic(),
             self.head_at,
         )
--- a/features/steps/unbounded_callers.py
+++ b/features/steps/unbounded_callers.py
@@ -18,6 +18,7 @@
 MB = crowd_lib.MB
 KB = 1000
 BODY_LIMIT = 8 * MB
+LONGEST = 67_108_864
 CALL = "POST /v1/call/dossier/own"
 # The offsets of the ports of a VM.
 PORTS = {"directory": 2, "operators' port": 5}
@@ -54,13 +55,15 @@
     raise LookupError(pid)
 
 
-def start_fleet(context, **limits):
+def start_fleet(context, body_limit=BODY_LIMIT, timeout_ms=2000, **limits):
     fleet = platform_lib.Fleet(fronts=1, limits=limits)
     context.fleet = fleet
     context.add_cleanup(fleet.close)
     fleet.start()
     config = platform_lib.make_config(1, 0)
-    config["limits"]["max-body-bytes"] = BODY_LIMIT
+    config["limits"]["max-body-bytes"] = body_limit
+    for row in config["routes"]["rows"]:
+        row[config["routes"]["columns"].index("timeout-ms")] = timeout_ms
     got = fleet.call_control("PUT", "/-/config", config)
     assert got.status_code == 200, got.text
     for service in platform_lib.SERVICES:
@@ -79,6 +82,39 @@
     start_fleet(context, **{"memory-mb": size})
 
 
+@given("a platform whose processes may use {size:d} MB and bodies of 64 MiB")
+def start_with_long_bodies(context, size):
+    start_fleet(
+        context, body_limit=LONGEST, timeout_ms=10_000, **{"memory-mb": size}
+    )
+
+
+@when("a booking of 64 MiB is sent, with a length and then in chunks")
+def book_longest(context):
+    fleet = context.fleet
+    context.process = fleet.fronts[0].process
+    whole = b"x" * LONGEST
+    pieces = [whole[:MB]] * (LONGEST // MB) + [whole[: LONGEST % MB]]
+    context.statuses = [
+        httpx.post(
+            fleet.fronts[0].url("/book/long"),
+            content=content,
+            headers={
+                "host": "desk.example",
+                "request-id": f"long-{number}",
+                "deadline-ms": "10000",
+            },
+            timeout=20.0,
+        ).status_code
+        for number, content in enumerate((whole, iter(pieces)))
+    ]
+
+
+@then("both are answered")
+def check_both(context):
+    assert context.statuses == [200, 200], context.statuses
+
+
 @given(
     "a platform whose processes may use {size:d} MB and {count:d} descriptors"
 )
--- a/features/unbounded_callers.feature
+++ b/features/unbounded_callers.feature
@@ -27,6 +27,12 @@
     Then an ordinary booking is answered
     And the process lives and has never used over 128 MB
 
+  Scenario: A body of 64 MiB is served in calm by an entry with 152 MB
+    Given a platform whose processes may use 152 MB and bodies of 64 MiB
+    When a booking of 64 MiB is sent, with a length and then in chunks
+    Then both are answered
+    And the process lives and has never used over 152 MB
+
   Scenario Outline: 24 callers send <load> to a control VM
     Given a platform whose processes may use 128 MB
     When 24 callers send <load> to a control VM
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -105,7 +105,7 @@
         self._expected_id = request_id
 
     def request(
-        self, head: bytes, body: bytes, is_head: bool
+        self, head: bytes, body: bytes | memoryview, is_head: bool
     ) -> asyncio.Future[messages.Answer]:
         """Writes a request and returns a future for its answer.
 
--- a/src/cardamomkeel/buffers.py
+++ b/src/cardamomkeel/buffers.py
@@ -26,11 +26,14 @@
     Attributes:
         limit: The maximum number of acquired bytes.
         held: The number of acquired bytes.
+        make_room: Called with the number of bytes that are missing, to free
+            them; None if nothing can.
     """
 
     def __init__(self, limit: int):
         self.limit = limit
         self.held = 0
+        self.make_room: collections.abc.Callable[[int], None] | None = None
         self._waiting: list[tuple[Share, int, GrantedCallback]] = []
 
     def share(self, fraction: float) -> "Share":
@@ -77,6 +80,9 @@
 
     def try_acquire(self, size: int) -> bool:
         """Acquires bytes; returns False if they are not available."""
+        missing = self.budget.held + size - self._limit
+        if missing > 0 and self.budget.make_room is not None:
+            self.budget.make_room(missing)
         if self.budget.held + size > self._limit:
             return False
         self.budget.held += size
--- a/src/cardamomkeel/callers/http1.py
+++ b/src/cardamomkeel/callers/http1.py
@@ -17,6 +17,7 @@
 import orjson
 import uvicorn
 from uvicorn import server as uvicorn_server
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from cardamomkeel import accepting
@@ -25,6 +26,7 @@
 from cardamomkeel import http_framing
 from cardamomkeel import http_upgrades
 from cardamomkeel import listening
+from cardamomkeel import parse_turns
 from cardamomkeel.routing import messages
 from cardamomkeel.settings import addresses
 
@@ -77,20 +79,58 @@
         )
 
 
+class _Flow(flow_control.FlowControl):
+    """Pauses reading for uvicorn's reasons, and for the turns of parsing."""
+
+    def __init__(self, transport: asyncio.Transport):
+        super().__init__(transport)
+        self._waits_for_turn = False
+
+    def pause_reading(self) -> None:
+        """Pauses reading until `resume_reading`."""
+        self._set(True, self._waits_for_turn)
+
+    def resume_reading(self) -> None:
+        """Resumes reading, unless received bytes wait for their turn."""
+        self._set(False, self._waits_for_turn)
+
+    def set_turn(self, reads: bool) -> None:
+        """Pauses or resumes reading for the turns of parsing."""
+        self._set(self.read_paused, not reads)
+
+    def _set(self, read_paused: bool, waits_for_turn: bool) -> None:
+        was_paused = self.read_paused or self._waits_for_turn
+        self.read_paused = read_paused
+        self._waits_for_turn = waits_for_turn
+        is_paused = read_paused or waits_for_turn
+        if is_paused == was_paused or self._transport.is_closing():
+            return
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+
 class HttpProtocol(httptools_impl.HttpToolsProtocol):
     """A connection of a caller, with limits on connections, headers and time.
 
     Attributes:
         peers: The number of connections by IP number of the peer.
         limits: The maximum number of connections.
+        turns: Where connections with costly bytes wait to be parsed.
     """
 
     peers: collections.Counter[str]
     limits: Limits
+    turns: parse_turns.Turns
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accepts a connection, or refuses it if there are too many."""
         super().connection_made(transport)
+        self.flow = _Flow(transport)
+        self._slicer = parse_turns.Slicer(
+            self.turns, self._feed, self.flow.set_turn
+        )
         self._peer = self.client[0] if self.client else ""
         self._timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
@@ -125,6 +165,7 @@
         if not self.peers[self._peer]:
             del self.peers[self._peer]
         self._stop_timer()
+        self._slicer.drop()
         self.resume_writing()
         super().connection_lost(exc)
         cycle, task = self._running, self._task
@@ -145,12 +186,19 @@
             if self._discarded.is_exceeded():
                 self.transport.abort()
             return
+        self._slicer.receive(data)
+
+    def _feed(self, data: memoryview) -> None:
+        """Parses a slice of the received bytes."""
+        if self.transport.is_closing() or self._lingering:
+            self._slicer.drop()
+            return
         self._framing.count_received(len(data))
         self._parse(data)
         if self._framing.is_exceeded():
             self._refuse_header()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: memoryview) -> None:
         """Parses bytes; an offer of another protocol is ignored."""
         self._unset_keepalive_if_required()
         while data:
@@ -184,6 +232,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Counts a header and checks the transfer coding."""
+        self._slicer.count_call()
         self._count_header_bytes(len(name) + len(value))
         if name.lower() == b"transfer-encoding":
             self._check_transfer_coding(value)
@@ -198,6 +247,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body."""
+        self._slicer.count_call()
         self._framing.count_body(len(body))
         super().on_body(body)
 
@@ -423,6 +473,7 @@
     state = uvicorn_server.ServerState()
     peers: collections.Counter[str] = collections.Counter()
 
+    turns = parse_turns.Turns()
     accepted = 0
 
     def make_protocol() -> HttpProtocol:
@@ -431,6 +482,7 @@
         protocol = HttpProtocol(cfg, state, {})
         protocol.peers = peers
         protocol.limits = limits
+        protocol.turns = turns
         return protocol
 
     host, port = addresses.split(address)
--- a/src/cardamomkeel/daemons/gateway.py
+++ b/src/cardamomkeel/daemons/gateway.py
@@ -68,6 +68,7 @@
         longest_hold_ms=cfg.longest_hold_ms,
         link_bytes_per_s=cfg.link_bytes_per_second,
         buffer_bytes=cfg.buffer_bytes,
+        connections=cfg.connections,
     )
 
 
@@ -91,6 +92,7 @@
             cfg.keep_addresses_ms,
         ),
         program.clk,
+        memory=program.memory,
     )
     operators = operators_app.OperatorsApp(
         secret,
--- a/src/cardamomkeel/gateway/directory.py
+++ b/src/cardamomkeel/gateway/directory.py
@@ -77,7 +77,7 @@
         return _answer(200, {"addresses": found, "keep_ms": self._keep_ms})
 
     async def _announce(self, req: messages.Request) -> messages.Response:
-        handled = await self._announcements.handle(req.body)
+        handled = await self._announcements.handle(bytes(req.body))
         if isinstance(handled, result.Success):
             return _answer(
                 200, {"every_ms": announcements_lib.ANNOUNCE_INTERVAL_MS}
--- a/src/cardamomkeel/gateway/messages.py
+++ b/src/cardamomkeel/gateway/messages.py
@@ -15,14 +15,14 @@
         method: The HTTP method.
         target: Path and query, as received.
         headers: All headers, as received.
-        body: The complete body.
+        body: The complete body; a long one is a view of its pages.
         arrived: When the first byte was received, on the local clock.
     """
 
     method: str
     target: str
     headers: http_headers.Headers
-    body: bytes
+    body: bytes | memoryview
     arrived: clock.Millis
 
     @property
@@ -57,13 +57,13 @@
     Attributes:
         status: The HTTP status.
         headers: The end-to-end headers.
-        body: The complete body.
+        body: The complete body; a long one is a view of its pages.
         closes: Whether the connection is closed after the response.
     """
 
     status: int
     headers: http_headers.Headers = dataclasses.field(default_factory=list)
-    body: bytes = b""
+    body: bytes | memoryview = b""
     closes: bool = False
 
 
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -1,6 +1,7 @@
 """Builds a gateway from its parts, starts it and stops it."""
 
 import asyncio
+import functools
 import random
 import typing
 
@@ -13,6 +14,7 @@
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
+from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
@@ -44,6 +46,7 @@
         targets: The state of each target.
         signals: What targets say of themselves.
         prober: Asks targets for their load.
+        memory: The bytes of heads, bodies and answers that are held.
         server: The HTTP server for callers.
         stopping: Whether a planned stop has begun.
     """
@@ -64,12 +67,13 @@
         self.targets = targets_lib.Targets(
             cfg.data_centre, cfg.name, self.gossip, self.clk
         )
+        self.memory = held_memory.HeldMemory(cfg.buffer_bytes, self.clk)
         self.upstream = upstream_lib.UpstreamPool(
             self.clk,
             cfg.headers.request_id.lower().encode(),
             cfg.headers.leaving.lower().encode(),
             cfg.body_bytes,
-            buffers.Budget(cfg.buffer_bytes).share(buffers.ENTRIES_SHARE),
+            self.memory.budget.share(buffers.ENTRIES_SHARE),
         )
         self.signals = target_signals.TargetSignals(
             self.targets,
@@ -109,7 +113,14 @@
             random.Random(),
         )
         self.server = http_server.HttpServer(
-            self.gateway, self.clk, lambda: self.session.view.table.limits
+            self.gateway,
+            self.clk,
+            lambda: self.session.view.table.limits,
+            self.memory,
+            cfg.connections,
+        )
+        self.metrics.add_gauge_updater(
+            functools.partial(self.memory.set_gauges, self.metrics)
         )
         self.stopping = False
 
@@ -221,5 +232,6 @@
             },
             "in_flight": self.server.in_flight,
             "connections": len(self.server.connections),
+            "memory": self.memory.dump(),
             "targets": self.targets.dump(),
         }
--- a/src/cardamomkeel/gateway/settings.py
+++ b/src/cardamomkeel/gateway/settings.py
@@ -44,7 +44,9 @@
         listen_on_ms: How long a stopping entry accepts new connections.
         keep_addresses_ms: How long callers may cache the list of entries.
         body_bytes: Length limit of the body of a target's answer.
-        buffer_bytes: How many bytes of answers are kept in memory.
+        buffer_bytes: How many bytes of heads, bodies and answers are held.
+        connections: How many connections callers may have open; 0 for any
+            number.
         longest_hold_ms: The longest time for which a target that pushes back
             gets no requests.
         link_bytes_per_s: Bandwidth of the link of this VM; 0 if it does not
@@ -68,5 +70,6 @@
     keep_addresses_ms: int = 2000
     body_bytes: int = 67_108_864
     buffer_bytes: int = DEFAULT_BUFFER_BYTES
+    connections: int = 0
     longest_hold_ms: int = 60_000
     link_bytes_per_s: float = 0.0
--- a/src/cardamomkeel/gateway/upstream_connection.py
+++ b/src/cardamomkeel/gateway/upstream_connection.py
@@ -9,6 +9,7 @@
 from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import http_headers
+from cardamomkeel import long_body
 from cardamomkeel.backend_servers import pool_connection
 from cardamomkeel.routing import messages
 
@@ -55,11 +56,11 @@
         super().__init__(address, clk, on_closed, share, id_header)
 
     def begin_request(
-        self, head: bytes, body: bytes
+        self, head: bytes, body: bytes | memoryview
     ) -> asyncio.Future[messages.Answer]:
         """Writes a request without its last byte, see `finish_request`."""
         answer = self.request(head, body[:-1], False)
-        self._held_back = body[-1:]
+        self._held_back = bytes(body[-1:])
         return answer
 
     def finish_request(self) -> None:
@@ -99,6 +100,7 @@
 
     def _reset_answer(self, is_head: bool) -> None:
         super()._reset_answer(is_head)
+        self._body = long_body.LongBody()
         self._ends_at_close = False
 
     def _begin_answer(self, status: int) -> None:
--- a/src/cardamomkeel/log_lines/requests.py
+++ b/src/cardamomkeel/log_lines/requests.py
@@ -34,6 +34,15 @@
         "A caller sent a malformed request; the entry answered with an error.",
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
+    kinds.Kind(
+        "ended connection for room",
+        kinds.WARNING,
+        ("bytes", "still_ms", "held", "limit"),
+        "A caller's connection that stood still was refused (503) or closed, so"
+        " that others found room in the memory or a descriptor. Its incomplete"
+        " request has not run.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "dropped lines",
         kinds.WARNING,
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -111,7 +111,7 @@
         if path.startswith(INSTANCES):
             return await self._handle_instance(req, path[len(INSTANCES) :])
         if path == CONFIG and req.method == "PUT":
-            return await self._put_config(req.body)
+            return await self._put_config(bytes(req.body))
         if path == CONFIG and req.method == "GET":
             return await self._get_config()
         if path.startswith(EVACUATIONS):
@@ -129,7 +129,7 @@
             return await self._remove_instance(instance)
         if req.method != "PUT":
             return _make_response(405, error="send PUT or DELETE")
-        parsed = heartbeats.parse(instance, req.body, self._zones)
+        parsed = heartbeats.parse(instance, bytes(req.body), self._zones)
         if not isinstance(parsed, result.Success):
             self._log_rejected_heartbeat(str(parsed.failure()))
             return _make_response(400, error=parsed.failure().message)
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -1,5 +1,6 @@
 """The control program, which runs on the VMs with a disk."""
 
+import functools
 import pathlib
 import random
 
@@ -20,12 +21,15 @@
 from cardamomkeel.control import row_streams as row_streams_lib
 from cardamomkeel.control import service
 from cardamomkeel.daemons import start
+from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import operator_endpoints
 from cardamomkeel.platform import control_api
 from cardamomkeel.platform import process
+from cardamomkeel.platform import process_memory
 from cardamomkeel.platform import timings
+from cardamomkeel.policy import process_limits
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import election_timer
 from cardamomkeel.replication import members
@@ -43,6 +47,8 @@
 # How long calls that have arrived may take after the leadership was handed
 # over; longer than the search for the new leader.
 FINISH_CALLS_MS = 1500.0
+# A configuration takes this multiple of its length while it is checked.
+BODY_COPIES = 4
 
 logger = loguru.logger
 
@@ -74,8 +80,17 @@
             poll_wait_ms=timings.poll_wait_ms(current.timeouts.bounds),
             poll_timeout_ms=timings.POLL_TIMEOUT_MS,
         )
+        self._memory = held_memory.HeldMemory(
+            process_memory.get_buffer_bytes(current.own.limits), self._clock
+        )
         self._server = http_server.HttpServer(
-            _UnavailableHandler(), self._clock
+            _UnavailableHandler(),
+            self._clock,
+            memory=self._memory,
+            max_connections=process_memory.get_connections(
+                current.own.limits, process_limits.CALLERS_SHARE
+            ),
+            body_copies=BODY_COPIES,
         )
         self._status_servers: list[http_server.HttpServer] = []
         self._stop = anyio.Event()
@@ -89,7 +104,7 @@
             tasks.start_soon(self._file.watch, lambda: None)
             await self._server.start(self._file.current.network.listen.control)
             self._status_servers = await process.serve_status(
-                self._file, _UnavailableHandler(), self._clock
+                self._file, _UnavailableHandler(), self._clock, self._memory
             )
             tasks.start_soon(self._run_until_stopped, tasks)
             await self._stop.wait()
@@ -234,8 +249,12 @@
             ),
             self._clock,
         )
+        metrics = node_status.make_metrics(node)
+        metrics.add_gauge_updater(
+            functools.partial(self._memory.set_gauges, metrics)
+        )
         operators = operator_endpoints.OperatorEndpoints(
-            node_status.make_metrics(node),
+            metrics,
             lambda: node_status.dump(current.own.node_name, node),
         )
         self._set_handlers(api, operators)
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -8,27 +8,17 @@
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.platform import directory as directory_lib
 from cardamomkeel.platform import header_names
-from cardamomkeel.platform import node_file
 from cardamomkeel.platform import process
+from cardamomkeel.platform import process_memory
 from cardamomkeel.platform import timings
+from cardamomkeel.policy import process_limits
 
 # Bytes per second of 1 Mbit/s.
 BYTES_PER_MBIT = 125_000
-BYTES_PER_MB = 1_000_000
-# The share of the memory that may hold answers of targets. Each is copied twice
-# on its way to the caller.
-ANSWERS_SHARE = 0.125
 # Fields of the settings file that the program can't run without.
 REQUIRED_FIELDS = ("network.listen.front", "network.listen.ready")
 
 
-def get_buffer_bytes(limits: node_file.Limits) -> int:
-    """Returns how many bytes of answers an entry may keep in memory."""
-    if not limits.memory_mb:
-        return settings_lib.DEFAULT_BUFFER_BYTES
-    return int(limits.memory_mb * BYTES_PER_MB * ANSWERS_SHARE)
-
-
 def make_settings(
     file: process.WatchedNodeFile,
 ) -> settings_lib.GatewaySettings:
@@ -55,7 +45,10 @@
         keep_addresses_ms=timings.keep_addresses_ms(bounds),
         longest_hold_ms=timings.longest_hold_ms(bounds),
         link_bytes_per_s=own.limits.link_mbps * BYTES_PER_MBIT,
-        buffer_bytes=get_buffer_bytes(own.limits),
+        buffer_bytes=process_memory.get_buffer_bytes(own.limits),
+        connections=process_memory.get_connections(
+            own.limits, process_limits.CALLERS_SHARE
+        ),
     )
 
 
@@ -83,10 +76,18 @@
         endpoints = operator_endpoints.OperatorEndpoints(
             program.metrics, program.dump
         )
-        servers = await process.serve_status(file, endpoints, program.clk)
+        servers = await process.serve_status(
+            file, endpoints, program.clk, program.memory
+        )
+        connections = process_memory.get_connections(file.current.own.limits)
         for address, handler in handlers.items():
             if address:
-                server = http_server.HttpServer(handler, program.clk)
+                server = http_server.HttpServer(
+                    handler,
+                    program.clk,
+                    memory=program.memory,
+                    max_connections=connections,
+                )
                 await server.start(address)
                 servers.append(server)
         await stop.wait()
--- a/src/cardamomkeel/platform/process.py
+++ b/src/cardamomkeel/platform/process.py
@@ -15,10 +15,12 @@
 from cardamomkeel import listening
 from cardamomkeel import logs
 from cardamomkeel.daemons import start
+from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import messages
 from cardamomkeel.platform import early_listening
 from cardamomkeel.platform import node_file
+from cardamomkeel.platform import process_memory
 
 # The file may change without a signal, so it is checked at this interval.
 FILE_CHECK_INTERVAL_MS = 1000.0
@@ -111,7 +113,10 @@
 
 
 async def serve_status(
-    file: WatchedNodeFile, handler: messages.Handler, clk: clock.Clock
+    file: WatchedNodeFile,
+    handler: messages.Handler,
+    clk: clock.Clock,
+    memory: held_memory.HeldMemory,
 ) -> list[http_server.HttpServer]:
     """Serves metrics and state to operators, and metrics to the platform.
 
@@ -119,11 +124,18 @@
         file: The settings file, with the VM's address and ports.
         handler: Handles the requests of operators and the platform.
         clk: The clock.
+        memory: The bytes that the process holds.
 
     Returns:
         The servers.
     """
-    servers = [http_server.HttpServer(handler, clk) for _ in range(2)]
+    connections = process_memory.get_connections(file.current.own.limits)
+    servers = [
+        http_server.HttpServer(
+            handler, clk, memory=memory, max_connections=connections
+        )
+        for _ in range(2)
+    ]
     await servers[0].start(file.operators_address())
     try:
         await servers[1].start(f"{file.current.own.ip}:{METRICS_PORT}")
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -136,7 +136,10 @@
             gets no requests; it bounds what a faulty target can ask for.
         link_bytes_per_second: Bandwidth of the link of this VM; 0 if it does
             not limit requests.
-        buffer_bytes: How many bytes of answers this process may buffer.
+        buffer_bytes: How many bytes of heads, bodies and answers this process
+            may hold; a body longer than seven eighths of it is refused (413).
+        connections: How many connections callers may have open; 0 for any
+            number.
         log_level: The lowest level of log lines that are written.
     """
 
@@ -159,6 +162,7 @@
     longest_hold_ms: int = pydantic.Field(60_000, ge=0)
     link_bytes_per_second: float = pydantic.Field(0.0, ge=0)
     buffer_bytes: int = pydantic.Field(256 * 1024 * 1024, ge=MIN_BUFFER_BYTES)
+    connections: int = pydantic.Field(4000, ge=0)
     log_level: str = "INFO"
 
     @pydantic.model_validator(mode="after")
