--- a/bench/platform_targets.py
+++ b/bench/platform_targets.py
@@ -85,7 +85,7 @@
             self.parser.feed_data(data)
 
     def on_message_begin(self):
-        self.url, self.headers, self.body = b"", {}, b""
+        self.url, self.headers, self.body = b"", {}, bytearray()
 
     def on_url(self, url):
         self.url += url
@@ -120,7 +120,7 @@
             self.parser.get_method().decode(),
             self.url.decode(),
             self.headers,
-            self.body,
+            bytes(self.body),
             time.monotonic(),
             self.head_at,
         )
@@ -153,6 +153,7 @@
         address: Host and port.
         instance: The id of this instance of the server.
         work_s: The duration of a request.
+        body: The body of a correct answer.
         slow_percent: The reported duration of work, in percent of normal.
         behaviours: The behaviours for the next requests, in order; "ok" is
             a correct answer.
@@ -186,6 +187,7 @@
         self.instance = instance
         self.slots = slots
         self.work_s = 0.02
+        self.body = BODY
         self.slow_percent = 100
         self.slowed_ms = 0
         self.slowed_until = 0.0
@@ -331,7 +333,7 @@
         elif behaviour == "crash":
             await self.stop()
         else:
-            conn.write(200, seal, BODY, request_id)
+            conn.write(200, seal, self.body, request_id)
 
 
 class Farm:
--- a/src/cardamomkeel/daemons/gateway.py
+++ b/src/cardamomkeel/daemons/gateway.py
@@ -73,6 +73,7 @@
             cost_per_mb=cfg.leave_cost_per_mb,
             bytes_per_s=cfg.leave_bytes_per_second,
         ),
+        connections=cfg.connections,
     )
 
 
@@ -96,6 +97,7 @@
             cfg.keep_addresses_ms,
         ),
         program.clk,
+        memory=program.memory,
     )
     operators = operators_app.OperatorsApp(
         secret,
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -1,6 +1,7 @@
 """Builds a gateway from its parts, starts it and stops it."""
 
 import asyncio
+import functools
 import random
 import typing
 
@@ -15,6 +16,7 @@
 from cardamomkeel.gateway import data_centre_reports
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
+from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import key_check
 from cardamomkeel.gateway import last_byte_delay
@@ -50,6 +52,7 @@
         choice: Decides which requests leave their data centre.
         signals: What targets say of themselves.
         prober: Asks targets for their load.
+        memory: The bytes of heads, bodies and answers that are held.
         server: The HTTP server for callers.
         stopping: Whether a planned stop has begun.
     """
@@ -85,12 +88,13 @@
         if cfg.leaving.max_share > 0:
             self.gossip.on_report = self.reports.receive
             self.targets.choice = self.choice
+        self.memory = held_memory.HeldMemory(cfg.buffer_bytes, self.clk)
         self.upstream = upstream_lib.UpstreamPool(
             self.clk,
             cfg.headers.request_id.lower().encode(),
             cfg.headers.leaving.lower().encode(),
             cfg.body_bytes,
-            buffers.Budget(cfg.buffer_bytes).share(buffers.ENTRIES_SHARE),
+            self.memory.budget.share(buffers.ENTRIES_SHARE),
         )
         self.signals = target_signals.TargetSignals(
             self.targets,
@@ -131,7 +135,14 @@
             [key_check.KeyCheck(self.session, cfg.headers.account)],
         )
         self.server = http_server.HttpServer(
-            self.gateway, self.clk, lambda: self.session.view.table.limits
+            self.gateway,
+            self.clk,
+            lambda: self.session.view.table.limits,
+            self.memory,
+            cfg.connections,
+        )
+        self.metrics.add_gauge_updater(
+            functools.partial(self.memory.set_gauges, self.metrics)
         )
         self.stopping = False
 
@@ -253,5 +264,6 @@
             "in_flight": self.server.in_flight,
             "connections": len(self.server.connections),
             "leaving": self.choice.dump(),
+            "memory": self.memory.dump(),
             "targets": self.targets.dump(),
         }
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -143,7 +143,10 @@
             between data centres has to bring.
         leave_bytes_per_second: Bound on the bytes of one service that leave
             one data centre; 0 for none.
-        buffer_bytes: How many bytes of answers this process may buffer.
+        buffer_bytes: How many bytes of heads, bodies and answers this process
+            may hold; a body longer than seven eighths of it is refused (413).
+        connections: How many connections callers may have open; 0 for any
+            number.
         log_level: The lowest level of log lines that are written.
     """
 
@@ -169,6 +172,7 @@
     leave_cost_per_mb: float = pydantic.Field(5.0, ge=0)
     leave_bytes_per_second: float = pydantic.Field(0.0, ge=0)
     buffer_bytes: int = pydantic.Field(256 * 1024 * 1024, ge=MIN_BUFFER_BYTES)
+    connections: int = pydantic.Field(4000, ge=0)
     log_level: str = "INFO"
 
     @pydantic.model_validator(mode="after")
