Accounts: count the requests of limited accounts over all entries

Cause: nothing kept an account to its rate, over all entries or at one. Change: one entry keeps each account with a limit (rendezvous over the entries of the view) and is asked before a request is sent; requests that come while an ask is on its way share the next one. A silent keeper's stand-in, and each entry by itself, grant parts of the room between limit and bound, so that the sum holds whoever is out of touch. A new keeper starts empty, or with what the former one hands over. 429 with the time at which a token is due; what no target ran gives its credit back. Window, excess and slack come from the settings' bounds. Weighed: fixed shares of 142 entries are below one request for limits under some hundred a window, and leases for accounts that each entry sees some times a minute as well; so all but large limits or few entries cost one ask a request (2.0 messages, about 2 ms).

--- a/src/cardamomkeel/accounts/directory.py
+++ b/src/cardamomkeel/accounts/directory.py
@@ -9,13 +9,14 @@
     """The client accounts in force."""
 
     def __init__(
-        self, accounts: collections.abc.Iterable[document_lib.Account]
+        self, accounts: collections.abc.Collection[document_lib.Account]
     ):
         self._by_digest = {
             digest: account
             for account in accounts
             for digest in account.key_digests
         }
+        self._by_name = {account.name: account for account in accounts}
 
     def find(self, digest: str) -> document_lib.Account | None:
         """Returns the account that holds a key, or None.
@@ -24,3 +25,7 @@
         no key follows.
         """
         return self._by_digest.get(digest)
+
+    def get(self, name: str) -> document_lib.Account | None:
+        """Returns an account by its name, or None."""
+        return self._by_name.get(name)
--- a/src/cardamomkeel/daemons/gateway.py
+++ b/src/cardamomkeel/daemons/gateway.py
@@ -19,6 +19,7 @@
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import history
 from cardamomkeel.operators import secret as secret_lib
+from cardamomkeel.policy import quota as quota_lib
 from cardamomkeel.settings import process
 
 app = typer.Typer(
@@ -62,6 +63,9 @@
         resend_share=cfg.resend_share,
         resend_slack=cfg.resend_slack,
         resend_window_ms=cfg.resend_window_ms,
+        quota=quota_lib.Bounds(
+            cfg.quota_window_ms, cfg.quota_excess, cfg.quota_slack
+        ),
         stop_within_ms=cfg.stop_within_ms,
         listen_on_ms=cfg.listen_on_ms,
         keep_addresses_ms=cfg.keep_addresses_ms,
--- a/src/cardamomkeel/gateway/gossip.py
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -127,6 +127,7 @@
 
     Attributes:
         running: Number of running requests of the peers, by target address.
+        handlers: What handles other datagrams, by their first byte.
     """
 
     def __init__(
@@ -150,6 +151,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._send_timer: asyncio.TimerHandle | None = None
         self.running: dict[str, int] = {}
+        self.handlers: dict[bytes, collections.abc.Callable[[bytes], None]] = {}
 
     async def start(self, address: str, targets: TargetState) -> None:
         """Listens at an address.
@@ -203,7 +205,18 @@
         for address in self._addresses:
             self._transport.sendto(data, address)
 
+    def send_to(self, address: str, data: bytes) -> None:
+        """Sends a datagram of another kind to an entry."""
+        # An entry without a valid address receives no datagrams.
+        with contextlib.suppress(ValueError):
+            if self._transport is not None:
+                self._transport.sendto(data, addresses.split(address))
+
     def _receive(self, data: bytes) -> None:
+        handler = self.handlers.get(data[:1])
+        if handler is not None:
+            handler(data)
+            return
         try:
             datagram = _DECODER.decode(data)
         except (ValueError, RecursionError) as exc:
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -17,6 +17,7 @@
 from cardamomkeel.gateway import key_check
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
+from cardamomkeel.gateway import quota_check
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.gateway import target_signals
@@ -45,6 +46,7 @@
         targets: The state of each target.
         signals: What targets say of themselves.
         prober: Asks targets for their load.
+        quotas: Counts the requests of accounts.
         server: The HTTP server for callers.
         stopping: Whether a planned stop has begun.
     """
@@ -98,6 +100,14 @@
             cfg.headers,
             self.clk,
         )
+        self.quotas = quota_check.QuotaCheck(
+            cfg.name,
+            cfg.quota,
+            self.session,
+            self.gossip,
+            self.clk,
+            random.Random(),
+        )
         self.gateway = gateway_lib.Gateway(
             cfg,
             self.session,
@@ -108,7 +118,10 @@
             self.metrics,
             self.clk,
             random.Random(),
-            [key_check.KeyCheck(self.session, cfg.headers.account)],
+            [
+                key_check.KeyCheck(self.session, cfg.headers.account),
+                self.quotas,
+            ],
         )
         self.server = http_server.HttpServer(
             self.gateway, self.clk, lambda: self.session.view.table.limits
@@ -128,6 +141,9 @@
         self.targets.apply_changes(view, changes)
         if changes.all_rows or changes.entries:
             self._update_gossip_peers(view)
+            self.quotas.update_members(view)
+        elif not self.quotas.has_members:
+            self.quotas.update_members(view)
         self.gateway.wake()
 
     def _update_gossip_peers(self, view: view_lib.View) -> None:
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -17,6 +17,8 @@
         account: The client account whose key the request carries; None if it
             needs none.
         key_digest: The digest of that key; empty for none.
+        granted_by: The entry that has granted the request within the limit of
+            its account, empty for this one; None if it has no limit.
         remaining_ms: How long the caller still waits, from its deadline header.
         spent_ms: How long the caller had waited before this attempt.
         useful_until: When the objective of the route is missed, on the local
@@ -55,6 +57,7 @@
         self.service = service
         self.account: document_lib.Account | None = None
         self.key_digest = ""
+        self.granted_by: str | None = None
         self.remaining_ms = remaining_ms
         self.spent_ms = spent_ms
         self.useful_until = outgoing.req.arrived + route.objective_ms - spent_ms
@@ -70,7 +73,7 @@
 
     def has_reached_target(self) -> bool:
         """Returns whether a target may have run the request."""
-        return self.may_have_run or self.is_answered
+        return self.may_have_run or self.is_answered or self.is_sending
 
     @property
     def priority(self) -> int:
--- a/src/cardamomkeel/gateway/settings.py
+++ b/src/cardamomkeel/gateway/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cardamomkeel.gateway import names
+from cardamomkeel.policy import quota as quota_lib
 
 # Four answers with the longest body.
 DEFAULT_BUFFER_BYTES = 268_435_456
@@ -47,6 +48,7 @@
         buffer_bytes: How many bytes of answers are kept in memory.
         longest_hold_ms: The longest time for which a target that pushes back
             gets no requests.
+        quota: How far the limits of accounts may be exceeded.
         link_bytes_per_s: Bandwidth of the link of this VM; 0 if it does not
             limit any request.
     """
@@ -69,4 +71,5 @@
     body_bytes: int = 67_108_864
     buffer_bytes: int = DEFAULT_BUFFER_BYTES
     longest_hold_ms: int = 60_000
+    quota: quota_lib.Bounds = quota_lib.Bounds()
     link_bytes_per_s: float = 0.0
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -11,6 +11,7 @@
 from cardamomkeel.platform import node_file
 from cardamomkeel.platform import process
 from cardamomkeel.platform import timings
+from cardamomkeel.policy import quota as quota_lib
 
 # Bytes per second of 1 Mbit/s.
 BYTES_PER_MBIT = 125_000
@@ -50,6 +51,11 @@
         resend_share=bounds.retry_budget_ratio,
         resend_slack=bounds.retry_budget_slack,
         resend_window_ms=bounds.budget_window_s * 1000,
+        quota=quota_lib.Bounds(
+            bounds.quota_window_s * 1000,
+            bounds.quota_excess,
+            bounds.quota_slack,
+        ),
         stop_within_ms=timings.stop_within_ms(bounds),
         listen_on_ms=timings.listen_on_ms(bounds),
         keep_addresses_ms=timings.keep_addresses_ms(bounds),
--- a/src/cardamomkeel/platform/node_file.py
+++ b/src/cardamomkeel/platform/node_file.py
@@ -129,6 +129,9 @@
     retry_budget_slack: NonNegative = 10
     budget_window_s: Positive = 10
     recovery_s: NonNegative = 15
+    quota_window_s: Positive = 5
+    quota_excess: NonNegative = 0.1
+    quota_slack: NonNegative = 20
 
 
 class Timeouts(_Table):
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -127,6 +127,11 @@
         resend_slack: Resends allowed in addition per window, over all
             entries.
         resend_window_ms: The window in which resends are counted.
+        quota_excess: By which share of its limit the requests of a client
+            account may exceed it in a window, over all entries.
+        quota_slack: By how many requests in addition.
+        quota_window_ms: The window in which the requests of accounts are
+            counted.
         keep_addresses_ms: How long callers may cache the addresses of entries.
         stop_within_ms: The maximum duration of a planned stop; requests that
             are still in flight then are answered 502 or 503 and counted in
@@ -153,6 +158,9 @@
     resend_share: float = pydantic.Field(0.2, ge=0, le=1)
     resend_slack: float = pydantic.Field(10.0, ge=0)
     resend_window_ms: int = pydantic.Field(10_000, ge=100)
+    quota_excess: float = pydantic.Field(0.1, ge=0)
+    quota_slack: float = pydantic.Field(20.0, ge=0)
+    quota_window_ms: int = pydantic.Field(5000, ge=100)
     keep_addresses_ms: int = pydantic.Field(2000, ge=100)
     stop_within_ms: int = pydantic.Field(6000, ge=0)
     listen_on_ms: int = pydantic.Field(2500, ge=0)
