--- a/features/steps/fuzzed_input.py
+++ b/features/steps/fuzzed_input.py
@@ -161,7 +161,7 @@
     )
     reports.set_entries({"far-1": ("lorient", ""), "near-1": ("brest", "")})
     gossip = gossip_lib.Gossip("entry-1", clk, lambda: None)
-    gossip.on_report = reports.receive
+    gossip.handlers[data_centre_reports.REPORT_BYTE] = reports.receive
     gossip._receive(REPORT[:1] + raw[1:])  # noqa: SLF001
     choice = data_centre_choice.DataCentreChoice(
         settings_lib.LeavingSettings(max_share=0.5),
--- a/src/cardamomkeel/gateway/gossip.py
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -20,7 +20,6 @@
 
 from cardamomkeel import clock
 from cardamomkeel import listening
-from cardamomkeel.gateway import data_centre_reports
 from cardamomkeel.log_lines import limits
 from cardamomkeel.policy import peers
 from cardamomkeel.settings import addresses
@@ -128,8 +127,8 @@
 
     Attributes:
         running: Number of running requests of the peers, by target address.
-        on_report: Takes in the reports that arrive at the same address, and
-            raises ValueError for malformed ones.
+        handlers: What handles other datagrams, by their first byte; raises
+            ValueError for malformed ones.
     """
 
     def __init__(
@@ -153,7 +152,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._send_timer: asyncio.TimerHandle | None = None
         self.running: dict[str, int] = {}
-        self.on_report: collections.abc.Callable[[bytes], None] | None = None
+        self.handlers: dict[bytes, collections.abc.Callable[[bytes], None]] = {}
 
     async def start(self, address: str, targets: TargetState) -> None:
         """Listens at an address.
@@ -208,16 +207,21 @@
             self._transport.sendto(data, address)
 
     def send_report(self, data: bytes, address: tuple[str, int]) -> None:
-        """Sends a report to another entry."""
+        """Sends a datagram of another kind to another entry."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
 
+    def send_to(self, address: str, data: bytes) -> None:
+        """Sends a datagram of another kind to an entry."""
+        # An entry without a valid address receives no datagrams.
+        with contextlib.suppress(ValueError):
+            self.send_report(data, addresses.split(address))
+
     def _receive(self, data: bytes) -> None:
+        handler = self.handlers.get(data[:1])
         try:
-            if self.on_report is not None and data.startswith(
-                data_centre_reports.REPORT_BYTE
-            ):
-                self.on_report(data)
+            if handler is not None:
+                handler(data)
                 return
             datagram = _DECODER.decode(data)
         except (ValueError, RecursionError) as exc:
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -21,6 +21,7 @@
 from cardamomkeel.gateway import key_check
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
+from cardamomkeel.gateway import quota_check
 from cardamomkeel.gateway import room_counts
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import settings as settings_lib
@@ -53,6 +54,7 @@
         signals: What targets say of themselves.
         prober: Asks targets for their load.
         memory: The bytes of heads, bodies and answers that are held.
+        quotas: Counts the requests of accounts.
         server: The HTTP server for callers.
         stopping: Whether a planned stop has begun.
     """
@@ -86,7 +88,9 @@
             random.Random(),
         )
         if cfg.leaving.max_share > 0:
-            self.gossip.on_report = self.reports.receive
+            self.gossip.handlers[data_centre_reports.REPORT_BYTE] = (
+                self.reports.receive
+            )
             self.targets.choice = self.choice
         self.memory = held_memory.HeldMemory(cfg.buffer_bytes, self.clk)
         self.upstream = upstream_lib.UpstreamPool(
@@ -122,6 +126,14 @@
             cfg.headers,
             self.clk,
         )
+        self.quotas = quota_check.QuotaCheck(
+            cfg.name,
+            cfg.quota,
+            self.session,
+            self.gossip,
+            self.clk,
+            random.Random(),
+        )
         self.gateway = gateway_lib.Gateway(
             cfg,
             self.session,
@@ -132,7 +144,10 @@
             self.metrics,
             self.clk,
             random.Random(),
-            [key_check.KeyCheck(self.session, cfg.headers.account)],
+            [
+                key_check.KeyCheck(self.session, cfg.headers.account),
+                self.quotas,
+            ],
         )
         self.server = http_server.HttpServer(
             self.gateway,
@@ -166,6 +181,9 @@
                     if not entry.leaving
                 }
             )
+            self.quotas.update_members(view)
+        elif not self.quotas.has_members:
+            self.quotas.update_members(view)
         self.gateway.wake()
 
     def _update_gossip_peers(self, view: view_lib.View) -> None:
--- a/src/cardamomkeel/gateway/settings.py
+++ b/src/cardamomkeel/gateway/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cardamomkeel.gateway import names
+from cardamomkeel.policy import quota as quota_lib
 
 # Four answers with the longest body.
 DEFAULT_BUFFER_BYTES = 268_435_456
@@ -69,6 +70,7 @@
             number.
         longest_hold_ms: The longest time for which a target that pushes back
             gets no requests.
+        quota: How far the limits of accounts may be exceeded.
         link_bytes_per_s: Bandwidth of the link of this VM; 0 if it does not
             limit any request.
         leaving: Which requests leave their data centre.
@@ -93,5 +95,6 @@
     buffer_bytes: int = DEFAULT_BUFFER_BYTES
     connections: int = 0
     longest_hold_ms: int = 60_000
+    quota: quota_lib.Bounds = quota_lib.Bounds()
     link_bytes_per_s: float = 0.0
     leaving: LeavingSettings = LeavingSettings()
