Overload: refuse at the door what can't be in time, bound queues by wait

Cause: while a service is short of room, requests that are already late look for a slot for up to 0.4 of their remaining time and take idle targets from requests that could be in time; queues are bounded by number; a less urgent route with a longer objective is served better than an urgent one; nothing tells the rush of one client account from the load of all.

Change: each entry estimates the wait for a target from the last waits at the head of its queue. While it is short of room it refuses late requests at once with a time to return, requests of an account beyond its usual share, and as many less urgent ones as it takes to serve these no better than the urgent. The queue is ordered by lateness, rank, whether the caller was refused before, and time left, and is bounded by the expected wait of each request. A log line for each begin and end of a shortage, gauges of the expected wait, counters of refusals by reason and rank.

The steps of the bounded queue in shared_targets.py give the bound as an expected wait that six requests fill; what they check is the same.

--- /dev/null
+++ b/features/overload.feature
@@ -0,0 +1,33 @@
+Feature: A service that is short of room
+
+  Scenario: A burst of 2.3 times the usual load at targets that hang when full
+    Given 8 entries with 12 targets of 2 slots that hang when full
+    And an urgent route of 120 ms useful within 250 ms, and one of 160 ms within 400 ms
+    When 84 requests a second arrive for 6 s
+    Then at least 40 in 100 of all are answered in time
+    And at most 2 in 100 get no answer
+    And the less urgent ones are answered in time at most 10 in 100 more often
+    And each rank is answered at least half as often as all
+
+  Scenario: One account sends 9 times its usual load at a service at 1.6 times its room
+    Given 8 entries with 12 targets of 2 slots that hang when full
+    And 87 accounts of skew 1.2, the first of which rushes after 5 s
+    When 116 requests a second arrive for 11 s
+    Then the credit of the others is within 3 in 100 of that without the rush or above
+    And no account of 10 requests or more is answered less than a quarter as often as the others
+
+  Scenario Outline: A request is refused at once if it can't be served in time
+    Given an entry whose requests have waited <waited> ms for a target
+    When one arrives that was sent <spent> ms ago, with an objective of 600 ms and 250 ms of work
+    Then it is <answer>
+
+    Examples:
+      | waited | spent | answer                            |
+      | 0      | 0     | admitted                          |
+      | 0      | 500   | admitted                          |
+      | 200    | 0     | admitted                          |
+      | 200    | 500   | refused, to return within 1000 ms |
+
+  Scenario: Who was refused once goes before new requests of the same rank
+    Given waiting requests in the order "new 1, returned 1, new 0, late 0, returned 0"
+    Then they are served in the order "returned 0, new 0, returned 1, new 1, late 0"
--- a/features/steps/shared_targets.py
+++ b/features/steps/shared_targets.py
@@ -16,6 +16,7 @@
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import messages
+from cardamomkeel.gateway import overload
 from cardamomkeel.gateway import request_context
 from cardamomkeel.gateway import sending
 from cardamomkeel.gateway import target_selection
@@ -353,6 +354,11 @@
     return context.loop.run_until_complete(job)
 
 
+# Of a new request that may wait for 100 ms: a first attempt at time 0, which
+# would wait too long behind six others.
+FILLS_AT_6 = (False, 100.0, 0.0, lambda ahead: 0.0 if ahead < 6 else 101.0)
+
+
 @given(
     "{count:d} waiting requests, late ones of priority 0 and others of "
     "priority 2 by turns"
@@ -365,7 +371,8 @@
     async def join():
         turns = [number % 2 == 0 for number in range(count)]
         return [
-            context.queue.try_join(late, 0 if late else 2) for late in turns
+            context.queue.try_join(*(late, 0 if late else 2), *FILLS_AT_6)
+            for late in turns
         ]
 
     context.waiters = run_in_loop(context, join())
@@ -389,7 +396,7 @@
 
 @when("the first one becomes late")
 def become_late(context):
-    context.queue.mark_late(context.waiters[1])
+    context.queue.mark_late(context.waiters[1], 100.0, 0.0)
 
 
 @then("it waits behind those of priority 0")
@@ -402,9 +409,9 @@
 def check_displaced(context):
     async def join():
         last = context.waiters[1]
-        assert context.queue.try_join(True, 2) is None
+        assert context.queue.try_join(True, 2, *FILLS_AT_6) is None
         assert not last.wakeup.done()
-        assert context.queue.try_join(False, 2) is not None
+        assert context.queue.try_join(False, 2, *FILLS_AT_6) is not None
         assert last.wakeup.result() is False
 
     run_in_loop(context, join())
@@ -457,6 +464,10 @@
         """Returns that a target takes requests now."""
         return 0.0
 
+    def slot_interval_ms(self, _service, _route):
+        """Returns that the objective allows a wait behind five others."""
+        return 70.0
+
     def rank(self, _service, _route, _without, _useful, _left, demand, *_):
         """Returns a target for a late request, none for others."""
         if demand is placement.Demand.LATE:
@@ -467,23 +478,28 @@
 def make_request_context(spent_ms):
     req = messages.Request("GET", "/", [], b"", 0.0)
     route = make_table([make_route("/")]).match("desk.example", "/")
-    order = sending.OutgoingRequest(req, b"r-1", route, 4000.0)
+    order = sending.OutgoingRequest(req, b"r-1", route, 4000.0 - spent_ms)
     return request_context.RequestContext(order, route, "a", 4000.0, spent_ms)
 
 
+def make_overload(targets, clk):
+    return overload.Overload(targets, metrics.Metrics(), clk, IN_ORDER)
+
+
 @given("an entry with a full queue of requests, all in time")
 def fill_entry_queue(context):
     context.loop = asyncio.new_event_loop()
     context.add_cleanup(context.loop.close)
     context.selector = target_selection.TargetSelector(
-        FullTargets(), None, clock.ManualClock(), IN_ORDER
+        *(FullTargets(), None, clock.ManualClock(), IN_ORDER),
+        make_overload(FullTargets(), clock.ManualClock()),
     )
     context.selector._needs_probe = lambda *_: False  # noqa: SLF001
     context.waiting = [
         context.loop.create_task(
             context.selector.select(make_request_context(0.0))
         )
-        for _ in range(wait_queue.MAX_WAITING_REQUESTS)
+        for _ in range(6)
     ]
     run_in_loop(context, asyncio.sleep(0.01))
     assert not any(task.done() for task in context.waiting)
@@ -609,7 +625,8 @@
     targets.apply_changes(view, view.pop_changes())
     context.slowed_targets.targets = targets
     context.selector = target_selection.TargetSelector(
-        targets, context.slowed_targets, context.clock, random.Random(1)
+        *(targets, context.slowed_targets, context.clock, random.Random(1)),
+        make_overload(targets, context.clock),
     )
 
 
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -14,6 +14,7 @@
 from cardamomkeel.gateway import admission
 from cardamomkeel.gateway import load_probes
 from cardamomkeel.gateway import messages
+from cardamomkeel.gateway import overload as overload_lib
 from cardamomkeel.gateway import request_context
 from cardamomkeel.gateway import request_log
 from cardamomkeel.gateway import sending
@@ -83,18 +84,19 @@
         rng: random.Random,
         checks: collections.abc.Sequence[admission.Check] = (),
     ):
+        self._overload = overload_lib.Overload(targets, metrics, clk, rng)
         self._cfg = cfg
         self._session = session
         self._targets = targets
         self._sender = sender
         self._selector = target_selection.TargetSelector(
-            targets, prober, clk, rng
+            targets, prober, clk, rng, self._overload
         )
         self._report = report
         self._metrics = metrics
         self._clock = clk
         self._rng = rng
-        self._checks = checks
+        self._checks = (*checks, self._overload)
         self._log = request_log.RequestLog(metrics, clk)
         self._names = cfg.headers
         self._id_name = cfg.headers.request_id.lower().encode()
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -5,6 +5,7 @@
 
 from cardamomkeel import clock
 from cardamomkeel.gateway import load_probes
+from cardamomkeel.gateway import overload as overload_lib
 from cardamomkeel.gateway import request_context
 from cardamomkeel.gateway import target as target_lib
 from cardamomkeel.gateway import targets as targets_lib
@@ -34,9 +35,11 @@
         prober: load_probes.LoadProber,
         clk: clock.Clock,
         rng: random.Random,
+        overload: overload_lib.Overload,
     ):
         self._targets = targets
         self._prober = prober
+        self._overload = overload
         self._clock = clk
         self._rng = rng
         self._queues: dict[str, wait_queue.WaitQueue] = collections.defaultdict(
@@ -62,26 +65,80 @@
         """
         queue = self._queues[ctx.service]
         late = self.is_late(ctx)
+        if late and self._overload.is_short(ctx.service):
+            self._overload.note_refusal(ctx, overload_lib.NOT_IN_TIME)
+            return None
+        load = self._overload.get(ctx.service)
         if not len(queue):
             near = self._targets.has_near_target(ctx.service)
             target = await self.try_select(
                 ctx, _demand(late), include_remote=not near
             )
             if target is not None:
+                load.wait.record(0.0, self._clock.now())
                 return target
         if self._is_pointless(ctx):
             return None
-        waiter = queue.try_join(late, ctx.priority)
+        waiter = self._try_join(ctx, queue, late)
         if waiter is None:
-            # A free slot belongs to the request at the head of the queue.
-            ctx.reason = "too many requests wait"
-            return None
+            return await self._select_without_wait(ctx, queue, late)
         try:
             return await self._wait(ctx, queue, waiter)
         finally:
-            queue.leave(waiter)
+            if queue.is_first(waiter):
+                now = self._clock.now()
+                load.wait.record(now - waiter.head_since, now)
+            queue.leave(waiter, self._clock.now())
             queue.wake()
 
+    def _try_join(
+        self,
+        ctx: request_context.RequestContext,
+        queue: wait_queue.WaitQueue,
+        late: bool,
+    ) -> wait_queue.Waiter | None:
+        now = self._clock.now()
+        load = self._overload.get(ctx.service)
+        interval_ms = self._targets.slot_interval_ms(ctx.service, ctx.route)
+        return queue.try_join(
+            late,
+            ctx.priority,
+            ctx.spent_ms > 0,
+            self._wait_until(ctx, late, now),
+            now,
+            lambda ahead: load.wait.expect_ms(ahead, interval_ms, now),
+        )
+
+    def _wait_until(
+        self,
+        ctx: request_context.RequestContext,
+        late: bool,
+        began: clock.Millis,
+    ) -> clock.Millis:
+        """Returns until when a request may wait for a target."""
+        if late:
+            return began + (ctx.outgoing.deadline - began) * MAX_WAIT_SHARE
+        return ctx.useful_until - self._targets.expect_ms(
+            ctx.service, ctx.route
+        )
+
+    async def _select_without_wait(
+        self,
+        ctx: request_context.RequestContext,
+        queue: wait_queue.WaitQueue,
+        late: bool,
+    ) -> target_lib.Target | None:
+        """Returns a target that is free now, for a request that can't wait.
+
+        A free slot belongs to the request at the head of the queue.
+        """
+        if not len(queue):
+            target = await self.try_select(ctx, _demand(late))
+            if target is not None:
+                return target
+        self._overload.note_refusal(ctx, overload_lib.WAIT_TOO_LONG)
+        return None
+
     def _is_pointless(self, ctx: request_context.RequestContext) -> bool:
         """Returns whether no target can serve a request before its deadline.
 
@@ -118,10 +175,12 @@
             may_wait_near_ms - RECHECK_INTERVAL_MS,
             ctx.route.objective_ms * NEAR_WAIT_SHARE,
         )
-        wait_until = began + (ctx.outgoing.deadline - began) * MAX_WAIT_SHARE
-        while now < wait_until:
-            if not waiter.late and self.is_late(ctx):
-                queue.mark_late(waiter)
+        while now < waiter.until or not waiter.late:
+            if not waiter.late and (now >= waiter.until or self.is_late(ctx)):
+                if self._overload.is_short(ctx.service):
+                    self._overload.note_refusal(ctx, overload_lib.NOT_IN_TIME)
+                    return None
+                queue.mark_late(waiter, self._wait_until(ctx, True, began), now)
             if queue.is_first(waiter):
                 include_remote = waiter.late or now >= remote_after
                 target = await self.try_select(
@@ -132,9 +191,9 @@
                 if self._is_pointless(ctx):
                     return None
             if not await queue.wait(
-                waiter, min(wait_until - now, RECHECK_INTERVAL_MS)
+                waiter, min(waiter.until - now, RECHECK_INTERVAL_MS)
             ):
-                ctx.reason = "a more urgent request took its place"
+                self._overload.note_refusal(ctx, overload_lib.DISPLACED)
                 return None
             now = self._clock.now()
         ctx.reason = f"no target of {ctx.service} is free"
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -302,6 +302,13 @@
         """
         return self.get_work(service, route).expect_ms()
 
+    def slot_interval_ms(
+        self, service: str, route: document_lib.Route
+    ) -> clock.Millis:
+        """Returns the mean time in which one slot of a service comes free."""
+        slots = sum(target.slots for target in self.get(service))
+        return self.expect_ms(service, route) / max(1, slots)
+
     def get_work(
         self, service: str, route: document_lib.Route
     ) -> work_time.WorkTime:
--- a/src/cardamomkeel/gateway/wait_queue.py
+++ b/src/cardamomkeel/gateway/wait_queue.py
@@ -1,16 +1,18 @@
-"""Queues requests that wait for a target; late requests wait at the end."""
+"""Queues requests that wait for a target, in the order they are served in.
+
+The queue is bounded by the expected wait of each request in it, not by their
+number: a request that would wait longer than it may is not added, and one that
+is pushed back so far by more urgent ones leaves at once.
+"""
 
 import asyncio
 import bisect
+import collections.abc
 import dataclasses
 import itertools
 
 from cardamomkeel import clock
 
-# Limit per service and entry. Work is short: a request behind more than a few
-# others is better rejected with a time to retry.
-MAX_WAITING_REQUESTS = 6
-
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Waiter:
@@ -18,20 +20,36 @@
 
     Attributes:
         late: Whether the request can no longer be answered in time.
-        priority: Priority of its route; 0 is the most urgent.
+        priority: Its rank; 0 is the most urgent.
+        returned: Whether its caller has been refused before.
+        until: Until when it may wait, on the local clock.
         number: Order of arrival.
         wakeup: Resolves to True when the request is to look for a target, to
-            False when a more urgent request has displaced it.
+            False when more urgent requests have displaced it.
+        head_since: Since when it is the first in the queue.
     """
 
     late: bool
     priority: int
+    returned: bool
+    until: clock.Millis
     number: int
     wakeup: asyncio.Future[bool]
+    head_since: clock.Millis = 0.0
 
-    def sort_key(self) -> tuple[bool, int, int]:
+    def sort_key(self) -> tuple[bool, int, bool, clock.Millis, int]:
         """Returns the key by which the queue is sorted."""
-        return self.late, self.priority, self.number
+        return (
+            self.late,
+            self.priority,
+            not self.returned,
+            self.until,
+            self.number,
+        )
+
+
+# Returns the expected wait of a request behind some number of others.
+ExpectWait = collections.abc.Callable[[int], clock.Millis]
 
 
 class WaitQueue:
@@ -44,43 +62,78 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def try_join(self, late: bool, priority: int) -> Waiter | None:
-        """Adds a request; displaces the least urgent one if the queue is full.
+    def try_join(
+        self,
+        late: bool,
+        priority: int,
+        returned: bool,
+        until: clock.Millis,
+        now: clock.Millis,
+        expect_wait: ExpectWait,
+    ) -> Waiter | None:
+        """Adds a request; displaces those that can't be served any more.
 
         Args:
             late: Whether the request can no longer be answered in time.
-            priority: Priority of its route; 0 is the most urgent.
+            priority: Its rank; 0 is the most urgent.
+            returned: Whether its caller has been refused before.
+            until: Until when it may wait, on the local clock.
+            now: The time.
+            expect_wait: Returns the expected wait behind a number of requests.
 
         Returns:
-            None if the queue is full and no request in it is less urgent.
+            None if the request would have to wait too long.
         """
         waiter = Waiter(
             late,
             priority,
+            returned,
+            until,
             next(self._numbers),
             asyncio.get_running_loop().create_future(),
+            now,
         )
-        if len(self._waiters) >= MAX_WAITING_REQUESTS:
+        ahead = bisect.bisect(
+            self._waiters, waiter.sort_key(), key=Waiter.sort_key
+        )
+        if now + expect_wait(ahead) > until:
+            return None
+        self._waiters.insert(ahead, waiter)
+        while len(self._waiters) > ahead + 1:
             last = self._waiters[-1]
-            if (last.late, last.priority) <= (late, priority):
-                return None
+            if now + expect_wait(len(self._waiters) - 1) <= last.until:
+                break
             self._waiters.pop()
             if not last.wakeup.done():
                 last.wakeup.set_result(False)
-        bisect.insort(self._waiters, waiter, key=Waiter.sort_key)
         return waiter
 
-    def mark_late(self, waiter: Waiter) -> None:
-        """Moves a request behind all that can still be answered in time."""
+    def mark_late(
+        self, waiter: Waiter, until: clock.Millis, now: clock.Millis
+    ) -> None:
+        """Moves a request behind all that can still be answered in time.
+
+        Args:
+            waiter: The request.
+            until: Until when it may wait now, on the local clock.
+            now: The time.
+        """
+        was_queued = waiter in self._waiters
+        self.leave(waiter, now)
         waiter.late = True
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        waiter.until = until
+        if was_queued:
             bisect.insort(self._waiters, waiter, key=Waiter.sort_key)
+            waiter.head_since = now
 
-    def leave(self, waiter: Waiter) -> None:
+    def leave(self, waiter: Waiter, now: clock.Millis) -> None:
         """Removes a request from the queue."""
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        if waiter not in self._waiters:
+            return
+        was_first = self.is_first(waiter)
+        self._waiters.remove(waiter)
+        if was_first and self._waiters:
+            self._waiters[0].head_since = now
 
     def is_first(self, waiter: Waiter) -> bool:
         """Returns whether a request is at the head of the queue."""
@@ -90,7 +143,7 @@
         """Waits for a wakeup or the timeout.
 
         Returns:
-            False if a more urgent request has displaced this one.
+            False if more urgent requests have displaced this one.
         """
         try:
             async with asyncio.timeout(clock.seconds(max(0.0, timeout_ms))):
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -29,6 +29,7 @@
     "address": "the other end of the connection, IP address and port",
     "addresses": "the control VMs that are called from now on",
     "asked": "how many members were requested to become the leader",
+    "age_ms": "how long ago the newest of these figures was recorded, ms",
     "asked_ms": "the time in which a target wants no requests, ms",
     "base": "number of the configuration that the new one is based on",
     "callers": "the address for callers, IP address and port",
@@ -70,6 +71,7 @@
     "targets": "IP addresses and ports, in the order of the attempts",
     "term": "term of the leader",
     "took_ms": "time from the first byte of the request to the answer, ms",
+    "wait_ms": "expected wait of a request for a free target, ms",
     "value": "the value of a header, cut to 100 bytes",
     "why": "the observation that caused the reset",
 }
--- a/src/cardamomkeel/log_lines/targets.py
+++ b/src/cardamomkeel/log_lines/targets.py
@@ -65,6 +65,21 @@
         " seconds; it is sent requests as before.",
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
+    kinds.Kind(
+        "service is short of room",
+        kinds.WARNING,
+        ("service", "wait_ms", "age_ms", "targets"),
+        "Requests wait `wait_ms` for a target, by the last waits, the newest"
+        " `age_ms` ago. The entry refuses requests that can't be in time.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
+    kinds.Kind(
+        "service has room again",
+        kinds.INFO,
+        ("service", "wait_ms", "age_ms", "targets"),
+        "The end of a shortage of room.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "target reset to cold start",
         kinds.INFO,
