Overload: hold accounts to their share, end requests that hang at idle targets

Cause: a target that hangs held its caller, its connection and its slot to the deadline, though its load reports show that it does not have the request. And an account whose rush was refused lost its usual share too, while the learned usual load of one that was let in for moments grew with its rush.

No request is hedged while its service is short of room. Accounts are held to their share for 3 s after a shortage, only what is served counts towards it, and what lies above the usual is hardly learned under overload. A waiting request sleeps for at least 1 ms: a timer within the resolution of the clock could end again and again without any time passing.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -31,3 +31,14 @@
   Scenario: Who was refused once goes before new requests of the same rank
     Given waiting requests in the order "new 1, returned 1, new 0, late 0, returned 0"
     Then they are served in the order "returned 0, new 0, returned 1, new 1, late 0"
+
+  Scenario Outline: A request hangs at a target that reports <load>
+    Given a target that reports "<load>" and never answers
+    When the entry waits for its answer and asks after 300 ms
+    Then the request ends as <end> after <least> to <most> ms
+    And the target gets <next>
+
+    Examples:
+      | load      | end      | least | most | next                        |
+      | 0,0,2,100 | hung     | 400   | 410  | one request after a second  |
+      | 1,0,2,100 | not hung | 2000  | 2000 | requests as before          |
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -14,6 +14,7 @@
 from cardamomkeel import metrics
 from cardamomkeel.gateway import gateway
 from cardamomkeel.gateway import gossip
+from cardamomkeel.gateway import hang_watch
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import overload
 from cardamomkeel.gateway import request_context
@@ -440,3 +441,57 @@
 def check_order(context, names):
     context.waiters.sort(key=lambda pair: pair[1].sort_key())
     assert [name for name, _ in context.waiters] == names.split(", ")
+
+
+@given('a target that reports "{load}" and never answers')
+def make_hanging(context, load):
+    context.loop = VirtualLoop()
+    own = gossip.Gossip("own", context.loop, lambda: None)
+    targets = targets_lib.Targets("brest", "own", own, context.loop)
+    row = control_pb2.InstanceRecord(address="10.0.0.1:80", service="a")
+    row.state = "ready"
+    view = view_lib.View(instances={row.address: row})
+    targets.apply_changes(view, view_lib.Changes(all_rows=True))
+    (context.target,) = targets.get("a")
+
+    async def probe(probed):
+        await asyncio.sleep(0.001)
+        targets.record_load(probed[0], load.encode())
+
+    context.watch = hang_watch.HangWatch(
+        types.SimpleNamespace(probe=probe), metrics.Metrics(), context.loop
+    )
+    context.loop.run_until_complete(probe([context.target]))
+
+
+@when("the entry waits for its answer and asks after {after_ms:d} ms")
+def wait_for_answer(context, after_ms):
+    async def wait():
+        answer = context.loop.create_future()
+        async with asyncio.timeout(2):
+            await context.watch.wait(
+                answer, context.target, after_ms, lambda: False
+            )
+
+    context.began = context.loop.now()
+    try:
+        context.loop.run_until_complete(wait())
+    except (TimeoutError, hang_watch.HungError) as exc:
+        context.end = "not hung" if isinstance(exc, TimeoutError) else "hung"
+
+
+@then("the request ends as {end} after {least:d} to {most:d} ms")
+def check_end(context, end, least, most):
+    assert context.end == end, context.end
+    took_ms = context.loop.now() - context.began
+    assert least <= round(took_ms) <= most, took_ms
+
+
+@then("the target gets {what}")
+def check_next(context, what):
+    held = what != "requests as before"
+    now = context.loop.now()
+    assert context.target.may_take_more(now) is not held
+    assert context.target.may_take_more(now + 1000.0)
+    context.target.running = 1
+    assert context.target.may_take_more(now + 1000.0) is not held
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -315,6 +315,10 @@
                     break
                 work = self._targets.get_work(ctx.service, ctx.route)
                 target.note_late(work, late_ms, self._clock.now())
+                if demand is placement.Demand.IN_TIME and (
+                    self._overload.is_short(ctx.service)
+                ):
+                    continue
                 second_target = await self._find_second_target(
                     ctx, target, demand
                 )
--- a/src/cardamomkeel/gateway/overload.py
+++ b/src/cardamomkeel/gateway/overload.py
@@ -20,6 +20,10 @@
 WAIT_TOO_LONG = "too many requests wait"
 DISPLACED = "a more urgent request took its place"
 
+# Accounts are held to their shares for this time after a shortage: a rush that
+# is refused leaves room free, and would fill it at once.
+SHARES_AFTER_MS = 3000.0
+
 logger = loguru.logger
 
 
@@ -31,6 +35,7 @@
         ranks: How requests of each rank ended.
         accounts: How much work each client account asks for.
         was_short: Whether room was short when it was last looked at.
+        short_at: When room was last seen to be short.
     """
 
     def __init__(self):
@@ -38,6 +43,7 @@
         self.ranks = rank_balance.RankBalance()
         self.accounts = account_shares.AccountShares()
         self.was_short = False
+        self.short_at = float("-inf")
 
 
 class Overload(admission.Check):
@@ -100,13 +106,18 @@
         load = self.get(ctx.service)
         now = self._clock.now()
         work_ms = self._targets.expect_ms(ctx.service, ctx.route)
-        over_share = ctx.account is not None and load.accounts.record(
-            ctx.account.name, work_ms, now
-        )
-        if not self.is_short(ctx.service):
-            return None
-        if over_share:
+        is_short = self.is_short(ctx.service)
+        if is_short:
+            load.short_at = now
+        if ctx.account is not None and not load.accounts.admit(
+            ctx.account.name,
+            work_ms,
+            now - load.short_at < SHARES_AFTER_MS,
+            now,
+        ):
             return self._refuse(ctx, OVER_SHARE)
+        if not is_short:
+            return None
         if ctx.useful_until - now < work_ms:
             return self._refuse(ctx, NOT_IN_TIME)
         if self._rng.random() < load.ranks.held_share(ctx.priority):
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -13,6 +13,7 @@
 from cardamomkeel.control import client as client_lib
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
+from cardamomkeel.gateway import hang_watch
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import load_probes
@@ -94,6 +95,7 @@
             self.targets,
             self.signals,
             delay,
+            hang_watch.HangWatch(self.prober, self.metrics, self.clk),
             cfg.headers,
             self.clk,
         )
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -10,6 +10,7 @@
 from cardamomkeel import clock
 from cardamomkeel import http_headers
 from cardamomkeel.backend_servers import pool_connection
+from cardamomkeel.gateway import hang_watch
 from cardamomkeel.gateway import last_byte_delay
 from cardamomkeel.gateway import messages
 from cardamomkeel.gateway import names as names_lib
@@ -18,6 +19,7 @@
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
 from cardamomkeel.gateway import upstream_connection
+from cardamomkeel.policy import hang
 from cardamomkeel.policy import unanswered as unanswered_lib
 from cardamomkeel.policy import work_time
 from cardamomkeel.routes import document as document_lib
@@ -46,6 +48,8 @@
     NOT_RUN = "not run"
     # The request may have run.
     BROKEN = "broken"
+    # The request may have run, but the target does not work on it.
+    HUNG = "hung"
     LATE = "late"
 
 
@@ -112,6 +116,7 @@
         targets: targets_lib.Targets,
         signals: target_signals.TargetSignals,
         delay: last_byte_delay.LastByteDelay,
+        hangs: hang_watch.HangWatch,
         names: names_lib.HeaderNames,
         clk: clock.Clock,
     ):
@@ -119,6 +124,7 @@
         self._targets = targets
         self._signals = signals
         self._last_byte_delay = delay
+        self._hangs = hangs
         self._clock = clk
         self._id = names.request_id.encode()
         self._deadline = names.deadline.encode()
@@ -221,12 +227,20 @@
                 now = self._clock.now()
                 slowdown = target.reported_slowdown(now)
                 crowded = self._targets.is_crowded(target)
-                got = await answer
+                got = await self._hangs.wait(
+                    answer,
+                    target,
+                    self._check_after_ms(outgoing, target),
+                    lambda: conn.received_at >= now,
+                )
         except TimeoutError:
             conn.close()
             work = self._get_work(target, outgoing)
             target.note_late(work, remaining_ms, self._clock.now())
             return Attempt(SendResult.LATE, "no answer in time")
+        except hang_watch.HungError as exc:
+            conn.close()
+            return Attempt(SendResult.HUNG, str(exc))
         except pool_connection.ProtocolError as exc:
             target.note_failure(self._clock.now())
             return Attempt(SendResult.BROKEN, str(exc))
@@ -257,6 +271,16 @@
             *(target, work, limit_ms),
         )
 
+    def _check_after_ms(
+        self, outgoing: OutgoingRequest, target: target_lib.Target
+    ) -> clock.Millis:
+        """Returns when the target is asked whether it works on a request."""
+        return hang.check_after_ms(
+            self._get_work(target, outgoing).expect_ms(),
+            outgoing.route.objective_ms,
+            outgoing.idempotent,
+        )
+
     def _get_work(
         self, target: target_lib.Target, outgoing: OutgoingRequest
     ) -> work_time.WorkTime:
--- a/src/cardamomkeel/gateway/target.py
+++ b/src/cardamomkeel/gateway/target.py
@@ -228,6 +228,15 @@
         """Returns whether the reported load is recent enough to rely on."""
         return now - self._load_at <= LOAD_FRESH_MS
 
+    def has_reported_idle(self, since: clock.Millis) -> bool:
+        """Returns whether it has reported no request at all since some time."""
+        return (
+            self._load is not None
+            and self._load_at >= since
+            and not self._load.running
+            and not self._load.waiting
+        )
+
     def reported_slowdown(self, now: clock.Millis) -> float:
         """Returns the reported work time, as a multiple of the usual one.
 
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -24,6 +24,8 @@
 MAX_PROBE_ROUNDS = 4
 # How often a waiting request looks for a target again.
 RECHECK_INTERVAL_MS = 20.0
+# A shorter timer may end before the clock has advanced.
+MIN_WAIT_MS = 1.0
 
 
 class TargetSelector:
@@ -190,9 +192,8 @@
                     return target
                 if self._is_pointless(ctx):
                     return None
-            if not await queue.wait(
-                waiter, min(waiter.until - now, RECHECK_INTERVAL_MS)
-            ):
+            wait_ms = min(waiter.until - now, RECHECK_INTERVAL_MS)
+            if not await queue.wait(waiter, max(MIN_WAIT_MS, wait_ms)):
                 self._overload.note_refusal(ctx, overload_lib.DISPLACED)
                 return None
             now = self._clock.now()
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -71,6 +71,7 @@
     "targets": "IP addresses and ports, in the order of the attempts",
     "term": "term of the leader",
     "took_ms": "time from the first byte of the request to the answer, ms",
+    "waited_ms": "how long ago the request was sent to the target, ms",
     "wait_ms": "expected wait of a request for a free target, ms",
     "value": "the value of a header, cut to 100 bytes",
     "why": "the observation that caused the reset",
--- a/src/cardamomkeel/log_lines/targets.py
+++ b/src/cardamomkeel/log_lines/targets.py
@@ -65,6 +65,14 @@
         " seconds; it is sent requests as before.",
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
+    kinds.Kind(
+        "target does not work on request",
+        kinds.WARNING,
+        ("target", "instance", "waited_ms"),
+        "The target took a request and reports that it works on none. The entry"
+        " closes the connection and sends the target nothing for a second.",
+        max_per_s=kinds.MAX_LINES_PER_S,
+    ),
     kinds.Kind(
         "service is short of room",
         kinds.WARNING,
--- a/src/cardamomkeel/policy/account_shares.py
+++ b/src/cardamomkeel/policy/account_shares.py
@@ -16,17 +16,17 @@
 from cardamomkeel import clock
 
 # Half-life of what counts as recent work.
-RECENT_MS = 1500.0
+RECENT_MS = 4000.0
 # Half-life of what counts as usual work.
 USUAL_MS = 30_000.0
 # An account is over its share above this multiple of its usual work.
-MARGIN = 1.4
+MARGIN = 1.15
 # Work in requests that each account may ask for at any time: few requests of a
 # small account say little about its rate.
-SLACK_REQUESTS = 2.0
-# Share of the work over its share that counts as usual, so that an account
-# which has grown for good is not refused for ever.
-EXCESS_SHARE = 0.1
+SLACK_REQUESTS = 1.5
+# Share of the work above the usual that counts as usual under overload, so that
+# an account which has grown for good is not refused for ever.
+EXCESS_SHARE = 0.02
 # Before this much work is known, in requests, no account is over its share.
 MIN_KNOWN_REQUESTS = 20.0
 # Number of accounts that are remembered; of more, the idle ones are forgotten.
@@ -55,19 +55,24 @@
     def __init__(self):
         self._accounts: dict[str, _Work] = {}
         self._all = _Work()
-        self._began: clock.Millis | None = None
         self._requests = 0
 
-    def record(self, account: str, work_ms: clock.Millis, now: clock.Millis):
-        """Records a request; returns whether it is over the account's share.
+    def admit(
+        self,
+        account: str,
+        work_ms: clock.Millis,
+        is_short: bool,
+        now: clock.Millis,
+    ) -> bool:
+        """Records a request; returns whether its account may have it served.
 
         Args:
             account: The name of the account.
             work_ms: The expected work time of the request.
+            is_short: Whether the service is short of room. If it is not, no
+                request is over the share of its account.
             now: The time.
         """
-        if self._began is None:
-            self._began = now
         self._requests += 1
         known = self._accounts.get(account)
         if known is None:
@@ -75,29 +80,29 @@
             known = self._accounts[account] = _Work(updated_at=now)
         known.decay(now)
         self._all.decay(now)
-        over = self._is_over(known, work_ms, now)
-        learned_ms = work_ms * (EXCESS_SHARE if over else 1.0)
+        usual_ms = self._expect_usual(known)
+        # A sum of few requests varies by about the root of their number.
+        spread_ms = math.sqrt(usual_ms * work_ms) / 2
+        slack_ms = SLACK_REQUESTS * work_ms + spread_ms
+        over_ms = known.recent + work_ms - slack_ms
+        is_refused = is_short and over_ms > usual_ms * MARGIN
+        is_learned = not is_short or over_ms <= usual_ms
         for sums in (known, self._all):
-            sums.recent += work_ms
-            sums.usual += learned_ms
-        return over
+            sums.usual += work_ms * (1.0 if is_learned else EXCESS_SHARE)
+            # An account whose rush is refused still gets its share.
+            sums.recent += 0.0 if is_refused else work_ms
+        return not is_refused
 
-    def _is_over(
-        self, known: _Work, work_ms: clock.Millis, now: clock.Millis
-    ) -> bool:
-        if self._requests < MIN_KNOWN_REQUESTS:
-            return False
+    def _expect_usual(self, known: _Work) -> clock.Millis:
+        """Returns the recent work of an account if it asks as usual.
+
+        Its share grows with the work of the others.
+        """
         others_usual = self._all.usual - known.usual
         others_recent = self._all.recent - known.recent
-        if others_usual <= 0.0 or others_recent <= 0.0:
-            return False
-        # Both sums of a steady load approach its rate times their time
-        # constants; the usual one has not done so soon after the start.
-        growth = others_recent / others_usual
-        allowed = known.usual * growth * MARGIN + SLACK_REQUESTS * work_ms
-        # A sum of few requests varies by about the root of their number.
-        allowed += math.sqrt(known.usual * growth * work_ms)
-        return known.recent + work_ms > allowed
+        if self._requests < MIN_KNOWN_REQUESTS or others_usual <= 0.0:
+            return math.inf
+        return known.usual * others_recent / others_usual
 
     def _forget_idle(self, now: clock.Millis) -> None:
         if len(self._accounts) < MAX_ACCOUNTS:
