--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -16,6 +16,7 @@
 from cardamomkeel.gateway import data_centre_reports
 from cardamomkeel.gateway import gateway as gateway_lib
 from cardamomkeel.gateway import gossip as gossip_lib
+from cardamomkeel.gateway import hang_watch
 from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import http_server
 from cardamomkeel.gateway import key_check
@@ -123,6 +124,7 @@
             self.targets,
             self.signals,
             delay,
+            hang_watch.HangWatch(self.prober, self.metrics, self.clk),
             cfg.headers,
             self.clk,
         )
