Roll out a service's version by steps that the leader decides

Cause: POST /-/rollouts was told 404, and the version of a target was not looked at when one is selected.

Change: orders, steps and results in the replicated log; entries count results by route and version, report them with their polls, hold the share in force and stop by themselves; a verdict by strata of time and route; docs.

--- /dev/null
+++ b/features/rollouts.feature
@@ -0,0 +1,82 @@
+Feature: Roll-outs of a service's version
+
+  Scenario Outline: A good version completes by its deadline
+    When good roll-outs at <rate> requests a second are played <plays> times
+    Then fewer than 1 in 200 of them were rolled back
+    And all others were completed by their deadline
+
+    Examples:
+      | rate | plays |
+      | 1    | 100   |
+      | 39   | 200   |
+      | 200  | 60    |
+
+  Scenario Outline: A bad version gets few requests
+    When roll-outs of a <badness> version at <rate> a second are played 10 times
+    Then each was rolled back with at most <share> of the allowed requests
+
+    Examples:
+      | badness            | rate | share |
+      | failing            | 39   | 0.8   |
+      | failing            | 155  | 0.5   |
+      | late failing       | 155  | 0.5   |
+      | under load failing | 155  | 0.5   |
+      | one route failing  | 155  | 0.5   |
+      | slow               | 155  | 0.8   |
+      | late slow          | 155  | 0.8   |
+      | one route slow     | 200  | 0.9   |
+      | failing            | 5    | 1.0   |
+
+  Scenario: An order survives and is never refused again
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    Then the same order is accepted again
+    And an order of v3 is a conflict
+    When the state is saved and loaded
+    Then the same order is accepted again
+    When an earlier leader moves it from another step
+    Then it is a conflict and nothing moves
+    When it is rolled back
+    Then the same order is accepted again, without effect
+    When 20000 ms go by on the log's clock
+    And a roll-out to v2 is ordered
+    Then it runs again
+    When it completes
+    Then the targets of v1 are gone, and stay so after a late heartbeat
+    And the same order is accepted again
+    And it can't be withdrawn
+
+  Scenario: No step forward without the answer of every entry
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    And one of two entries reports all the time
+    Then it is rolled back at its deadline, and never left its trial
+
+  Scenario: A new leader counts what entries report of the time before
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    And both entries report good answers up to the last step
+    And a new leader hears of one that still runs 2 at v1
+    Then it does not complete
+    When that one reports none
+    Then it completes
+
+  Scenario: An entry sends each version its share
+    Given an entry with targets of v1 and v2
+    Then its requests go to both versions
+    When a roll-out to v2 with 10% is in force
+    Then 10% of the requests are drawn for some targets of v2
+    And all others may go to targets of v1 only
+    When the entry is out of touch with control
+    Then no request may go to v2
+    When the entry is in touch, and 30 answers of v2 failed
+    Then it has stopped, and tells so in its datagrams and polls
+    And no request may go to v2
+    When an older row of the roll-out arrives
+    Then no request may go to v2
+    When the roll-out reaches its final step
+    Then no request may go to v1, in touch or not
+    When it is withdrawn
+    Then no request may go to v2
+    When targets of v1 move to another service by reuse of their addresses
+    Then those of the other service are served
--- a/src/cardamomkeel/control/group_calls.py
+++ b/src/cardamomkeel/control/group_calls.py
@@ -122,6 +122,20 @@
         if await self._run_at_leader(run_locally, "Announce", req) is None:
             self._registry.restore_unreported(unreported)
 
+    async def read_rows(self, prefix: str) -> list[control_pb2.Record] | None:
+        """Returns the rows with a prefix; None if no leader confirms them."""
+
+        async def run_locally() -> list[control_pb2.Record] | None:
+            if not await self._node.confirm_leadership(self._clock.now()):
+                return None
+            return self._node.tables.read(prefix)
+
+        req = control_pb2.ReadRequest(key=prefix)
+        outcome = await self._run_at_leader(run_locally, "Read", req)
+        if outcome is None or isinstance(outcome, list):
+            return outcome
+        return list(outcome.records)
+
     async def read_routes(self) -> control_pb2.RoutesSource | None:
         """Returns the newest routes; None if no leader confirms them."""
 
--- a/src/cardamomkeel/control/lease_renewal.py
+++ b/src/cardamomkeel/control/lease_renewal.py
@@ -79,6 +79,7 @@
         if not node.leases.grant(poll.session, poll.version, polled_at):
             return False
         node.leases.record_bounds(poll, node.replica.term)
+        node.rollouts.record(poll, now)
         return True
 
     async def _request_from_leader(
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -21,6 +21,7 @@
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import replica as replica_lib
 from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.rollouts import leader as rollouts_lib
 from cardamomkeel.state import history as history_lib
 from cardamomkeel.state import machine
 from cardamomkeel.state import tables as tables_lib
@@ -59,6 +60,7 @@
         leases: The leases of entries, while this node is the leader.
         changed: Notified when the state or the role changes.
         member_acked: Notified when another member has answered.
+        rollouts: Decides the steps of roll-outs, while this node leads.
         max_members: The size up to which the group adds members and replaces
             unresponsive ones without an operator; 0 for never.
     """
@@ -94,6 +96,7 @@
         self.member_acked = signal.Signal()
         self.leases = leases_lib.Leases(lease_ms)
         self._leader_tasks = leader_tasks_lib.LeaderTasks(self, lease_ms, clk)
+        self.rollouts = rollouts_lib.RolloutLeader(self, clk)
         self.tables = tables_lib.Tables()
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
@@ -190,6 +193,7 @@
             self._ready_since = now
             self.leases.start(self.tables.sessions(), now)
             self._leader_tasks.on_elected(now)
+            self.rollouts.reset()
         else:
             self._fail_uncommitted()
         logger.info(
@@ -238,6 +242,7 @@
             tasks.start_soon(self._run_timers)
             tasks.start_soon(self._run_batches)
             tasks.start_soon(self._leader_tasks.run)
+            tasks.start_soon(self.rollouts.run)
             await self._storage_failed.wait()
             raise self._failure
 
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -27,6 +27,7 @@
 from cardamomkeel.policy import resend_budget
 from cardamomkeel.policy import startup_wait
 from cardamomkeel.policy import unanswered
+from cardamomkeel.rollouts import entry as rollouts_lib
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routes import table as table_lib
 from cardamomkeel.routing import fingerprints
@@ -82,13 +83,14 @@
         clk: clock.Clock,
         rng: random.Random,
         checks: collections.abc.Sequence[admission.Check] = (),
+        rollouts: rollouts_lib.EntryRollouts | None = None,
     ):
         self._cfg = cfg
         self._session = session
         self._targets = targets
         self._sender = sender
         self._selector = target_selection.TargetSelector(
-            targets, prober, clk, rng
+            targets, prober, clk, rng, rollouts
         )
         self._report = report
         self._metrics = metrics
--- a/src/cardamomkeel/gateway/gossip.py
+++ b/src/cardamomkeel/gateway/gossip.py
@@ -62,6 +62,8 @@
         sequence: Number of the datagram since then.
         running: Its running requests, by target.
         results: Its results at targets that failed lately, by target.
+        stops: The order of each roll-out whose new version it has found bad,
+            or has heard to be bad, by service.
     """
 
     name: str
@@ -69,6 +71,7 @@
     sequence: _Count
     running: dict[str, _Count]
     results: dict[str, Results] = {}
+    stops: dict[str, _Count] = {}
 
 
 _DECODER = msgspec.json.Decoder(_Datagram)
@@ -117,6 +120,18 @@
         ...
 
 
+class RolloutStops(typing.Protocol):
+    """The roll-outs that this entry has stopped by itself."""
+
+    def list_stops(self) -> dict[str, int]:
+        """Returns the order of each of them, by service."""
+        ...
+
+    def record_stops(self, stops: dict[str, int]) -> None:
+        """Records those of another entry."""
+        ...
+
+
 def _limit(by_target: dict) -> dict:
     """Returns at most `MAX_TARGETS` items."""
     return dict(sorted(by_target.items())[:MAX_TARGETS])
@@ -127,6 +142,7 @@
 
     Attributes:
         running: Number of running requests of the peers, by target address.
+        rollouts: The roll-outs whose stops are exchanged; None for none.
     """
 
     def __init__(
@@ -150,6 +166,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._send_timer: asyncio.TimerHandle | None = None
         self.running: dict[str, int] = {}
+        self.rollouts: RolloutStops | None = None
 
     async def start(self, address: str, targets: TargetState) -> None:
         """Listens at an address.
@@ -198,6 +215,7 @@
             self._sequence,
             _limit(self._targets.count_running_by_target()),
             _limit(self._targets.list_recent_results()),
+            {} if self.rollouts is None else self.rollouts.list_stops(),
         )
         data = msgspec.json.encode(datagram)
         for address in self._addresses:
@@ -222,6 +240,8 @@
         peer.running = datagram.running
         for address, results in datagram.results.items():
             self._record_results(peer, address, results)
+        if datagram.stops and self.rollouts is not None:
+            self.rollouts.record_stops(datagram.stops)
         self._update_running()
 
     def _record_results(
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -21,6 +21,7 @@
 from cardamomkeel.gateway import target_signals
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
+from cardamomkeel.rollouts import entry as rollouts_lib
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
@@ -42,6 +43,7 @@
         session: The session with the control group.
         gossip: Exchanges counts of running requests within the data centre.
         targets: The state of each target.
+        rollouts: The roll-outs that this entry follows.
         signals: What targets say of themselves.
         prober: Asks targets for their load.
         server: The HTTP server for callers.
@@ -64,6 +66,17 @@
         self.targets = targets_lib.Targets(
             cfg.data_centre, cfg.name, self.gossip, self.clk
         )
+        self.rollouts = rollouts_lib.EntryRollouts(
+            self.targets,
+            self.session.is_in_touch,
+            self.metrics,
+            self.clk,
+            random.Random(),
+        )
+        self.rollouts.on_stop = self._on_rollout_stopped
+        self.targets.rollouts = self.rollouts
+        self.gossip.rollouts = self.rollouts
+        self.session.add_reports = self.rollouts.add_reports
         self.upstream = upstream_lib.UpstreamPool(
             self.clk,
             cfg.headers.request_id.lower().encode(),
@@ -96,6 +109,7 @@
             delay,
             cfg.headers,
             self.clk,
+            self.rollouts,
         )
         self.gateway = gateway_lib.Gateway(
             cfg,
@@ -107,6 +121,7 @@
             self.metrics,
             self.clk,
             random.Random(),
+            rollouts=self.rollouts,
         )
         self.server = http_server.HttpServer(
             self.gateway, self.clk, lambda: self.session.view.table.limits
@@ -120,10 +135,17 @@
     def _on_loads_changed(self) -> None:
         self.gateway.wake()
 
+    def _on_rollout_stopped(self) -> None:
+        self.gossip.schedule_send()
+        self.session.trigger_poll()
+        self.gateway.wake()
+
     def _apply_changes(self) -> None:
         view = self.session.view
         changes = view.pop_changes()
         self.targets.apply_changes(view, changes)
+        if view.rollouts:
+            self.rollouts.apply(view.rollouts)
         if changes.all_rows or changes.entries:
             self._update_gossip_peers(view)
         self.gateway.wake()
@@ -221,5 +243,6 @@
             },
             "in_flight": self.server.in_flight,
             "connections": len(self.server.connections),
+            "rollouts": self.rollouts.dump(),
             "targets": self.targets.dump(),
         }
--- a/src/cardamomkeel/gateway/request_context.py
+++ b/src/cardamomkeel/gateway/request_context.py
@@ -30,6 +30,8 @@
             was refused because all targets push back; 0 otherwise.
         failed_response: The last answer with a status of 500 or more.
         reason: Why the last attempt failed.
+        wants_new: Whether it goes to the new version of its service, if a
+            roll-out runs; None before that is drawn.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.retry_after_ms: clock.Millis = 0.0
         self.failed_response: messages.Response | None = None
         self.reason = ""
+        self.wants_new: bool | None = None
 
     def has_reached_target(self) -> bool:
         """Returns whether a target may have run the request."""
--- a/src/cardamomkeel/gateway/sending.py
+++ b/src/cardamomkeel/gateway/sending.py
@@ -20,6 +20,7 @@
 from cardamomkeel.gateway import upstream_connection
 from cardamomkeel.policy import unanswered as unanswered_lib
 from cardamomkeel.policy import work_time
+from cardamomkeel.rollouts import entry as rollouts_lib
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import messages as routing_messages
 
@@ -114,7 +115,9 @@
         delay: last_byte_delay.LastByteDelay,
         names: names_lib.HeaderNames,
         clk: clock.Clock,
+        rollouts: rollouts_lib.EntryRollouts | None = None,
     ):
+        self._rollouts = rollouts
         self._upstream = upstream
         self._targets = targets
         self._signals = signals
@@ -183,6 +186,26 @@
         outgoing: OutgoingRequest,
         target: target_lib.Target,
         is_resend: bool,
+    ) -> Attempt:
+        """Sends a request, and counts its result if a roll-out runs."""
+        watch = None
+        if self._rollouts is not None:
+            watch = self._rollouts.watch(target, outgoing.route)
+        if watch is None:
+            return await self._send_unwatched(outgoing, target, is_resend)
+        try:
+            attempt = await self._send_unwatched(outgoing, target, is_resend)
+            if attempt.result not in (SendResult.NOT_SENT, SendResult.NOT_RUN):
+                watch.end(_is_failure(attempt))
+            return attempt
+        finally:
+            watch.drop()
+
+    async def _send_unwatched(
+        self,
+        outgoing: OutgoingRequest,
+        target: target_lib.Target,
+        is_resend: bool,
     ) -> Attempt:
         conn = self._upstream.try_acquire(
             target.address, is_resend or not outgoing.idempotent
@@ -389,3 +412,10 @@
         )
         response = messages.Response(status, headers, got.body)
         return Attempt(SendResult.ANSWERED, f"status {status}", response)
+
+
+def _is_failure(attempt: Attempt) -> bool:
+    """Returns whether a target that had a request failed it."""
+    if attempt.result is not SendResult.ANSWERED:
+        return True
+    return attempt.response.status >= 500
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -1,6 +1,7 @@
 """Selects a target for a request; the request waits while none is free."""
 
 import collections
+import collections.abc
 import random
 
 from cardamomkeel import clock
@@ -11,6 +12,7 @@
 from cardamomkeel.gateway import wait_queue
 from cardamomkeel.policy import placement
 from cardamomkeel.policy import push_back
+from cardamomkeel.rollouts import entry as rollouts_lib
 
 # A request waits for a target in the data centre of its entry for at most this
 # share of its objective.
@@ -25,6 +27,28 @@
 RECHECK_INTERVAL_MS = 20.0
 
 
+class _Excluded:
+    """The targets that a request may not be sent to."""
+
+    def __init__(
+        self,
+        ctx: request_context.RequestContext,
+        failed: list[target_lib.Target],
+        rollouts: rollouts_lib.EntryRollouts,
+    ):
+        self._failed = failed
+        self._rollouts = rollouts
+        # What the new version has not answered goes to the earlier one.
+        self._wants_new = bool(ctx.wants_new) and not (
+            ctx.tried or ctx.unreachable
+        )
+
+    def __contains__(self, target: target_lib.Target) -> bool:
+        return target in self._failed or not self._rollouts.allows(
+            target, self._wants_new
+        )
+
+
 class TargetSelector:
     """Selects targets and queues the requests that wait for one."""
 
@@ -34,7 +58,9 @@
         prober: load_probes.LoadProber,
         clk: clock.Clock,
         rng: random.Random,
+        rollouts: rollouts_lib.EntryRollouts | None = None,
     ):
+        self._rollouts = rollouts
         self._targets = targets
         self._prober = prober
         self._clock = clk
@@ -62,6 +88,11 @@
         """
         queue = self._queues[ctx.service]
         late = self.is_late(ctx)
+        if self._draws_new(ctx):
+            target = await self.try_select(ctx, _demand(late))
+            if target is not None:
+                return target
+            ctx.wants_new = False
         if not len(queue):
             near = self._targets.has_near_target(ctx.service)
             target = await self.try_select(
@@ -82,12 +113,30 @@
             queue.leave(waiter)
             queue.wake()
 
+    def _draws_new(self, ctx: request_context.RequestContext) -> bool:
+        """Returns whether a request goes to a new version first."""
+        if self._rollouts is None or ctx.wants_new is not None:
+            return False
+        ctx.wants_new = self._rollouts.draw(ctx.service)
+        return ctx.wants_new
+
+    def _exclude(
+        self,
+        ctx: request_context.RequestContext,
+        failed: list[target_lib.Target],
+    ) -> collections.abc.Container[target_lib.Target]:
+        if self._rollouts is None:
+            return failed
+        return _Excluded(ctx, failed, self._rollouts)
+
     def _is_pointless(self, ctx: request_context.RequestContext) -> bool:
         """Returns whether no target can serve a request before its deadline.
 
         Sets `ctx.reason` then, and the time at which one may.
         """
-        return_ms = self._targets.time_to_return_ms(ctx.service, ctx.tried)
+        return_ms = self._targets.time_to_return_ms(
+            ctx.service, self._exclude(ctx, ctx.tried)
+        )
         if return_ms is None:
             if not ctx.tried:
                 ctx.reason = f"no target of {ctx.service} is known"
@@ -185,7 +234,7 @@
         return self._targets.rank(
             ctx.service,
             ctx.route,
-            ctx.tried + ctx.unreachable,
+            self._exclude(ctx, ctx.tried + ctx.unreachable),
             ctx.useful_until - now,
             ctx.outgoing.deadline - now,
             demand,
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -23,8 +23,20 @@
 SHARE_RESULTS_MS = 2000.0
 
 
+class VersionFilter(typing.Protocol):
+    """Tells which versions of a service may get requests."""
+
+    def may_send(self, target: target_lib.Target) -> bool:
+        """Returns whether a target may get a request drawn for it."""
+        ...
+
+
 class Targets:
-    """All targets of the view, by address and by service."""
+    """All targets of the view, by address and by service.
+
+    Attributes:
+        rollouts: Tells which versions may get requests; None for all.
+    """
 
     def __init__(
         self,
@@ -44,6 +56,7 @@
         self._data_centres_out: set[str] = set()
         self._departures = departures.Departures()
         self._view: view_lib.View | None = None
+        self.rollouts: VersionFilter | None = None
 
     def apply_changes(
         self, view: view_lib.View, changes: view_lib.Changes
@@ -211,6 +224,7 @@
             and not target.is_out
             and not target.is_leaving
             and not target.held_ms(self._clock.now())
+            and (self.rollouts is None or self.rollouts.may_send(target))
         )
 
     def record_leaving(self, target: target_lib.Target) -> None:
--- a/src/cardamomkeel/log_lines/registry.py
+++ b/src/cardamomkeel/log_lines/registry.py
@@ -5,6 +5,7 @@
 from cardamomkeel.log_lines import kinds
 from cardamomkeel.log_lines import programs
 from cardamomkeel.log_lines import requests
+from cardamomkeel.log_lines import rollouts
 from cardamomkeel.log_lines import targets
 
 # The kinds by the heading of their section, in the order of the page.
@@ -13,6 +14,7 @@
     "Backend servers": targets.KINDS,
     "The control group and operators": control.KINDS,
     "Entries and control": entries.KINDS,
+    "Roll-outs": rollouts.KINDS,
     "Start and stop of a program": programs.KINDS,
 }
 # The fields of every line.
@@ -36,6 +38,8 @@
     "control": "the control VM, IP address and port",
     "count": "number of lines, requests, connections or targets",
     "data_centre": "name of the data centre",
+    "duration_ms": "time from the order of a roll-out to its deadline, ms",
+    "elapsed_ms": "time since the order of a roll-out, ms",
     "fingerprint": "hash of the path, caller and body of a request",
     "held_ms": "the time in which a target is sent no requests, ms",
     "in_flight": "requests in flight",
@@ -51,18 +55,23 @@
     "member": "member of the control group, name and incarnation",
     "method": "method of a call",
     "missing": "addresses of members that have not answered yet",
+    "new_sent": "requests sent to the new version since the order",
     "number": "number of the configuration or of the routes",
+    "order": "number that identifies an order of a roll-out",
     "outcome": "`not-run` or `unknown`",
     "owned": "targets that the entry still owns",
     "path": "path of a request or a call",
     "peer": "the caller, IP address and port",
     "reason": "the cause, with the values that it depends on",
     "request_id": "id that the caller gave one attempt",
+    "requests": "requests of a service since the order of a roll-out",
     "route": "the route that matches the request",
     "service": "the service",
     "session": "session of an entry with the control group",
     "sessions": "sessions of entries with the control group",
+    "share": "part of the requests that the new version gets, from 0 to 1",
     "signal": "number of the signal",
+    "stage": "stage of a roll-out",
     "state": "`ready`, `cold` or `draining`",
     "status": "status of the answer",
     "step": "step of a planned stop",
@@ -71,6 +80,7 @@
     "term": "term of the leader",
     "took_ms": "time from the first byte of the request to the answer, ms",
     "value": "the value of a header, cut to 100 bytes",
+    "version": "version of the software of targets",
     "why": "the observation that caused the reset",
 }
 
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -14,6 +14,7 @@
 from cardamomkeel.log_lines import limits
 from cardamomkeel.platform import configurations
 from cardamomkeel.platform import heartbeats
+from cardamomkeel.platform import rollouts
 from cardamomkeel.routes import change
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routes import packing
@@ -93,6 +94,7 @@
         )
         self._rejected_log_limit = limits.Limit("rejected heartbeat", clk)
         self._services: tuple[int, frozenset[str]] = (0, frozenset())
+        self._rollouts = rollouts.Rollouts(calls, GIVEN_UP_CHECK_MS)
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Handles one request."""
@@ -114,6 +116,8 @@
             return await self._put_config(req.body)
         if path == CONFIG and req.method == "GET":
             return await self._get_config()
+        if path == rollouts.PATH or path.startswith(rollouts.PATH + "/"):
+            return await self._rollouts.handle(req)
         if path.startswith(EVACUATIONS):
             return await self._evacuate(req.method, path[len(EVACUATIONS) :])
         return _make_response(404, error=f"there is nothing at {path}")
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -26,6 +26,7 @@
 from cardamomkeel.platform import control_api
 from cardamomkeel.platform import process
 from cardamomkeel.platform import timings
+from cardamomkeel.policy import rollout_steps
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import election_timer
 from cardamomkeel.replication import members
@@ -138,6 +139,10 @@
             random.Random(),
             MAX_MEMBERS,
         )
+        bounds = self._file.current.timeouts.bounds
+        node.rollouts.limits = rollout_steps.Limits(
+            bounds.exposure_share, bounds.exposure_slack
+        )
         await self._serve(cfg, node)
 
     def _make_settings(self) -> process_settings.ControlSettings:
--- a/src/cardamomkeel/platform/node_file.py
+++ b/src/cardamomkeel/platform/node_file.py
@@ -129,6 +129,8 @@
     retry_budget_slack: NonNegative = 10
     budget_window_s: Positive = 10
     recovery_s: NonNegative = 15
+    exposure_share: NonNegative = 0.1
+    exposure_slack: NonNegative = 50
 
 
 class Timeouts(_Table):
--- a/src/cardamomkeel/policy/incarnations.py
+++ b/src/cardamomkeel/policy/incarnations.py
@@ -73,11 +73,18 @@
     if known is None or not is_same_incarnation(known, announced):
         return True
     row = merge(known, announced, log_ms)
-    if (row.state, row.slots, row.address, row.data_centre) != (
+    if (
+        row.state,
+        row.slots,
+        row.address,
+        row.data_centre,
+        row.software,
+    ) != (
         known.state,
         known.slots,
         known.address,
         known.data_centre,
+        known.software,
     ):
         return True
     later_ms = row.cold_until_log_ms - known.cold_until_log_ms
--- a/src/cardamomkeel/routing/session.py
+++ b/src/cardamomkeel/routing/session.py
@@ -76,6 +76,7 @@
         view: The state as of the newest reply.
         lease_until: When the lease expires, on the local clock.
         promises: How long work may go on after the lease.
+        add_reports: Adds what this entry reports to a poll before it is sent.
     """
 
     def __init__(
@@ -124,6 +125,14 @@
         self.view = make_view()
         self.lease_until = float("-inf")
         self.promises = promises_lib.Promises()
+        self.add_reports: typing.Callable[[control_pb2.PollRequest], None] = (
+            _add_nothing
+        )
+        self._answered_at = float("-inf")
+
+    def is_in_touch(self, within_ms: clock.Millis) -> bool:
+        """Returns whether a leader has answered a poll sent so recently."""
+        return self._clock.now() - self._answered_at <= within_ms
 
     def is_fresh(self) -> bool:
         """Returns whether the lease is valid, so that the view may be used."""
@@ -228,6 +237,7 @@
         self._data_centres[address] = reply.data_centre
         if poll.session:
             self.lease_until = sent_at + reply.lease_ms * (1 - DRIFT_SHARE)
+            self._answered_at = sent_at
             self._confirm_bounds(poll, reply)
         if self.view.version == previous_version and self._poll_stream.is_open:
             await self._wait_for_stream_activity(reply.next_ms)
@@ -271,10 +281,14 @@
 
         The reply may belong to an earlier poll.
         """
+        self.trigger_poll()
+        await self._poll_answered.wait(clock.seconds(timeout_ms))
+
+    def trigger_poll(self) -> None:
+        """Triggers a poll now."""
         self._is_early_poll_due = True
         self._early_poll.notify()
         self._poll_stream.activity.notify()
-        await self._poll_answered.wait(clock.seconds(timeout_ms))
 
     def _make_poll(self, sent_at: clock.Millis) -> control_pb2.PollRequest:
         """Returns a poll that reports how long work may outlast the lease."""
@@ -286,6 +300,7 @@
             poll.bounds.add(service=service, longest_ms=after_ms)
         poll.number = self.promises.number
         poll.term = self.promises.term
+        self.add_reports(poll)
         return poll
 
     def _confirm_bounds(
@@ -356,6 +371,10 @@
         self._on_change()
 
 
+def _add_nothing(_poll: control_pb2.PollRequest) -> None:
+    """Adds no reports to a poll."""
+
+
 def _make_follow_request(
     poll: control_pb2.PollRequest,
 ) -> control_pb2.FollowRequest:
--- a/src/cardamomkeel/routing/view.py
+++ b/src/cardamomkeel/routing/view.py
@@ -29,12 +29,14 @@
         entries: Whether a record of an entry has changed.
         outs: Whether servers or data centres were taken out of service or
             brought back.
+        rollouts: Whether a roll-out has moved.
     """
 
     all_rows: bool = False
     instances: set[str] = dataclasses.field(default_factory=set)
     entries: bool = False
     outs: bool = False
+    rollouts: bool = False
 
 
 @dataclasses.dataclass
@@ -47,6 +49,7 @@
         table: The routes in force.
         instances: The announcements of instances, by address.
         crashes: The number of targets that a request crashed, by fingerprint.
+        rollouts: The newest roll-out of each service.
         log_ms: The time on the clock of the log when the newest rows were sent.
     """
 
@@ -72,6 +75,9 @@
     )
     log_ms: int = 0
     crashes: dict[bytes, int] = dataclasses.field(default_factory=dict)
+    rollouts: dict[str, control_pb2.RolloutRecord] = dataclasses.field(
+        default_factory=dict
+    )
     # At first, every row counts as changed.
     _changes: Changes = dataclasses.field(
         default_factory=lambda: Changes(all_rows=True)
@@ -109,6 +115,7 @@
         self.quarantines.clear()
         self.instances.clear()
         self.crashes.clear()
+        self.rollouts.clear()
 
     def _apply_readable_record(self, record: control_pb2.Record) -> None:
         """Applies a record, or removes its row if it can't be read.
@@ -153,6 +160,9 @@
                 record.deleted,
                 len(record.crash.targets),
             )
+        elif kind == "rollout":
+            self._changes.rollouts = True
+            _apply_row(self.rollouts, name, record.deleted, record.rollout)
         elif record.key == keys.ROUTES_KEY:
             self._apply_routes(record.routes)
         elif kind == "quarantine":
--- a/src/cardamomkeel/state/commands/instances.py
+++ b/src/cardamomkeel/state/commands/instances.py
@@ -52,18 +52,19 @@
         for row in tables.instances_by_id(removed.instance):
             if removed.born_ms and row.born_ms != removed.born_ms:
                 continue
-            _record_end(tables, row, cmd.silent, index)
+            record_end(tables, row, cmd.silent, index)
     return control_pb2.CommandResult(
         status=control_pb2.STATUS_OK, version=tables.version
     )
 
 
-def _record_end(
+def record_end(
     tables: tables_lib.Tables,
     row: control_pb2.InstanceRecord,
     silent: bool,
     index: int,
 ) -> None:
+    """Marks an instance as gone, or deletes it if it fell silent."""
     key = tables_lib.instance_key(row.address)
     if silent:
         tables.delete(key, index)
--- a/src/cardamomkeel/state/history.py
+++ b/src/cardamomkeel/state/history.py
@@ -213,6 +213,33 @@
         if cmd.state == control_pb2.CLAIM_UNKNOWN:
             yield cmd.service, f"the outcome of key {cmd.key} is unknown"
 
+    def describe_start_rollout(
+        self, cmd: control_pb2.StartRollout, result: control_pb2.CommandResult
+    ) -> Descriptions:
+        """Describes an order to roll out a version."""
+        order = f"roll-out to {cmd.version}"
+        if result.status == OK:
+            yield cmd.service, f"{order} ordered by {cmd.operator}"
+        else:
+            yield cmd.service, f"{order} was refused: {result.message}"
+
+    def describe_move_rollout(
+        self, cmd: control_pb2.MoveRollout, result: control_pb2.CommandResult
+    ) -> Descriptions:
+        """Describes a step of a roll-out."""
+        if result.status == OK:
+            stage = control_pb2.RolloutStage.Name(cmd.stage)
+            yield cmd.service, f"{stage}, {cmd.share_ppm} ppm: {cmd.reason}"
+
+    def describe_withdraw_rollout(
+        self,
+        cmd: control_pb2.WithdrawRollout,
+        result: control_pb2.CommandResult,
+    ) -> Descriptions:
+        """Describes a roll-out that an operator withdrew."""
+        if result.status == OK:
+            yield cmd.service, f"roll-out withdrawn by {cmd.operator}"
+
     def describe_resolve(
         self, cmd: control_pb2.Resolve, result: control_pb2.CommandResult
     ) -> Descriptions:
@@ -236,4 +263,7 @@
     "report_break": History.describe_broken_connection,
     "settle": History.describe_settle,
     "resolve": History.describe_resolve,
+    "start_rollout": History.describe_start_rollout,
+    "move_rollout": History.describe_move_rollout,
+    "withdraw_rollout": History.describe_withdraw_rollout,
 }
--- a/src/cardamomkeel/state/machine.py
+++ b/src/cardamomkeel/state/machine.py
@@ -7,6 +7,7 @@
 from cardamomkeel.state.commands import instances
 from cardamomkeel.state.commands import out_of_service
 from cardamomkeel.state.commands import quarantine
+from cardamomkeel.state.commands import rollouts
 from cardamomkeel.state.commands import routes
 from cardamomkeel.state.commands import settings
 from cardamomkeel.state.commands import targets
@@ -45,6 +46,9 @@
     "instances_seen": instances.record_announcements,
     "instances_gone": instances.remove,
     "report_crash": crashes.report,
+    "start_rollout": rollouts.start,
+    "move_rollout": rollouts.move,
+    "withdraw_rollout": rollouts.withdraw,
     "sweep": _sweep,
 }
 
--- a/src/cardamomkeel/state/tables.py
+++ b/src/cardamomkeel/state/tables.py
@@ -14,8 +14,16 @@
 MAX_DELETED_ROWS = 2000
 # Prefixes of rows that entries have to receive at once: a request that crashes
 # backend servers is resent immediately, and a target that is taken out of
-# service receives requests until the entries have its row.
-URGENT_ROWS = ("quarantine/", "out/", "routes", "instance/", "crash/")
+# service receives requests until the entries have its row. A bad version gets
+# requests until the entries know that it is rolled back.
+URGENT_ROWS = (
+    "quarantine/",
+    "out/",
+    "routes",
+    "instance/",
+    "crash/",
+    "rollout/",
+)
 
 
 def entry_key(session: int) -> str:
@@ -48,6 +56,11 @@
     return f"quarantine/{fingerprint.hex()}"
 
 
+def rollout_key(service: str) -> str:
+    """Returns the key of the row of a service's newest roll-out."""
+    return f"rollout/{service}"
+
+
 def _is_urgent(record: control_pb2.Record) -> bool:
     """Returns whether entries have to receive a row at once.
 
@@ -148,6 +161,10 @@
         """Returns the rows of all objects taken out of service."""
         return [record.out for record in self.rows("out")]
 
+    def rollouts(self) -> list[control_pb2.RolloutRecord]:
+        """Returns the newest roll-out of each service that had one."""
+        return [record.rollout for record in self.rows("rollout")]
+
     def services(self) -> list[control_pb2.ServiceSettings]:
         """Returns the settings of each service."""
         return [record.service for record in self.rows("service")]
