--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -80,3 +80,21 @@
     Then no request may go to v2
     When targets of v1 move to another service by reuse of their addresses
     Then those of the other service are served
+
+  Scenario: Operators order, show and withdraw roll-outs
+    Given a service with targets of version v1
+    And a control group that knows a route to it
+    Then a wrong order of an operator is refused with a remedy
+    When an operator orders a roll-out to v2
+    Then it is shown as in trial, and another one is refused
+    When the operator withdraws it
+    Then it is shown as rolled_back
+
+  Scenario: A roll-out beside a release, an evacuation and a split
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And a target of v1 is replaced by one of v3
+    Then requests that aren't drawn may go to v1 and v3 only
+    When a target in trial is taken out of service
+    Then no target that is taken out is in trial
+    And targets of another part of the split get requests as before
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -1,20 +1,25 @@
 """Steps of roll-outs: decisions, state and entries, without processes."""
 
+import asyncio
 import random
 import types
 
 from behave import given
 from behave import then
 from behave import when
+from returns import result
 
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.gateway import gossip as gossip_lib
 from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.operators import rollout_calls
 from cardamomkeel.policy import incarnations
 from cardamomkeel.policy import rollout_steps
 from cardamomkeel.rollouts import bookkeeping
 from cardamomkeel.rollouts import entry as entry_lib
+from cardamomkeel.routes import change
+from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.state import machine
 from cardamomkeel.state import tables as tables_lib
@@ -480,3 +485,124 @@
 def check_other_service(context):
     assert len(context.entry.list_allowed(False, "other")[1]) == 2
     assert context.entry.list_allowed(False) == (set(), [])
+
+
+# Operators.
+
+
+class Control:
+    """A control group that commits at once."""
+
+    def __init__(self, context):
+        self.context = context
+
+    async def read(self, req, _timeout_ms):
+        """Returns the rows with a prefix."""
+        rows = self.context.tables.read(req.key)
+        return result.Success(control_pb2.ReadReply(records=rows))
+
+    async def propose(self, proposed, _timeout_ms):
+        """Applies one command."""
+        kind = proposed[0].WhichOneof("kind")
+        done = apply(self.context, **{kind: getattr(proposed[0], kind)})
+        return result.Success([done])
+
+
+@given("a control group that knows a route to it")
+def add_route(context):
+    service = document_lib.RoutedService()
+    document = document_lib.RoutesDocument((), {"s": service})
+    command = change.make_command(1, 0, document, b"f", b"source")
+    assert apply(context, apply_routes=command.apply_routes).status == 0
+    context.calls = rollout_calls.RolloutHandlers(Control(context)).handlers()
+
+
+def call(context, name, **body):
+    return asyncio.run(context.calls[f"/v1/rollouts/{name}"](body))
+
+
+def call_start(context, **changes):
+    good = {"service": "s", "version": "v2", "duration_s": 12, "operator": "o"}
+    return call(context, "start", **(good | changes))
+
+
+@then("a wrong order of an operator is refused with a remedy")
+def check_wrong_order(context):
+    for changes in (
+        {"service": "none"},
+        {"version": ""},
+        {"duration_s": 0},
+        {"duration_s": 1e9},
+        {"duration_s": float("nan")},
+    ):
+        found = call_start(context, **changes)
+        assert isinstance(found, result.Failure), changes
+        assert found.failure().remedy
+    assert call(context, "show").unwrap() == {"rollouts": []}
+
+
+@when("an operator orders a roll-out to v2")
+def call_order(context):
+    for _ in range(2):
+        assert call_start(context).unwrap()["version"]
+
+
+@then("it is shown as in trial, and another one is refused")
+def check_trial(context):
+    check_shown(context, "trial")
+    found = call_start(context, version="v3")
+    assert isinstance(found, result.Failure), found
+
+
+@when("the operator withdraws it")
+def call_withdraw(context):
+    call(context, "withdraw", service="s", operator="o").unwrap()
+
+
+@then("it is shown as {stage}")
+def check_shown(context, stage):
+    (shown,) = call(context, "show", service="s").unwrap()["rollouts"]
+    assert (shown["stage"], shown["version"]) == (stage, "v2"), shown
+
+
+# Together with other changes.
+
+
+@when("a target of v1 is replaced by one of v3")
+def release(context):
+    gone = control_pb2.InstanceName(instance="i-1")
+    apply(context, instances_gone=control_pb2.InstancesGone(instances=[gone]))
+    announce(context, "v3", 40)
+    context.entry.follow(context.tables)
+
+
+@then("requests that aren't drawn may go to v1 and v3 only")
+def check_release(context):
+    assert context.entry.list_allowed(False)[0] == {"v1", "v3"}
+    assert context.entry.list_allowed(True)[0] == {"v2"}
+
+
+@when("a target in trial is taken out of service")
+def take_out(context):
+    (target, *_) = context.entry.list_allowed(True)[1]
+    out = control_pb2.TakeOut(
+        change_id="12345678", address=target.address, force=True
+    )
+    assert apply(context, take_out=out).status == commands.OK
+    context.taken_out = target.address
+    context.entry.follow(context.tables)
+
+
+@then("no target that is taken out is in trial")
+def check_none_out(context):
+    allowed = context.entry.list_allowed(True)[1]
+    assert allowed
+    assert context.taken_out not in [t.address for t in allowed], allowed
+
+
+@then("targets of another part of the split get requests as before")
+def check_split(context):
+    reuse_addresses(context)
+    for wants_new in (False, True):
+        found = context.entry.list_allowed(wants_new, "other")
+        assert len(found[1]) == 2, found
--- a/features/steps/rollouts_platform.py
+++ b/features/steps/rollouts_platform.py
@@ -121,7 +121,8 @@
                 got = context.fleet.call(front=front)
                 ok = got.content == platform_targets.BODY
                 if not ok:
-                    context.unanswered.append((front, got.status_code, got.text))
+                    item = (front, got.status_code, got.text)
+                    context.unanswered.append(item)
             except httpx.HTTPError as exc:
                 context.unanswered.append((front, 0, repr(exc)))
             context.sent.append(time.monotonic())
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -30,6 +30,7 @@
 from cardamomkeel.operators import history
 from cardamomkeel.operators import member_calls
 from cardamomkeel.operators import resolutions
+from cardamomkeel.operators import rollout_calls
 from cardamomkeel.operators import routes_calls
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.operators import settings_calls
@@ -171,6 +172,7 @@
         configuration_calls.ConfigurationHandlers(control, clk).handlers()
         | settings_calls.SettingsHandlers(control).handlers()
         | routes_calls.RoutesHandlers(control).handlers()
+        | rollout_calls.RolloutHandlers(control).handlers()
         | resolutions.ResolutionHandlers(control).handlers()
         | member_calls.MemberHandlers(control).handlers()
         | history.HistoryHandlers(
--- a/src/cardamomkeel/gateway/announcements.py
+++ b/src/cardamomkeel/gateway/announcements.py
@@ -40,6 +40,7 @@
         sequence: Increases with each announcement of one instance.
         state: Whether it accepts requests.
         cold_ms: The remaining time of its cold start; 0 for none.
+        version: The version of its software, for roll-outs.
     """
 
     service: Name
@@ -51,6 +52,7 @@
     sequence: Count
     state: typing.Literal["ready", "draining", "leaving"] = "ready"
     cold_ms: Count = 0
+    version: typing.Annotated[str, msgspec.Meta(max_length=100)] = ""
 
     def __post_init__(self):
         """Checks the address and the instance.
@@ -120,5 +122,6 @@
             slots=announcement.slots,
             state=incarnations.DRAINING if drains else incarnations.READY,
             cold_ms=announcement.cold_ms,
+            software=announcement.version,
         )
         return await self._control.announce([record], COMMIT_TIMEOUT_MS)
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -14,6 +14,7 @@
 from cardamomkeel.operators import listings
 from cardamomkeel.operators import member_commands
 from cardamomkeel.operators import resolutions
+from cardamomkeel.operators import rollout_commands
 from cardamomkeel.operators import routes_commands
 from cardamomkeel.operators import settings_commands
 from cardamomkeel.operators import status_command
@@ -35,6 +36,7 @@
     help="Configures and inspects a running cardamomkeel.",
 )
 app.add_typer(member_commands.app, name="member")
+app.add_typer(rollout_commands.app, name="rollout")
 app.add_typer(routes_commands.app, name="routes")
 app.command()(status_command.status)
 app.command()(history_command.history)
--- a/src/cardamomkeel/platform/rollouts.py
+++ b/src/cardamomkeel/platform/rollouts.py
@@ -23,6 +23,7 @@
 
 PATH = "/-/rollouts"
 OPERATOR = "platform"
+# Operators try another control VM after this status.
 UNAVAILABLE = 503
 # A longer roll-out is a mistake of the order.
 MAX_DURATION_S = 86_400.0
--- a/src/cardamomkeel/policy/rollout_steps.py
+++ b/src/cardamomkeel/policy/rollout_steps.py
@@ -40,6 +40,9 @@
 # this part of the share, and more once they are warm.
 COLD_FACTOR = 0.35
 RAMP_SHARE_OF_REQUESTS = 0.4
+# Trouble that begins while all requests go to the new version can't be told
+# from a bad version. Once, the versions are compared again at this share.
+RETURN_SHARE = 0.25
 # The share is changed once it is off by more than this factor, so that entries
 # are not told of each small change of the load.
 SHARE_CHANGE_FACTOR = 1.25
@@ -91,8 +94,12 @@
         all_confirmed: Whether every entry follows the newest step.
         old_running: Requests that the earlier version still runs.
         entries_lost: Whether an entry was lost and has not come back.
-        verdict: What the counts say of the new version.
+        verdict: What the counts say of the new version, from the time in
+            which both versions answered.
         gate_verdict: The same, asked before a step forward.
+        late_verdict: The same of the last steps, when the earlier version has
+            answered little or nothing.
+        has_returned: Whether it was in the stage of all requests before.
         finding: What decided it, for people.
     """
 
@@ -112,6 +119,8 @@
     entries_lost: bool = False
     verdict: Verdict = Verdict.GOOD
     gate_verdict: Verdict = Verdict.GOOD
+    late_verdict: Verdict = Verdict.GOOD
+    has_returned: bool = False
     finding: str = ""
 
     @property
@@ -153,7 +162,14 @@
         return _plan_trial(p, limits)
     if p.stage is Stage.RAMP:
         length = _clamp(p.duration_ms * RAMP_SHARE, MIN_RAMP_MS, MAX_RAMP_MS)
+        if p.has_returned and p.gate_verdict > Verdict.GOOD:
+            return Move(Stage.ROLLED_BACK, 0.0, p.finding)
         return _step_forward(p, length, Stage.ALL, 1.0)
+    if p.late_verdict >= Verdict.DOUBTFUL:
+        if p.has_returned:
+            return Move(Stage.ROLLED_BACK, 0.0, p.finding)
+        reason = f"compared again: {p.finding}"
+        return Move(Stage.RAMP, RETURN_SHARE, reason)
     length = _clamp(p.duration_ms * ALL_SHARE, MIN_ALL_MS, MAX_ALL_MS)
     return _step_forward(p, length, Stage.FINAL, 1.0)
 
--- a/src/cardamomkeel/rollouts/bookkeeping.py
+++ b/src/cardamomkeel/rollouts/bookkeeping.py
@@ -11,6 +11,7 @@
 from cardamomkeel.state import tables as tables_lib
 from cardamomkeel.wire import control_pb2
 
+# Millionths in a whole.
 PPM = 1_000_000
 # The length of a stratum of time during the trial. Every entry has reported
 # twice in it.
@@ -53,8 +54,13 @@
         self._entries: dict[int, _Entry] = {}
         self._processes: dict[int, int] = {}
         self._names: dict[int, str] = {}
+        # Of the time in which both versions answer, and of the last steps.
         self._evidence = counts_lib.make_evidence()
-        self._findings: list[rollout_verdict.Finding] | None = None
+        self._late_evidence = counts_lib.make_evidence()
+        self._findings: list[rollout_verdict.Finding] = []
+        self._late_findings: list[rollout_verdict.Finding] = []
+        self._has_news = False
+        self._has_returned = False
         self._doubt = ""
         self._stratum_at = float("-inf")
         self._stage = control_pb2.ROLLOUT_TRIAL
@@ -88,7 +94,7 @@
                 continue
             if newer != older:
                 entry.routes[newer.route] = newer
-                self._findings = None
+                self._has_news = True
                 self._add(newer, older)
 
     def _add(
@@ -96,7 +102,13 @@
         newer: control_pb2.RolloutCounts,
         older: control_pb2.RolloutCounts,
     ) -> None:
-        counts_lib.add_difference(self._evidence, newer, older)
+        if self._stage in (
+            control_pb2.ROLLOUT_TRIAL,
+            control_pb2.ROLLOUT_RAMP,
+        ):
+            counts_lib.add_difference(self._evidence, newer, older)
+        if self._stage != control_pb2.ROLLOUT_TRIAL:
+            counts_lib.add_difference(self._late_evidence, newer, older)
         sent = newer.new_sent - older.new_sent
         self._new_sent += sent
         self._requests += sent + max(0, newer.old_ended - older.old_ended)
@@ -113,9 +125,17 @@
         """Begins a new stratum of time if one is due.
 
         When all requests go to the new version, the earlier one answers
-        nothing to compare with, and the last stratum goes on.
+        nothing to compare with but what it answered in the step before.
         """
-        has_moved, self._stage = row.stage != self._stage, row.stage
+        has_moved, before, self._stage = (
+            row.stage != self._stage,
+            self._stage,
+            row.stage,
+        )
+        if has_moved and row.stage == control_pb2.ROLLOUT_RAMP:
+            self._has_returned = before == control_pb2.ROLLOUT_ALL
+            self._late_evidence = counts_lib.make_evidence()
+            self._late_findings = []
         if row.stage == control_pb2.ROLLOUT_TRIAL:
             is_due = now - self._stratum_at >= STRATUM_MS
         else:
@@ -149,11 +169,18 @@
             for session in sessions
             if session in self._processes
         ]
-        if self._findings is None:
+        if self._has_news:
+            self._has_news = False
             self._findings = [e.find() for e in self._evidence.values()]
+            self._late_findings = [
+                e.find() for e in self._late_evidence.values()
+            ]
         verdict, found = rollout_verdict.judge(self._findings, False)
-        gate, gate_found = rollout_verdict.judge(self._findings, True)
-        finding = str(gate_found if gate > verdict else found)
+        gate, _ = rollout_verdict.judge(self._findings, True)
+        late, late_found = rollout_verdict.judge(self._late_findings, True)
+        if late_found.chance < found.chance:
+            found = late_found
+        finding = str(found)
         if self._doubt:
             verdict = gate = rollout_verdict.Verdict.BAD
             finding = f"an entry stopped: {self._doubt}"
@@ -176,6 +203,8 @@
             entries_lost=lost,
             verdict=verdict,
             gate_verdict=gate,
+            late_verdict=late,
+            has_returned=self._has_returned,
             finding=finding,
         )
 
--- a/src/cardamomkeel/rollouts/entry.py
+++ b/src/cardamomkeel/rollouts/entry.py
@@ -32,6 +32,7 @@
 OUT_OF_TOUCH_MS = 2000.0
 # How long after its cold start the time of a target's answers tells nothing.
 AFTER_COLD_MS = 1000.0
+# Millionths in a whole.
 PPM = 1_000_000
 
 # The stages in which the new version gets a part of the requests.
