--- a/features/accounts.feature
+++ b/features/accounts.feature
@@ -80,6 +80,16 @@
       | a line in the name  | can't be named          |
       | a key in the clear  | key_digests             |
 
+  @fixture.routed
+  Scenario: Operators add, list and withdraw keys without showing them
+    Given routes in force with comments and an account without keys
+    When a new key is added to the account from a file
+    Then the account is listed with 1 key, and the comments are in force
+    And a lookup with the key at each entry gets no 401
+    When that key is withdrawn
+    Then a lookup with the key at each entry gets a 401
+    And the account is listed with 0 key, and the comments are in force
+
   @fixture.platform
   Scenario: No output of the programs holds a key
     When keys are used, refused and withdrawn on the platform
--- a/features/steps/accounts.py
+++ b/features/steps/accounts.py
@@ -1,5 +1,6 @@
 """Steps for requests that carry keys of client accounts."""
 
+import json
 import math
 import time
 
@@ -254,3 +255,80 @@
     for key in context.keys:
         for text in outputs:
             assert key not in text, text
+
+
+TEXT = """// The routes of the desk.
+{
+  "routes": [{
+    "host": "desk.example", "prefix": "/look/",
+    "parts": [{"service": "dossier", "weight": 1}],
+    "idempotent": true, "timeout_ms": 2000, "objective_ms": 600,
+  }],
+  "services": {"dossier": {}},
+  "accounts": [
+    {"name": "two", "key_digests": ["0123456789abcdef0123456789abcdef"]},
+    {"name": "one", /* The desk in Brest. */ "key_digests": []},
+  ],
+}
+"""
+
+
+def run(context, *args):
+    ran = context.routed.run(*args)
+    context.printed = ran.stdout + ran.stderr
+    assert ran.returncode == 0, context.printed
+    if getattr(context, "key_file", None) and context.key_file.exists():
+        assert context.key_file.read_text().strip() not in context.printed
+    return ran.stdout
+
+
+@given("routes in force with comments and an account without keys")
+def apply_text(context):
+    folder = context.routed.folder
+    path = folder / "routes.json"
+    path.write_text(TEXT, encoding="utf-8")
+    context.key_file = folder / "key"
+    run(context, "routes", "apply", str(path), "--base-number", "0", "--wait")
+
+
+@when("a new key is added to the account from a file")
+def add_key(context):
+    options = ["--key-file", str(context.key_file), "--wait"]
+    run(context, "accounts", "add-key", "one", *options)
+
+
+@when("that key is withdrawn")
+def withdraw_key(context):
+    options = ["--key-file", str(context.key_file), "--wait"]
+    run(context, "accounts", "withdraw-key", "one", *options)
+
+
+@then("the account is listed with {count:d} key, and the comments are in force")
+def check_listed(context, count):
+    listed = json.loads(run(context, "accounts", "list"))["accounts"]
+    digest = digests.make(context.key_file.read_bytes().strip())
+    assert listed[1]["keys"] == [digest[:8]] * count, listed
+    text = run(context, "routes", "show", "--text")
+    assert text == TEXT.replace("[]", f'["{digest}"]' if count else "[]"), text
+
+
+def get_statuses(context):
+    key = context.key_file.read_text().strip()
+    headers = {"authorization": f"Bearer {key}", "host": "desk.example"}
+    headers["cardamomkeel-request-id"] = f"r-{time.time()}"
+    return [
+        httpx.get(f"http://{entry.callers}/look/1", headers=headers).status_code
+        for entry in context.routed.entries
+    ]
+
+
+@then("a lookup with the key at each entry gets no 401")
+def check_known(context):
+    statuses = get_statuses(context)
+    assert 401 not in statuses, statuses
+
+
+@then("a lookup with the key at each entry gets a 401")
+def check_unknown(context):
+    statuses = get_statuses(context)
+    assert set(statuses) == {401}, statuses
--- a/src/cardamomkeel/operators/cmdline.py
+++ b/src/cardamomkeel/operators/cmdline.py
@@ -8,6 +8,7 @@
 
 from cardamomkeel import errors
 from cardamomkeel.log_lines import page as log_page_lib
+from cardamomkeel.operators import accounts_commands
 from cardamomkeel.operators import client
 from cardamomkeel.operators import commandline_options as options
 from cardamomkeel.operators import history_command
@@ -36,6 +37,7 @@
 )
 app.add_typer(member_commands.app, name="member")
 app.add_typer(routes_commands.app, name="routes")
+app.add_typer(accounts_commands.app, name="accounts")
 app.command()(status_command.status)
 app.command()(history_command.history)
 
