Weigh a false alarm of a roll-out against a bad version for all, give a trial more

Change: a doubt of 1.5e-2 before a step rolls back; up to half of the requests in a trial of few requests; the drawn plays move to bench/.

--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -26,7 +26,7 @@
 from cardamomkeel.state.commands import instances
 from cardamomkeel.state.commands import rollouts as commands
 from cardamomkeel.wire import control_pb2
-from features import rollout_plays
+from bench import rollout_plays
 
 ROUTE = types.SimpleNamespace(host="h", prefix="/", objective_ms=400.0)
 Stage = rollout_steps.Stage
--- a/src/cardamomkeel/policy/rollout_steps.py
+++ b/src/cardamomkeel/policy/rollout_steps.py
@@ -35,11 +35,11 @@
 
 # Shares of what a bad version may get, used up by the end of a step.
 TRIAL_BUDGET, RAMP_BUDGET = 0.58, 0.78
-MIN_TRIAL_SHARE, MAX_TRIAL_SHARE = 0.01, 0.3
+MIN_TRIAL_SHARE, MAX_TRIAL_SHARE = 0.01, 0.5
 # While all new servers are cold, their work time tells nothing: they get only
 # this part of the share, and more once they are warm.
 COLD_FACTOR = 0.35
-RAMP_SHARE_OF_REQUESTS = 0.4
+RAMP_SHARE_OF_REQUESTS = 0.5
 # Trouble that begins while all requests go to the new version can't be told
 # from a bad version. Once, the versions are compared again at this share.
 RETURN_SHARE = 0.25
--- a/src/cardamomkeel/policy/rollout_verdict.py
+++ b/src/cardamomkeel/policy/rollout_verdict.py
@@ -22,9 +22,9 @@
 # The verdict is asked for some ten times a second, of each route and of all.
 BAD_CHANCE = 1e-5
 # Asked once, before a step forward.
-GATE_CHANCE = 4e-3
+GATE_CHANCE = 1.5e-2
 # Above it nothing speaks against a step forward.
-DOUBT_CHANCE = 3e-2
+DOUBT_CHANCE = 6e-2
 # Fewer bad answers don't condemn a version, whatever the others do.
 MIN_BAD = 3
 _MAX_TILT = 60.0
