--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -9,6 +9,7 @@
 from behave import when
 from returns import result
 
+from bench import rollout_plays
 from cardamomkeel import clock
 from cardamomkeel import metrics as metrics_lib
 from cardamomkeel.gateway import gossip as gossip_lib
@@ -26,7 +27,6 @@
 from cardamomkeel.state.commands import instances
 from cardamomkeel.state.commands import rollouts as commands
 from cardamomkeel.wire import control_pb2
-from bench import rollout_plays
 
 ROUTE = types.SimpleNamespace(host="h", prefix="/", objective_ms=400.0)
 Stage = rollout_steps.Stage
