--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -151,6 +151,9 @@
         name = ctx.outgoing.req.get(b"account").decode()
         ctx.account = document.Account(name=name) if name else None
 
+    def recheck(self, ctx):
+        """Refuses none."""
+
     def note_end(self, ctx, ran):
         """Does nothing."""
 
