Read versions once a request, bound what entries report of roll-outs

Cause: each request read a protobuf field of each target, also where no roll-out runs; the counts of every route were reported.

--- a/src/cardamomkeel/gateway/target.py
+++ b/src/cardamomkeel/gateway/target.py
@@ -76,6 +76,7 @@
         address: Host and port.
         data_centre: The data centre in which it runs.
         slots: How many requests it runs at a time.
+        service: The service that it serves.
         software: The version of its software.
         near: Whether it is in the data centre of this entry.
         is_out: Whether operators have taken it out of service.
@@ -142,6 +143,7 @@
         self.data_centre = record.data_centre
         self.slots = max(1, record.slots)
         self.near = record.data_centre == self._own_data_centre
+        self.service = record.service
         self.software = record.software
 
     @property
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -125,7 +125,7 @@
         ctx: request_context.RequestContext,
         failed: list[target_lib.Target],
     ) -> collections.abc.Container[target_lib.Target]:
-        if self._rollouts is None:
+        if self._rollouts is None or not self._rollouts.has_rules(ctx.service):
             return failed
         return _Excluded(ctx, failed, self._rollouts)
 
--- a/src/cardamomkeel/rollouts/bookkeeping.py
+++ b/src/cardamomkeel/rollouts/bookkeeping.py
@@ -89,7 +89,10 @@
         self._doubt = self._doubt or report.doubt
         for newer in report.routes:
             older = entry.routes.get(newer.route, control_pb2.RolloutCounts())
-            if newer.new_sent < older.new_sent:
+            if (newer.new_sent, newer.old_ended) != (
+                max(newer.new_sent, older.new_sent),
+                max(newer.old_ended, older.old_ended),
+            ):
                 # A report that was held up on its way.
                 continue
             if newer != older:
--- a/src/cardamomkeel/rollouts/entry.py
+++ b/src/cardamomkeel/rollouts/entry.py
@@ -35,6 +35,10 @@
 # Millionths in a whole.
 PPM = 1_000_000
 
+# Routes that are counted apart, to bound the reports.
+MAX_ROUTES = 50
+OTHER_ROUTES = "other routes"
+
 # The stages in which the new version gets a part of the requests.
 PARTIAL = (control_pb2.ROLLOUT_TRIAL, control_pb2.ROLLOUT_RAMP)
 ENDED = (control_pb2.ROLLOUT_COMPLETED, control_pb2.ROLLOUT_ROLLED_BACK)
@@ -145,6 +149,13 @@
             return False
         return self._rng.random() * PPM < rollout.row.share_ppm
 
+    def has_rules(self, service: str) -> bool:
+        """Returns whether versions matter for a service."""
+        rollout = self._rollouts.get(service)
+        return rollout is not None and rollout.row.stage != (
+            control_pb2.ROLLOUT_COMPLETED
+        )
+
     def allows(self, target: target_lib.Target, wants_new: bool) -> bool:
         """Returns whether a request may be sent to a target.
 
@@ -152,11 +163,9 @@
             target: The target.
             wants_new: Whether the request was drawn for the new version.
         """
-        rollout = self._rollouts.get(target.record.service)
-        if rollout is None or rollout.row.stage == (
-            control_pb2.ROLLOUT_COMPLETED
-        ):
+        if not self.has_rules(target.service):
             return True
+        rollout = self._rollouts[target.service]
         is_new = target.software == rollout.row.version
         if not self._sends_new(rollout):
             return not is_new
@@ -168,7 +177,7 @@
 
     def may_send(self, target: target_lib.Target) -> bool:
         """Returns whether a target may still get a request drawn for it."""
-        rollout = self._rollouts.get(target.record.service)
+        rollout = self._rollouts.get(target.service)
         if rollout is None:
             return True
         wants_new = target.software == rollout.row.version
@@ -205,13 +214,15 @@
         self, target: target_lib.Target, route: document_lib.Route
     ) -> counts_lib.Watch | None:
         """Begins to count a request that is sent; None without a roll-out."""
-        service = target.record.service
+        service = target.service
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.row.stage in ENDED:
             return None
         now = self._clock.now()
         is_new = target.software == rollout.row.version
         name = f"{route.host}{route.prefix}"
+        if name not in rollout.routes and len(rollout.routes) >= MAX_ROUTES:
+            name = OTHER_ROUTES
         row = rollout.routes.get(name)
         if row is None:
             row = control_pb2.RolloutCounts(route=name)
