--- a/features/held_memory.feature
+++ b/features/held_memory.feature
@@ -23,7 +23,7 @@
   Scenario: Long bodies leave room for short ones
     Given a budget of 80000000 bytes
     Then a body of 67108864 bytes may fill it up to 70000000 bytes
-    And a body of 65536 bytes may fill it up to 80000000 bytes
+    And a body of 65536 bytes may fill it up to 75200000 bytes
 
   Scenario Outline: The limits of a VM of <memory> MB and <descriptors> descriptors
     Given a process that takes <idle> MB without callers
--- a/features/leaving_data_centre.feature
+++ b/features/leaving_data_centre.feature
@@ -54,3 +54,14 @@
     When each reports 2 services for 2 s
     And 30 entries are added, of which the others hear 600 ms later
     Then no sums of fewer than 8 entries are used for 5 s
+
+  Scenario Outline: A first send keeps to the data centres that are allowed, a second try does not
+    Given an entry that follows a roll-out, whose near targets are full
+    And no data centre that requests may leave to
+    When a request that <tried> looks for any target
+    Then it finds <found>
+
+    Examples:
+      | tried               | found       |
+      | was not sent before | none        |
+      | one target failed   | one far off |
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -46,3 +46,13 @@
   Scenario: Two entries count the requests of an account together
     When an account of 10 requests a second sends 300 requests to both entries
     Then its targets ran between 30 and 86 of them, and 429 answered the others
+
+  Scenario Outline: What a keeper has left goes with its account, whoever hears of it first
+    Given an account that one of three entries keeps, used once
+    When that entry leaves, and the <first> learns it first
+    Then the next keeper grants 3 requests at once
+
+    Examples:
+      | first       |
+      | next keeper |
+      | former one  |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -12,7 +12,10 @@
 from bench import platform as platform_lib
 from bench import quota_plays
 from cardamomkeel.accounts import digests
+from cardamomkeel.accounts import quota_keeper
+from cardamomkeel.accounts import quota_messages
 from cardamomkeel.policy import quota
+from cardamomkeel.policy import quota_keepers
 
 KEY = {"authorization": "Bearer the-key"}
 
@@ -159,3 +162,60 @@
     others = [s for s in context.statuses if s not in (200, 429)]
     assert not others, others
     assert context.statuses.count(200) == len(ran), len(ran)
+
+
+class Limited:
+    """An account of 20 requests a second."""
+
+    rate_per_s = 20.0
+    burst = 10.0
+
+
+FLEET = {"a": 1, "b": 2, "c": 3}
+
+
+def list_members(names):
+    return quota_keepers.Members(
+        {name: FLEET[name] for name in names}, {n: f"z{n}" for n in names}
+    )
+
+
+@given("an account that one of three entries keeps, used once")
+def keep_account(context):
+    context.now = 60_000.0
+    context.keepers, context.places = {}, {}
+    context.account = next(
+        name
+        for name in map(str, range(999))
+        if quota_keepers.rank(name, FLEET)[0] == "a"
+        and quota_keepers.rank(name, ["b", "c"])[0] == "b"
+    )
+
+    def send(name, message):
+        context.keepers[name].handle_give_back(message, context.now)
+
+    for name in FLEET:
+        places = quota_keepers.Keepers(name, 0.0)
+        places.set_members(list_members(FLEET), 1.0)
+        context.places[name] = places
+        context.keepers[name] = quota_keeper.Keeper(
+            *(name, places, quota.Bounds()),
+            *(lambda _: Limited, lambda: True, send),
+        )
+    ask = quota_messages.Ask("c", 1, "", context.account, 1, False)
+    context.keepers["a"].decide(ask, context.now)
+
+
+@when("that entry leaves, and the {first} learns it first")
+def leave(context, first):
+    for name in "ba" if first == "next keeper" else "ab":
+        if context.places[name].set_members(list_members("bc"), context.now):
+            context.keepers[name].hand_over(True, context.now)
+        context.now += 5.0
+
+
+@then("the next keeper grants {count:d} requests at once")
+def check_granted(context, count):
+    ask = quota_messages.Ask("c", 2, "", context.account, count, False)
+    answer = context.keepers["b"].decide(ask, context.now)
+    assert answer.granted == count, answer
--- a/src/cardamomkeel/accounts/quota_keeper.py
+++ b/src/cardamomkeel/accounts/quota_keeper.py
@@ -10,6 +10,8 @@
 # An entry without a lease may have been replaced as a keeper, unless it hears
 # of all data centres that their entries know the same list.
 HEARD_MS = 3000.0
+# How long before this entry a former keeper may have heard who follows it.
+LEFT_MS = 2000.0
 
 FindAccount = collections.abc.Callable[[str], quota.Limited | None]
 Send = collections.abc.Callable[[str, messages.Message], None]
@@ -60,6 +62,9 @@
         self._stand_ins: dict[str, quota.Bucket] = {}
         # The last answer to each entry about each account, for repeated asks.
         self._answered: dict[tuple[str, str], messages.Answer] = {}
+        # What former keepers have left, by account, while this entry has not
+        # heard yet that it keeps the account.
+        self._left: dict[str, tuple[float, clock.Millis]] = {}
         # When an entry with the same list was heard, by data centre.
         self._heard: dict[str, clock.Millis] = {}
 
@@ -87,6 +92,9 @@
         if account is not None:
             bucket = self._find_bucket(ask, account, now)
         granted, next_ms, return_ms = -1, 0.0, 0.0
+        if account is not None and not account.rate_per_s:
+            # This entry has heard of the end of the limit first.
+            granted, bucket = ask.count, None
         if bucket is not None:
             granted = bucket.take(ask.count)
             if granted < ask.count:
@@ -146,6 +154,9 @@
             if since is not None:
                 gained = clock.seconds(now - since) * allowance.per_s
                 kept.bucket.level = min(kept.bucket.level, gained)
+            count, left_at = self._left.pop(name, (0.0, 0.0))
+            if count and now - left_at <= LEFT_MS:
+                kept.bucket.give_back(count)
         return kept
 
     def handle_give_back(
@@ -156,6 +167,7 @@
         if account is None:
             return
         if self._keepers.rank(message.account)[:1] != (self._own,):
+            self._left[message.account] = (message.count, now)
             return
         kept = self._get_kept(message.account, account, now)
         kept.bucket.give_back(message.count)
@@ -169,6 +181,9 @@
             now: The time.
         """
         self._answered.clear()
+        for name, (_, left_at) in list(self._left.items()):
+            if now - left_at > LEFT_MS:
+                del self._left[name]
         for name, kept in list(self._kept.items()):
             ranked = self._keepers.rank(name)
             if not ranked or ranked[0] == self._own:
--- a/src/cardamomkeel/gateway/caller_connection.py
+++ b/src/cardamomkeel/gateway/caller_connection.py
@@ -147,6 +147,12 @@
         if self._server.memory.is_over() and not self._closing:
             self._refuse_for_room()
 
+    def _drop_pending(self) -> None:
+        """Drops the bytes that wait to be parsed."""
+        self._slicer.drop()
+        self.account.charge(-self._pending_held)
+        self._pending_held = 0
+
     def pause_writing(self) -> None:
         """Reads no more requests while the caller takes no responses."""
         self._pauses.add(reading_pauses.Reason.UNTAKEN)
@@ -161,7 +167,7 @@
             self.account.charge(self._slicer.pending - self._pending_held)
             self._pending_held = self._slicer.pending
         if self._closing:
-            self._slicer.drop()
+            self._drop_pending()
             return
         self._framing.count_received(len(data))
         before = self._body_bytes
@@ -315,7 +321,7 @@
 
     def _start_ready(self) -> None:
         for index, pipelined in enumerate(self._pipeline):
-            if pipelined.task is None:
+            if pipelined.task is None and pipelined.response is None:
                 if index and pipelined.req.method not in _SAFE_METHODS:
                     return
                 self._server.in_flight += 1
@@ -396,7 +402,7 @@
         self._closing = True
         if self._transport.is_closing():
             return
-        self._slicer.drop()
+        self._drop_pending()
         self._pauses.clear()
         if self._transport.can_write_eof():
             self._transport.write_eof()
@@ -412,7 +418,7 @@
         self._closing = True
         self._receiving = False
         self._stop_timer()
-        self._slicer.drop()
+        self._drop_pending()
         self._room.drop()
         self._body.clear()
         if self._server.rejection_limit.may_write():
@@ -457,6 +463,11 @@
         else:
             self._reject(503, "stood still with its bytes", _RETRY_LATER)
 
+    def is_idle(self) -> bool:
+        """Returns whether it has no request, and has taken all answers."""
+        is_unused = not self._receiving and not self._writer.untaken
+        return is_unused and not self._pipeline and not self._closing
+
     def is_replaceable(self) -> bool:
         """Returns whether no request of it may run."""
         return not self._pipeline
--- a/src/cardamomkeel/gateway/gateway.py
+++ b/src/cardamomkeel/gateway/gateway.py
@@ -243,6 +243,9 @@
                 return self._give_up(ctx)
             for check in self._checks:
                 refusal = check.recheck(ctx)
+                if refusal is not None and ctx.may_have_run:
+                    ctx.reason = refusal.reason
+                    return self._give_up(ctx)
                 if refusal is not None:
                     return self._refuse(ctx, refusal)
             ctx.is_sending = True
--- a/src/cardamomkeel/gateway/held_memory.py
+++ b/src/cardamomkeel/gateway/held_memory.py
@@ -121,13 +121,23 @@
                 limit=self.budget.limit,
             )
 
-    def end_stillest(self, owners: collections.abc.Iterable[Owner]) -> bool:
+    def end_stillest(
+        self,
+        owners: collections.abc.Iterable[Owner],
+        min_still_ms: clock.Millis = 0.0,
+    ) -> bool:
         """Ends the connection that stood still longest; False if there is none.
 
         Args:
             owners: The connections that may be ended.
+            min_still_ms: How long it has to have stood still.
         """
-        accounts = [owner.account for owner in owners]
+        moved_by = self.clk.now() - min_still_ms
+        accounts = [
+            owner.account
+            for owner in owners
+            if owner.account.moved_at <= moved_by
+        ]
         if not accounts:
             return False
         stillest = min(accounts, key=lambda account: account.moved_at)
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -11,6 +11,7 @@
 from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import messages
 from cardamomkeel.log_lines import limits as log_limits
+from cardamomkeel.policy import memory_pressure
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.settings import addresses
 
@@ -88,13 +89,20 @@
             False if there are too many connections, all of them in use.
         """
         is_full = 0 < self._max_connections <= len(self.connections)
-        if is_full and not self.memory.end_stillest(
-            [c for c in self.connections if c.is_replaceable()]
-        ):
+        if is_full and not self._end_one():
             return False
         self.connections.add(conn)
         return True
 
+    def _end_one(self) -> bool:
+        """Ends an unused connection, else one that has stood still."""
+        return self.memory.end_stillest(
+            [c for c in self.connections if c.is_idle()]
+        ) or self.memory.end_stillest(
+            [c for c in self.connections if c.is_replaceable()],
+            memory_pressure.MIN_STILL_MS,
+        )
+
     async def start(self, address: str) -> None:
         """Listens at an address, on its early opened socket if there is one."""
         host, port = addresses.split(address)
--- a/src/cardamomkeel/gateway/key_check.py
+++ b/src/cardamomkeel/gateway/key_check.py
@@ -62,6 +62,8 @@
         account = directory.find(ctx.key_digest)
         if account is not None and account.name == ctx.account.name:
             return None
+        if account is not None:
+            return admission.Refusal(503, "the key has changed its account")
         return self._refuse(UNKNOWN_KEY, True)
 
     def _refuse(self, reason: str, may_be_new: bool) -> admission.Refusal:
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -205,9 +205,7 @@
                     if not entry.leaving
                 }
             )
-            self.quotas.update_members(view)
-        elif not self.quotas.has_members:
-            self.quotas.update_members(view)
+        self.quotas.update_members(view)
         self.gateway.wake()
 
     def _update_gossip_peers(self, view: view_lib.View) -> None:
--- a/src/cardamomkeel/gateway/quota_check.py
+++ b/src/cardamomkeel/gateway/quota_check.py
@@ -80,11 +80,6 @@
         directory = self._session.view.table.accounts
         return None if directory is None else directory.get(name)
 
-    @property
-    def has_members(self) -> bool:
-        """Whether the list of entries was read since there are accounts."""
-        return self._keepers.edition > 0
-
     def update_members(self, view: view_lib.View) -> None:
         """Follows the list of entries; those that leave keep no accounts."""
         if view.table.accounts is None:
@@ -123,7 +118,12 @@
                 self._asker.give_back(account.name, decision.keeper)
 
         self._asker.decide(account.name, account, finish)
-        decision = fut.result() if fut.done() else await fut
+        try:
+            decision = fut.result() if fut.done() else await fut
+        except asyncio.CancelledError:
+            if fut.done() and not fut.cancelled() and fut.result().granted:
+                self._asker.give_back(account.name, fut.result().keeper)
+            raise
         if decision.granted:
             ctx.granted_by = decision.keeper
             return None
--- a/src/cardamomkeel/gateway/request_log.py
+++ b/src/cardamomkeel/gateway/request_log.py
@@ -18,7 +18,7 @@
         self._metrics = metrics
         self._clock = clk
         self._failed_limit = limits.Limit("answered request with error", clk)
-        self._refused_limit = limits.Limit("refused request of account", clk)
+        self._refused_limit = limits.Limit("refused request", clk)
         self._rejected_limit = limits.Limit(
             "rejected request before routing", clk
         )
@@ -40,15 +40,15 @@
     ) -> None:
         """Logs a request that an admission check has refused."""
         self._metrics.count(
-            "account_refusals",
-            "Requests refused for their key or their account.",
+            "admission_refusals",
+            "Requests refused before a target was selected.",
             status=str(refusal.status),
             reason=refusal.reason,
         )
         if not self._refused_limit.may_write():
             return
         logger.info(
-            "refused request of account",
+            "refused request",
             request_id=ctx.outgoing.request_id.decode("latin-1"),
             account=ctx.account.name if ctx.account is not None else "",
             status=refusal.status,
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -313,6 +313,7 @@
             include_remote,
             self._rng,
             ctx.leaves_to,
+            bool(ctx.tried or ctx.unreachable),
         )
 
     def _needs_probe(
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -352,13 +352,14 @@
         self,
         service: str,
         route: document_lib.Route,
-        excluded: collections.abc.Collection[target_lib.Target],
+        excluded: collections.abc.Container[target_lib.Target],
         objective_ms: clock.Millis,
         remaining_ms: clock.Millis,
         demand: placement.Demand,
         include_remote: bool,
         rng: random.Random,
         leaves_to: str | None = None,
+        is_resend: bool = False,
     ) -> list[target_lib.Target]:
         """Returns the targets that a request may be sent to, best first.
 
@@ -373,12 +374,13 @@
             rng: Random numbers for the ranking.
             leaves_to: The only data centre whose targets are included; None
                 for all.
+            is_resend: Whether a target has failed it before.
         """
         now = self._clock.now()
         targets = [
             target
             for target in self._list_in_reach(
-                service, include_remote, leaves_to, bool(excluded)
+                service, include_remote, leaves_to, is_resend
             )
             if not target.is_out
             and target.may_take_more(now)
--- a/src/cardamomkeel/log_lines/requests.py
+++ b/src/cardamomkeel/log_lines/requests.py
@@ -28,7 +28,7 @@
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
     kinds.Kind(
-        "refused request of account",
+        "refused request",
         kinds.INFO,
         (
             "request_id",
@@ -38,8 +38,9 @@
             "route",
             "retry_after_ms",
         ),
-        "The key of the request belongs to no account, or its account has"
-        " reached its limit. The request was sent to no target.",
+        "The key of the request belongs to no account, its account has reached"
+        " its limit, or its service is short of room. The request was sent to"
+        " no target.",
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
     kinds.Kind(
--- a/src/cardamomkeel/policy/memory_pressure.py
+++ b/src/cardamomkeel/policy/memory_pressure.py
@@ -16,8 +16,10 @@
 MIN_STILL_MS = 1000.0
 # Bodies beyond this length leave room for shorter ones.
 LONG_BODY_BYTES = 65_536
-# The part of the budget that long bodies may fill.
+# The parts of the budget that long and short bodies may fill. The rest is for
+# the answers to requests that have run.
 LONG_BODIES_SHARE = 0.875
+SHORT_BODIES_SHARE = 0.94
 # Callers retry after a second without being read. They learn it before that.
 MAX_WAIT_MS = 900.0
 
@@ -62,7 +64,7 @@
     """
     if size > LONG_BODY_BYTES:
         return int(budget * LONG_BODIES_SHARE)
-    return budget
+    return int(budget * SHORT_BODIES_SHARE)
 
 
 def choose_ended(
