--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+import httpx
 
 from bench import gateway as gateway_lib
 from bench import platform as platform_lib
@@ -156,6 +157,10 @@
     ran = {name for name in ids if not name.startswith("r--")}
     assert context.took_s < 5, context.took_s
     assert least <= len(ran) <= most, (len(ran), context.took_s)
+    fleet = context.fleet
+    states = [httpx.get(vm.url("/state", 5)).json() for vm in fleet.fronts]
+    refused = sum(state["refused_accounts"].get("one", 0) for state in states)
+    assert refused == context.statuses.count(429), states
     others = [s for s in context.statuses if s not in (200, 429)]
     assert not others, others
     assert context.statuses.count(200) == len(ran), len(ran)
--- a/src/cardamomkeel/accounts/quota_asker.py
+++ b/src/cardamomkeel/accounts/quota_asker.py
@@ -46,6 +46,8 @@
 
     Attributes:
         own: What this entry grants by itself.
+        account: The limit that its size comes from.
+        entries: The number of entries that its size comes from.
         waiting: Requests that wait for the next ask.
         asked: Requests that wait for the answer to the current ask.
         number: The number of the current ask; 0 for none.
@@ -53,8 +55,10 @@
         return_at: When refused requests may return.
     """
 
-    def __init__(self, own: quota.Bucket):
+    def __init__(self, own: quota.Bucket, account: quota.Limited, entries: int):
         self.own = own
+        self.account = account
+        self.entries = entries
         self.waiting: list[Done] = []
         self.asked: list[Done] = []
         self.number = 0
@@ -111,16 +115,8 @@
             done: Called with the decision.
         """
         now = self._clock.now()
-        members = self._keepers.members
-        allowance = quota.allow_own(
-            account, self._bounds, len(members.sessions)
-        )
-        asking = self._asking.get(name)
-        if asking is None:
-            asking = _Asking(quota.Bucket(allowance, now))
-            self._asking[name] = asking
-        asking.own.refill(allowance, now)
-        if asking.own.take(1):
+        asking = self._get_asking(name, account, now)
+        if asking.own.try_take(now):
             done(Decision(True))
         elif now < asking.refused_until:
             done(Decision(False, True, asking.return_at - now))
@@ -129,6 +125,25 @@
             if not asking.number:
                 self._ask(name, asking)
 
+    def _get_asking(
+        self, name: str, account: quota.Limited, now: clock.Millis
+    ) -> _Asking:
+        asking = self._asking.get(name)
+        entries = len(self._keepers.members.sessions)
+        if (
+            asking is not None
+            and asking.account is account
+            and asking.entries == entries
+        ):
+            return asking
+        allowance = quota.allow_own(account, self._bounds, entries)
+        if asking is None:
+            bucket = quota.Bucket(allowance, now)
+            asking = self._asking[name] = _Asking(bucket, account, entries)
+        asking.account, asking.entries = account, entries
+        asking.own.refill(allowance, now)
+        return asking
+
     def _ask(self, name: str, asking: _Asking) -> None:
         asking.asked, asking.waiting = asking.waiting, []
         asking.number = next(self._numbers)
--- a/src/cardamomkeel/accounts/quota_keeper.py
+++ b/src/cardamomkeel/accounts/quota_keeper.py
@@ -20,11 +20,13 @@
 
     Attributes:
         bucket: The tokens.
+        account: The limit that the size of the bucket comes from.
         edition: The list of entries for which the bucket is right.
     """
 
-    def __init__(self, bucket: quota.Bucket):
+    def __init__(self, bucket: quota.Bucket, account: quota.Limited):
         self.bucket = bucket
+        self.account = account
         self.edition = -1
 
 
@@ -134,10 +136,15 @@
     def _get_kept(
         self, name: str, account: quota.Limited, now: clock.Millis
     ) -> _Kept:
-        allowance = quota.allow_keeper(account, self._bounds)
         kept = self._kept.get(name)
+        if kept is not None and kept.account is account:
+            allowance = kept.bucket.allowance
+        else:
+            allowance = quota.allow_keeper(account, self._bounds)
         if kept is None:
-            kept = self._kept[name] = _Kept(quota.Bucket(allowance, now))
+            bucket = quota.Bucket(allowance, now)
+            kept = self._kept[name] = _Kept(bucket, account)
+        kept.account = account
         kept.bucket.refill(allowance, now)
         if kept.edition != self._keepers.edition:
             kept.edition = self._keepers.edition
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -240,4 +240,5 @@
             "in_flight": self.server.in_flight,
             "connections": len(self.server.connections),
             "targets": self.targets.dump(),
+            "refused_accounts": self.quotas.dump_refused(),
         }
--- a/src/cardamomkeel/gateway/quota_check.py
+++ b/src/cardamomkeel/gateway/quota_check.py
@@ -1,6 +1,7 @@
 """Admits requests that are within the limits of their accounts."""
 
 import asyncio
+import collections
 import random
 
 import loguru
@@ -20,6 +21,8 @@
 from cardamomkeel.wire import control_pb2
 
 BEYOND_LIMIT = "the account has reached its limit"
+# How many accounts the state of an entry names.
+MAX_DUMPED_ACCOUNTS = 10
 UNKNOWN = "the use of the account can't be told now"
 
 logger = loguru.logger
@@ -55,6 +58,7 @@
         self._clock = clk
         self._malformed_limit = limits.Limit("ignored malformed datagram", clk)
         self._addresses: dict[str, str] = {}
+        self._refused: collections.Counter[str] = collections.Counter()
         self._keepers = quota_keepers.Keepers(own, clk.now())
         self._keeper = quota_keeper.Keeper(
             own,
@@ -127,6 +131,7 @@
         if decision.granted:
             ctx.granted_by = decision.keeper
             return None
+        self._refused[account.name] += 1
         if decision.is_known:
             return admission.Refusal(429, BEYOND_LIMIT, decision.return_ms)
         return admission.Refusal(503, UNKNOWN, decision.return_ms)
@@ -142,6 +147,10 @@
             return
         self._asker.give_back(ctx.account.name, ctx.granted_by)
 
+    def dump_refused(self) -> dict[str, int]:
+        """Returns the accounts with most refusals since the start."""
+        return dict(self._refused.most_common(MAX_DUMPED_ACCOUNTS))
+
     def _send(self, name: str, message: messages.Message) -> None:
         self._gossip.send_to(
             self._addresses.get(name, ""), messages.encode(message)
--- a/src/cardamomkeel/policy/quota.py
+++ b/src/cardamomkeel/policy/quota.py
@@ -141,6 +141,13 @@
         self.level -= taken
         return taken
 
+    def try_take(self, now: clock.Millis) -> bool:
+        """Takes one token, at the rate of before; False if there is none."""
+        if self.allowance.capacity < 1:
+            return False
+        self.refill(self.allowance, now)
+        return self.take(1) == 1
+
     def give_back(self, count: float) -> None:
         """Adds tokens for requests that were not sent."""
         self.level = min(self.allowance.capacity, self.level + count)
