--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -307,4 +307,5 @@
             "memory": self.memory.dump(),
             "rollouts": self.rollouts.dump(),
             "targets": self.targets.dump(),
+            "refused_accounts": self.quotas.dump_refused(),
         }
