Parse short reads at once, keep no read alive, set no timer for short answers

Cause: an empty view behind the last slice kept the whole read of a connection; every response set a timer, also when the caller had taken it.

--- a/src/cardamomkeel/gateway/response_writer.py
+++ b/src/cardamomkeel/gateway/response_writer.py
@@ -6,6 +6,7 @@
 from cardamomkeel import clock
 from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import messages
+from cardamomkeel.policy import process_limits
 
 # Longer responses are written without a copy.
 LONG_RESPONSE_BYTES = 65_536
@@ -55,7 +56,9 @@
             if has_body:
                 parts.append(response.body)
             self._transport.write(b"".join(parts))
-        if self._timer is None:
+        # What every connection is charged covers less.
+        untaken = self._transport.get_write_buffer_size()
+        if self._timer is None and untaken > process_limits.CONNECTION_BYTES:
             self._count()
 
     def _count(self) -> None:
--- a/src/cardamomkeel/parse_turns.py
+++ b/src/cardamomkeel/parse_turns.py
@@ -17,6 +17,8 @@
 FEW_CALLS = 16
 COSTLY_SLICE_BYTES = 2048
 
+_NOTHING = memoryview(b"")
+
 
 class Turns:
     """Lets connections with costly bytes take turns, one slice a turn."""
@@ -51,7 +53,7 @@
     def __init__(
         self,
         turns: Turns,
-        feed: collections.abc.Callable[[memoryview], None],
+        feed: collections.abc.Callable[[bytes | memoryview], None],
         set_reading: collections.abc.Callable[[bool], None],
     ):
         """Creates the slicer of one connection.
@@ -64,7 +66,7 @@
         self._turns = turns
         self._feed = feed
         self._set_reading = set_reading
-        self._rest = memoryview(b"")
+        self._rest = _NOTHING
         self._size = FIRST_SLICE_BYTES
         self._calls = 0
         self._is_costly = False
@@ -78,6 +80,10 @@
 
     def receive(self, data: bytes) -> None:
         """Parses received bytes, the costly ones in later turns."""
+        is_free = not (self._is_held or self._is_waiting or self._is_costly)
+        if is_free and not self.pending and len(data) <= self._size:
+            self._parse(data)
+            return
         self._rest = memoryview(
             bytes(self._rest) + data if self.pending else data
         )
@@ -106,7 +112,7 @@
 
     def drop(self) -> None:
         """Forgets the bytes that wait."""
-        self._rest = memoryview(b"")
+        self._rest = _NOTHING
         self.pending = 0
 
     def take_turn(self) -> None:
@@ -136,6 +142,12 @@
     def _parse_slice(self) -> None:
         part, self._rest = self._rest[: self._size], self._rest[self._size :]
         self.pending = len(self._rest)
+        if not self.pending:
+            # An empty view would keep the whole read.
+            self._rest = _NOTHING
+        self._parse(part)
+
+    def _parse(self, part: bytes | memoryview) -> None:
         self._calls = 0
         self._feed(part)
         self._is_costly = self._calls > MAX_CALLS
