--- a/features/raw_server.py
+++ b/features/raw_server.py
@@ -59,6 +59,8 @@
         slots: How many requests it runs at a time.
         requests: The received requests, without health checks.
         written: The bytes that were written to each connection.
+        ended: How many connections have ended.
+        health: The bytes that answer health checks; None for a good answer.
     """
 
     def __init__(self, respond, instance="i-raw", slots=3):
@@ -75,6 +77,8 @@
         self.slots = slots
         self.requests = []
         self.written = []
+        self.ended = 0
+        self.health = None
         self._tasks = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
@@ -112,6 +116,9 @@
                 req = Request(number + 1, head)
                 length = int(req.headers.get("content-length", 0))
                 await reader.readexactly(length)
+                if req.path == "/health" and self.health is not None:
+                    await write(self.health)
+                    continue
                 if req.path == "/health":
                     more = f"Instance-Id: {self.instance}\r\n"
                     await write(req.make_answer("", more=more))
@@ -119,6 +126,7 @@
                 number += 1
                 self.requests.append(req)
                 await self._respond(req, write)
+        self.ended += 1
         writer.close()
 
     def close(self):
