--- a/src/cardamomkeel/buffers.py
+++ b/src/cardamomkeel/buffers.py
@@ -9,6 +9,8 @@
 
 import collections.abc
 
+from cardamomkeel.policy import memory_pressure
+
 # Shares of the budget. Requests may wait for streams from backend servers, and
 # those for streams from entries. Each use therefore gets a smaller share than
 # the use that it waits for.
@@ -36,9 +38,16 @@
         self.make_room: collections.abc.Callable[[int], None] | None = None
         self._waiting: list[tuple[Share, int, GrantedCallback]] = []
 
-    def share(self, fraction: float) -> "Share":
-        """Returns a share that may fill a fraction of the budget."""
-        return Share(self, fraction)
+    def share(
+        self, fraction: float, long_fraction: float | None = None
+    ) -> "Share":
+        """Returns a share that may fill a fraction of the budget.
+
+        Args:
+            fraction: How much of the budget may be filled.
+            long_fraction: The same for long bodies, where it is less.
+        """
+        return Share(self, fraction, long_fraction)
 
     def release(self, size: int) -> None:
         """Releases bytes and grants them to waiters, in order."""
@@ -73,17 +82,33 @@
         held: The number of bytes that this use has acquired.
     """
 
-    def __init__(self, budget: Budget, fraction: float):
+    def __init__(
+        self,
+        budget: Budget,
+        fraction: float,
+        long_fraction: float | None = None,
+    ):
         self.budget = budget
         self.held = 0
         self._limit = int(budget.limit * fraction)
-
-    def try_acquire(self, size: int) -> bool:
-        """Acquires bytes; returns False if they are not available."""
-        missing = self.budget.held + size - self._limit
+        self._long_limit = self._limit
+        if long_fraction is not None:
+            self._long_limit = int(budget.limit * long_fraction)
+
+    def try_acquire(self, size: int, body_size: int = 0) -> bool:
+        """Acquires bytes; returns False if they are not available.
+
+        Args:
+            size: How many bytes.
+            body_size: Length of the body that they belong to.
+        """
+        limit = self._limit
+        if body_size > memory_pressure.LONG_BODY_BYTES:
+            limit = self._long_limit
+        missing = self.budget.held + size - limit
         if missing > 0 and self.budget.make_room is not None:
             self.budget.make_room(missing)
-        if self.budget.held + size > self._limit:
+        if self.budget.held + size > limit:
             return False
         self.budget.held += size
         self.held += size
@@ -115,7 +140,7 @@
         more = size - self._size
         if more <= 0:
             return True
-        if not self._share.try_acquire(more):
+        if not self._share.try_acquire(more, size):
             return False
         self._size = size
         return True
--- a/src/cardamomkeel/gateway/program.py
+++ b/src/cardamomkeel/gateway/program.py
@@ -23,6 +23,7 @@
 from cardamomkeel.gateway import target_signals
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.gateway import upstream as upstream_lib
+from cardamomkeel.policy import memory_pressure
 from cardamomkeel.routing import session as session_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
@@ -73,7 +74,9 @@
             cfg.headers.request_id.lower().encode(),
             cfg.headers.leaving.lower().encode(),
             cfg.body_bytes,
-            self.memory.budget.share(buffers.ENTRIES_SHARE),
+            self.memory.budget.share(
+                buffers.ENTRIES_SHARE, memory_pressure.LONG_BODIES_SHARE
+            ),
         )
         self.signals = target_signals.TargetSignals(
             self.targets,
