Take what is no answer of the protocol as broken at its first line

Cause: the parser takes any three digits for a status, and reports nothing of a status line without a reason phrase before the first header. A status below 100 looked like an interim answer, one above 599 like a final one.

Change: the first bytes behind a request and each parsed head are checked: HTTP/1.0 or 1.1 with a status of 100 to 599, or the connection is closed, the failure noted, and the request sent elsewhere where it may be.

--- a/features/no_answers.feature
+++ b/features/no_answers.feature
@@ -29,6 +29,47 @@
       | HTTP/0.9 200 X |
       | HTTP/1.2 200 X |
 
+  Scenario Outline: A lookup that is answered with <line> goes to another target
+    Given an entry with routes for lookups and bookings
+    And a target whose answers to requests begin with <line>
+    And 1 target
+    When more lookups are sent at once than the second target has slots
+    Then all are answered, though the first target has seen some
+    And the target saw the end of the connection
+
+    Examples:
+      | line           |
+      | HTTP/1.1 000   |
+      | HTTP/1.1 600 X |
+
+  Scenario Outline: The second answer on a connection begins with <line>
+    Given an entry with routes for lookups and bookings
+    And a target whose second answer on a connection begins with <line>
+    When a booking is sent
+    Then its status is 200
+    When a booking is sent
+    Then its status is 502
+    And the target saw the end of the connection
+
+    Examples:
+      | line           |
+      | HTTP/1.1 000   |
+      | HTTP/1.1 600 X |
+
+  Scenario Outline: Bytes behind an answer with <status>, which has no body, belong to no request
+    Given an entry with routes for lookups and bookings
+    And a target that answers requests with <status> and a body
+    When a booking is sent
+    Then its status is <status>
+    When a booking is sent
+    Then its status is <status>
+    And each request came on a connection of its own
+
+    Examples:
+      | status |
+      | 204    |
+      | 304    |
+
   Scenario Outline: A target sends only the line <line>, and a promise
     Given an entry with routes for lookups and bookings
     And a target that answers requests with <line>, <header> and no end
--- a/features/steps/no_answers.py
+++ b/features/steps/no_answers.py
@@ -17,6 +17,8 @@
 
 END_WAIT_S = 2.0
 DEADLINE_MS = 3000.0
+# The second target has 3 slots.
+LOOKUPS = 8
 
 
 def add_target(context, make_bytes):
@@ -38,6 +40,39 @@
     context.began = time.monotonic()
 
 
+@given("a target whose second answer on a connection begins with {line}")
+def add_with_second_line(context, line):
+    def make(req):
+        answer = req.make_answer()
+        return answer if req.number == 1 else replace_line(answer, line)
+
+    add_target(context, make)
+    context.rig.announce(context.raw)
+
+
+@given("a target that answers requests with {status:d} and a body")
+def add_with_body(context, status):
+    add_target(context, lambda req: req.make_answer(status=status))
+    context.rig.announce(context.raw)
+
+
+@then("each request came on a connection of its own")
+def check_connections(context):
+    assert {req.number for req in context.raw.requests} == {1}
+
+
+@when("more lookups are sent at once than the second target has slots")
+def send_lookups(context):
+    context.answers = context.rig.call_many(LOOKUPS)
+
+
+@then("all are answered, though the first target has seen some")
+def check_lookups(context):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * LOOKUPS, statuses
+    assert context.raw.requests
+
+
 @given("a target that answers requests with {line}, {header} and no end")
 def add_without_end(context, line, header):
     add_target(context, lambda _: f"{line}\r\n{header}\r\n".encode())
--- a/src/cardamomkeel/backend_servers/pool_connection.py
+++ b/src/cardamomkeel/backend_servers/pool_connection.py
@@ -9,6 +9,7 @@
 from cardamomkeel import buffers
 from cardamomkeel import clock
 from cardamomkeel import http_framing
+from cardamomkeel import status_line
 from cardamomkeel.backend_servers import body_stream
 from cardamomkeel.backend_servers import client
 from cardamomkeel.routing import messages
@@ -81,6 +82,7 @@
         self.answers = 0
         self.unexpected_answers = 0
         self._framing = http_framing.FramingBytes(MAX_FRAMING_BYTES)
+        self._first_line = status_line.FirstLine()
         self._clock = clk
         self._on_closed = on_closed
         self._share = share
@@ -115,6 +117,7 @@
         self._answer = loop.create_future()
         self._reset_answer(is_head)
         self._framing.reset()
+        self._first_line.reset()
         if len(body) < LARGE_BODY_BYTES:
             self._transport.write(head + body)
         else:
@@ -213,6 +216,10 @@
         self._has_received = True
         self.received_at = self._clock.now()
         self._framing.count_received(nbytes)
+        if self._first_line.is_wrong(_READ_BUFFER[:nbytes]):
+            self._fail("the answer does not begin with a status line")
+            self.close()
+            return
         try:
             self._parser.feed_data(_READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -252,12 +259,15 @@
         """Determines how the end of the answer is detected.
 
         Raises:
-            ProtocolError: The protocol was switched, or the answer has no
-                length.
+            ProtocolError: The protocol was switched, or the status line is not
+                valid, or the answer has no length.
         """
         if self._complete:
             return
         status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if not status_line.is_valid(version, status):
+            raise ProtocolError(f"HTTP/{version} {status} is no answer")
         if status == _SWITCHED:
             raise ProtocolError("the protocol was switched unasked")
         if status < 200:
