--- a/bench/rollout_plays.py
+++ b/bench/rollout_plays.py
@@ -8,6 +8,7 @@
 import dataclasses
 import heapq
 import random
+import sys
 
 from cardamomkeel.policy import incarnations
 from cardamomkeel.policy import rollout_steps
@@ -290,3 +291,39 @@
             self.row.order + row.step,
         )
         return True
+
+
+KINDS = (
+    "",
+    "failing",
+    "late failing",
+    "under load failing",
+    "one route failing",
+    "slow",
+    "late slow",
+    "under load slow",
+    "one route slow",
+)
+
+
+def main():
+    """Plays each kind of version, with noise, and prints how it ended.
+
+    Arguments: requests a second, seconds from the order to the deadline, and
+    how many plays of each kind.
+    """
+    per_s, duration_s, plays = map(float, sys.argv[1:])
+    for bad in KINDS:
+        load = Load(per_s, bad=bad, noise=True, duration_s=duration_s)
+        found = [Play(load, seed).run() for seed in range(int(plays))]
+        completed = sum(o.stage is Stage.COMPLETED for o in found)
+        used = max(o.sent / o.allowed for o in found)
+        print(
+            f"{bad or 'good'}: {completed} of {len(found)} completed, the last "
+            f"ended at {max(o.at_s for o in found):.1f} s, at most {used:.2f} "
+            "of the allowance of a bad version used"
+        )
+
+
+if __name__ == "__main__":
+    main()
