Let entries stop roll-outs only while both versions get requests

Cause: an entry compared all counts since the last stratum, also in the stage of all requests, where the earlier version answers nothing. One broken link then looked like a bad version, and the stop of that entry rolled back for everybody. At a change of the share the results of before and after were pooled, so that trouble of both versions spoke against the new one.

Change: entries judge in the trial and the ramp only, and begin strata at each step; in `all` the leader judges. Requests that an entry sends in `all` are not in its evidence.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -98,3 +98,22 @@
     When a target in trial is taken out of service
     Then no target that is taken out is in trial
     And targets of another part of the split get requests as before
+
+  Scenario: A broken link of one entry is no stop for everybody
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And it has 58 good answers of v1 and 2 good ones of v2
+    And the roll-out moves to all requests
+    And it has 0 good answers of v1 and 100 bad ones of v2
+    Then it has not stopped
+    When the roll-out moves to its ramp
+    And it has 58 good answers of v1 and 30 bad ones of v2
+    Then it has stopped
+
+  Scenario: Trouble of both versions after a change of the share is no stop
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And it has 580 good answers of v1 and 20 good ones of v2
+    And the roll-out moves to its ramp
+    And it has 20 bad answers of v1 and 20 bad ones of v2
+    Then it has not stopped
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -411,15 +411,19 @@
 
 @when("the entry is in touch, and {count:d} answers of v2 failed")
 def fail_answers(context, count):
+    context.entry.in_touch = True
+    answer(context, "v1", 200, False)
+    answer(context, "v2", count, True)
+
+
+def answer(context, version, count, failed):
+    """Lets the entry have answers of a version."""
     entry = context.entry
-    entry.in_touch = True
-    by_version = {t.software: t for t in entry.targets.get("s")}
-    for version, failed in (("v1", False),) * 200 + (("v2", True),) * count:
-        target = by_version[version]
-        # Its time does not count, since no loop runs here.
-        target.cold_until = entry.clock.now() + 1
-        watch = entry.rollouts.watch(target, ROUTE)
-        watch.end(failed)
+    targets = [t for t in entry.targets.get("s") if t.software == version]
+    # Its time does not count, since no loop runs here.
+    targets[0].cold_until = entry.clock.now() + 1
+    for _ in range(count):
+        entry.rollouts.watch(targets[0], ROUTE).end(failed)
 
 
 @then("it has stopped, and tells so in its datagrams and polls")
@@ -606,3 +610,29 @@
     for wants_new in (False, True):
         found = context.entry.list_allowed(wants_new, "other")
         assert len(found[1]) == 2, found
+
+
+# Faults halfway.
+
+
+@when("it has {old:d} {kind} answers of v1 and {new:d} {new_kind} ones of v2")
+def give_answers(context, old, kind, new, new_kind):
+    answer(context, "v1", old, kind == "bad")
+    answer(context, "v2", new, new_kind == "bad")
+
+
+@when("the roll-out moves to its {stage:w}")
+@when("the roll-out moves to {stage:w} requests")
+def move_entry(context, stage):
+    assert move(context, Stage[stage.upper()]).status == commands.OK
+    context.entry.follow(context.tables)
+
+
+@then("it has not stopped")
+def check_going_on(context):
+    assert not context.entry.rollouts.list_stops()
+
+
+@then("it has stopped")
+def check_has_stopped(context):
+    assert context.entry.rollouts.list_stops()
--- a/src/cardamomkeel/policy/rollout_verdict.py
+++ b/src/cardamomkeel/policy/rollout_verdict.py
@@ -155,6 +155,11 @@
             if strata[-1].old and strata[-1].new:
                 strata.append(Counts())
 
+    def begin_step(self) -> None:
+        """Begins a new stratum for all routes, since the share changes."""
+        for strata in self._strata.values():
+            strata.append(Counts())
+
     def find(self) -> Finding:
         """Returns the strongest finding, of one route or of all of them."""
         found = Finding()
--- a/src/cardamomkeel/rollouts/entry.py
+++ b/src/cardamomkeel/rollouts/entry.py
@@ -136,10 +136,20 @@
             if known is None or known.row.order < row.order:
                 self._rollouts[service] = _Rollout(row)
             elif known.row.step < row.step:
-                known.row = row
+                self._begin_step(known, row)
             # Targets may have come or gone as well.
             self._rollouts[service].subset = None
 
+    def _begin_step(
+        self, rollout: _Rollout, row: control_pb2.RolloutRecord
+    ) -> None:
+        """Follows a new step, with strata of its own for its share."""
+        self._collect(rollout)
+        rollout.row = row
+        rollout.stratum_at = self._clock.now()
+        for evidence in rollout.evidence.values():
+            evidence.begin_step()
+
     # The choice of a version.
 
     def draw(self, service: str) -> bool:
@@ -257,17 +267,16 @@
         return rollout.usual_ms[name]
 
     def _check(self, rollout: _Rollout) -> None:
-        """Stops if what this entry sees is bad beyond doubt."""
+        """Stops if what this entry sees is bad beyond doubt.
+
+        Only while both versions get requests: otherwise a link that breaks
+        looks like a bad version.
+        """
         row = rollout.row
-        if rollout.doubt or row.stage in ENDED:
+        if rollout.doubt or row.stage not in PARTIAL:
             return
+        self._collect(rollout)
         now = self._clock.now()
-        for name, newer in rollout.routes.items():
-            older = rollout.seen.get(name, control_pb2.RolloutCounts())
-            counts_lib.add_difference(rollout.evidence, newer, older)
-            copied = control_pb2.RolloutCounts()
-            copied.CopyFrom(newer)
-            rollout.seen[name] = copied
         is_trial = row.stage == control_pb2.ROLLOUT_TRIAL
         if is_trial and now - rollout.stratum_at > STRATUM_MS:
             rollout.stratum_at = now
@@ -279,6 +288,16 @@
         if verdict is rollout_verdict.Verdict.BAD:
             self._stop(rollout, str(finding))
 
+    def _collect(self, rollout: _Rollout) -> None:
+        """Adds the newest counts to the evidence if both versions got some."""
+        for name, newer in rollout.routes.items():
+            older = rollout.seen.get(name, control_pb2.RolloutCounts())
+            if rollout.row.stage in PARTIAL:
+                counts_lib.add_difference(rollout.evidence, newer, older)
+            copied = control_pb2.RolloutCounts()
+            copied.CopyFrom(newer)
+            rollout.seen[name] = copied
+
     # Stops.
 
     def _stop(self, rollout: _Rollout, doubt: str) -> None:
