Let a new leader of a roll-out judge from what comes after its first poll

Cause: entries report all that they have counted since the order. A new leader took that as one difference in one stratum, although the shares of the steps differ, so that good answers of the trial and trouble of both versions in the ramp spoke against a good version.

Change: after the first step, the first report of a process tells only how many requests there were and how many went to the new version; no results of it count. Stops are kept. The rate of requests begins after it; until it is known, the mean since the order stands for it.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -117,3 +117,18 @@
     And the roll-out moves to its ramp
     And it has 20 bad answers of v1 and 20 bad ones of v2
     Then it has not stopped
+
+  Scenario: A new leader compares no answers of different shares
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    And the entries report 970 answers of v1, 0 bad, and 30 of v2, 0 bad
+    And its leader moves it to its ramp
+    And the entries report 150 answers of v1, 30 bad, and 150 of v2, 30 bad
+    Then nothing speaks against v2
+    When a new leader hears of all this
+    Then nothing speaks against v2
+    And it knows of 360 requests to v2, and of 520 requests a second
+    When the entries report 50 answers of v1, 0 bad, and 50 of v2, 25 bad
+    Then v2 is bad
+    When a new leader hears of all this, and that an entry has stopped
+    Then v2 is bad
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -17,6 +17,7 @@
 from cardamomkeel.operators import rollout_calls
 from cardamomkeel.policy import incarnations
 from cardamomkeel.policy import rollout_steps
+from cardamomkeel.policy import rollout_verdict
 from cardamomkeel.rollouts import bookkeeping
 from cardamomkeel.rollouts import entry as entry_lib
 from cardamomkeel.routes import change
@@ -636,3 +637,77 @@
 @then("it has stopped")
 def check_has_stopped(context):
     assert context.entry.rollouts.list_stops()
+
+
+@when(
+    "the entries report {old:d} answers of v1, {old_bad:d} bad, and {new:d} "
+    "of v2, {new_bad:d} bad"
+)
+def report_answers(context, old, old_bad, new, new_bad):
+    context.log_ms += 2000
+    if not hasattr(context, "counts"):
+        context.counts = control_pb2.RolloutCounts(route="r")
+    counts = context.counts
+    counts.old_ended += old
+    counts.old_failed += old_bad
+    counts.new_sent += new
+    counts.new_ended += new
+    counts.new_failed += new_bad
+    report_counts(context)
+
+
+def report_counts(context, doubt=""):
+    row = commands.find(context.tables, "s")
+    for session in (1, 2):
+        told = control_pb2.RolloutReport(
+            service="s", order=row.order, step=row.step, process=session
+        )
+        told.routes.append(context.counts)
+        told.doubt = doubt
+        context.book.record(session, told, row, float(context.log_ms))
+
+
+@when("its leader moves it to its ramp")
+def move_to_ramp(context):
+    assert move(context, Stage.RAMP).status == commands.OK
+
+
+@when("a new leader hears of all this")
+def hear_again(context, doubt=""):
+    context.book = bookkeeping.Book(context.book.order)
+    context.log_ms += 1000
+    find_progress(context)
+    report_counts(context, doubt)
+
+
+@when("a new leader hears of all this, and that an entry has stopped")
+def hear_of_stop(context):
+    hear_again(context, "failed")
+
+
+def find_progress(context):
+    row = commands.find(context.tables, "s")
+    return context.book.make_progress(
+        row, context.tables, context.log_ms, float(context.log_ms)
+    )
+
+
+@then("nothing speaks against v2")
+def check_not_bad(context):
+    found = find_progress(context)
+    verdicts = {found.verdict, found.gate_verdict, found.late_verdict}
+    assert verdicts == {rollout_verdict.Verdict.GOOD}, found
+
+
+@then("v2 is bad")
+def check_bad(context):
+    found = find_progress(context)
+    assert found.verdict is rollout_verdict.Verdict.BAD, found
+
+
+@then("it knows of {sent:d} requests to v2, and of {rate:d} requests a second")
+def check_counted(context, sent, rate):
+    found = find_progress(context)
+    assert (found.new_sent, found.requests_per_s) == (sent, rate), found
+    context.log_ms += 900
+    assert find_progress(context).requests_per_s == 0, found
--- a/src/cardamomkeel/rollouts/bookkeeping.py
+++ b/src/cardamomkeel/rollouts/bookkeeping.py
@@ -80,8 +80,14 @@
         row: control_pb2.RolloutRecord,
         now: clock.Millis,
     ) -> None:
-        """Adds the newest report of a session."""
+        """Adds the newest report of a session.
+
+        The first report of a process may reach back over steps with other
+        shares, for one after a change of the leader. It then says how many
+        requests there were, but nothing of the versions.
+        """
         self._begin_stratum(row, now)
+        is_baseline = row.step > 1 and report.process not in self._entries
         self._processes[session] = report.process
         entry = self._entries.setdefault(report.process, _Entry())
         entry.step = max(entry.step, report.step)
@@ -97,10 +103,23 @@
                 continue
             if newer != older:
                 entry.routes[newer.route] = newer
-                self._has_news = True
-                self._add(newer, older)
+                self._add_requests(newer, older)
+                if not is_baseline:
+                    self._has_news = True
+                    self._add_results(newer, older)
+        if is_baseline:
+            self._history.clear()
 
-    def _add(
+    def _add_requests(
+        self,
+        newer: control_pb2.RolloutCounts,
+        older: control_pb2.RolloutCounts,
+    ) -> None:
+        sent = newer.new_sent - older.new_sent
+        self._new_sent += sent
+        self._requests += sent + max(0, newer.old_ended - older.old_ended)
+
+    def _add_results(
         self,
         newer: control_pb2.RolloutCounts,
         older: control_pb2.RolloutCounts,
@@ -112,9 +131,6 @@
             counts_lib.add_difference(self._evidence, newer, older)
         if self._stage != control_pb2.ROLLOUT_TRIAL:
             counts_lib.add_difference(self._late_evidence, newer, older)
-        sent = newer.new_sent - older.new_sent
-        self._new_sent += sent
-        self._requests += sent + max(0, newer.old_ended - older.old_ended)
         self._work_ms += max(0, newer.new_work_ms - older.new_work_ms)
         self._work_answers += max(
             0,
@@ -195,7 +211,9 @@
             in_step_ms=float(log_ms - row.step_log_ms),
             duration_ms=float(row.duration_ms),
             requests=self._requests,
-            requests_per_s=self._measure_rate(now),
+            requests_per_s=self._measure_rate(
+                now, float(log_ms - row.ordered_log_ms)
+            ),
             new_sent=self._new_sent,
             new_slots=new_slots,
             old_slots=old_slots,
@@ -216,14 +234,16 @@
         self._names.update(sessions)
         return bool(set(self._names.values()) - set(sessions.values()))
 
-    def _measure_rate(self, now: clock.Millis) -> float:
-        """Returns the requests per second of late; 0 if that is unknown."""
+    def _measure_rate(
+        self, now: clock.Millis, elapsed_ms: clock.Millis
+    ) -> float:
+        """Returns the requests per second of late, at first since the order."""
         self._history.append((now, self._requests))
         while now - self._history[0][0] > RATE_WINDOW_MS:
             self._history.popleft()
         began, before = self._history[0]
         if now - began < MIN_RATE_WINDOW_MS:
-            return 0.0
+            return self._requests / max(clock.seconds(elapsed_ms), 1.0)
         return (self._requests - before) / clock.seconds(now - began)
 
 
