Keep rolled-back versions barred when another one is ordered

Cause: a service has one row, so the order of v3 replaced "v2 rolled back", and servers of v2 counted as earlier ones and got requests.

Change: the row lists the versions that were rolled back and not ordered since (16 at most, newest kept). Entries send them nothing in any stage, the leader doesn't count their slots, and `rollout show` lists them.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -132,3 +132,19 @@
     Then v2 is bad
     When a new leader hears of all this, and that an entry has stopped
     Then v2 is bad
+
+  Scenario: A version that was rolled back stays barred from its service
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And it is withdrawn
+    And a roll-out to v3 is ordered and in its trial
+    Then all others may go to targets of v1 only
+    And no target of v2 is current
+    And there are slots of v1 only
+    When the roll-out reaches its completed step
+    And servers of v1 and v2 start again
+    Then no request may go to v2
+    When 20 more versions are rolled back
+    Then 16 versions are barred, but not v4
+    When a roll-out to v20 is ordered and in its trial
+    Then 16 versions are barred, but not v20
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -398,6 +398,11 @@
 def check_old_only(context):
     for wants_new in (False, True):
         assert context.entry.list_allowed(wants_new)[0] == {"v1"}
+    check_none_current(context)
+
+
+@then("no target of v2 is current")
+def check_none_current(context):
     assert not any(
         context.entry.targets.is_current(target)
         for target in context.entry.targets.get("s")
@@ -448,9 +453,9 @@
     context.entry.rollouts.apply({})
 
 
-@when("the roll-out reaches its final step")
-def make_final(context):
-    move(context, Stage.FINAL)
+@when("the roll-out reaches its {stage:w} step")
+def make_final(context, stage):
+    move(context, Stage[stage.upper()])
     context.entry.follow(context.tables)
 
 
@@ -711,3 +716,37 @@
     assert (found.new_sent, found.requests_per_s) == (sent, rate), found
     context.log_ms += 900
     assert find_progress(context).requests_per_s == 0, found
+
+
+@when("a roll-out to {version:w} is ordered and in its trial")
+def start_other(context, version):
+    assert order(context, version).status == commands.OK, context.result
+    context.entry.follow(context.tables)
+
+
+@then("there are slots of v1 only")
+def check_slots(context):
+    context.book = bookkeeping.Book(context.index)
+    found = find_progress(context)
+    assert (found.new_slots, found.old_slots) == (0, 8), found
+
+
+@when("{count:d} more versions are rolled back")
+def roll_back_more(context, count):
+    for number in range(4, 4 + count):
+        start_other(context, f"v{number}")
+        withdraw(context)
+
+
+@then("{count:d} versions are barred, but not {version:w}")
+def check_barred(context, count, version):
+    barred = commands.find(context.tables, "s").barred
+    assert len(set(barred)) == count, barred
+    assert version not in barred, barred
+
+
+@when("servers of v1 and v2 start again")
+def start_again(context):
+    announce(context, "v1", 50)
+    announce(context, "v2", 51)
+    context.entry.follow(context.tables)
--- a/src/cardamomkeel/operators/rollout_calls.py
+++ b/src/cardamomkeel/operators/rollout_calls.py
@@ -162,4 +162,5 @@
         "duration_ms": row.duration_ms,
         "reason": row.reason,
         "operator": row.operator,
+        "barred": list(row.barred),
     }
--- a/src/cardamomkeel/rollouts/bookkeeping.py
+++ b/src/cardamomkeel/rollouts/bookkeeping.py
@@ -263,6 +263,8 @@
         }
         if outs & names:
             continue
+        if server.software in row.barred:
+            continue
         if server.software != row.version:
             old += server.slots
         elif server.cold_until_log_ms <= log_ms:
--- a/src/cardamomkeel/rollouts/entry.py
+++ b/src/cardamomkeel/rollouts/entry.py
@@ -162,8 +162,9 @@
     def has_rules(self, service: str) -> bool:
         """Returns whether versions matter for a service."""
         rollout = self._rollouts.get(service)
-        return rollout is not None and rollout.row.stage != (
-            control_pb2.ROLLOUT_COMPLETED
+        return rollout is not None and (
+            rollout.row.stage != control_pb2.ROLLOUT_COMPLETED
+            or bool(rollout.row.barred)
         )
 
     def allows(self, target: target_lib.Target, wants_new: bool) -> bool:
@@ -176,6 +177,10 @@
         if not self.has_rules(target.service):
             return True
         rollout = self._rollouts[target.service]
+        if target.software in rollout.row.barred:
+            return False
+        if rollout.row.stage == control_pb2.ROLLOUT_COMPLETED:
+            return True
         is_new = target.software == rollout.row.version
         if not self._sends_new(rollout):
             return not is_new
--- a/src/cardamomkeel/state/commands/rollouts.py
+++ b/src/cardamomkeel/state/commands/rollouts.py
@@ -17,6 +17,8 @@
 # The part of the requests that a new version gets before anything is known of
 # it or of the load, in millionths.
 FIRST_SHARE_PPM = 30_000
+# The number of versions of a service that stay barred.
+MAX_BARRED = 16
 
 
 def find(
@@ -59,6 +61,7 @@
         step_log_ms=tables.log_ms,
         reason="ordered",
         operator=cmd.operator,
+        barred=_list_barred(known, cmd.version),
     )
     if _list_versions(tables, cmd.service) == {cmd.version}:
         row.stage = control_pb2.ROLLOUT_COMPLETED
@@ -67,6 +70,18 @@
     return control_pb2.CommandResult(status=OK, version=tables.version)
 
 
+def _list_barred(
+    known: control_pb2.RolloutRecord | None, ordered: str
+) -> list[str]:
+    """Returns the versions that get no requests once another is ordered."""
+    if known is None:
+        return []
+    barred = list(known.barred)
+    if known.stage == control_pb2.ROLLOUT_ROLLED_BACK:
+        barred.append(known.version)
+    return [version for version in barred if version != ordered][-MAX_BARRED:]
+
+
 def _list_versions(tables: tables_lib.Tables, service: str) -> set[str]:
     """Returns the versions of a service's servers that have not ended."""
     return {
