Ignore late rows of older roll-out orders, whatever their step

Cause: an entry took a row with more steps than the known one, also if it belonged to an older order.

Change: steps are compared within one order only; else the newer order wins.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -148,3 +148,10 @@
     Then 16 versions are barred, but not v4
     When a roll-out to v20 is ordered and in its trial
     Then 16 versions are barred, but not v20
+
+  Scenario: A late row of an older order moves nothing
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And a row of an older order arrives that has made more steps
+    Then 10% of the requests are drawn for some targets of v2
+    And all others may go to targets of v1 only
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -750,3 +750,15 @@
     announce(context, "v1", 50)
     announce(context, "v2", 51)
     context.entry.follow(context.tables)
+
+
+@when("a row of an older order arrives that has made more steps")
+def apply_older_order(context):
+    row = control_pb2.RolloutRecord(
+        service="s",
+        version="v3",
+        order=context.first.order - 1,
+        step=9,
+        stage=control_pb2.ROLLOUT_COMPLETED,
+    )
+    context.entry.rollouts.apply({"s": row})
--- a/src/cardamomkeel/rollouts/entry.py
+++ b/src/cardamomkeel/rollouts/entry.py
@@ -135,7 +135,7 @@
             known = self._rollouts.get(service)
             if known is None or known.row.order < row.order:
                 self._rollouts[service] = _Rollout(row)
-            elif known.row.step < row.step:
+            elif (known.row.order, known.row.step) < (row.order, row.step):
                 self._begin_step(known, row)
             # Targets may have come or gone as well.
             self._rollouts[service].subset = None
