Let the new version serve once no earlier server of a roll-out is left

Cause: when the earlier servers were all lost during a trial, all but the share of the new version had nowhere to go until the trial's end.

Change: the leader moves from the trial or the ramp to all requests at once if no earlier server is ready, one of the new version is, in cold start or not, every entry answers, and the counts don't speak against it. An entry does not widen the share by itself.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -155,3 +155,14 @@
     And a row of an older order arrives that has made more steps
     Then 10% of the requests are drawn for some targets of v2
     And all others may go to targets of v1 only
+
+  Scenario: The new version serves once the earlier servers are lost
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    And servers of v2 begin their cold start
+    Then it stays in its trial for 1000 ms
+    When the servers of v1 are lost, and one of two entries reports
+    Then it stays in its trial for 300 ms
+    When both entries report
+    Then it moves to all requests at once
+    But it stays in its trial if something speaks against v2
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -1,6 +1,7 @@
 """Steps of roll-outs: decisions, state and entries, without processes."""
 
 import asyncio
+import dataclasses
 import random
 import types
 
@@ -85,7 +86,7 @@
 # State.
 
 
-def announce(context, version, number, sequence=1):
+def announce(context, version, number, sequence=1, cold_ms=0):
     record = control_pb2.InstanceRecord(
         address=f"10.0.0.{number}:80",
         instance=f"i-{number}",
@@ -96,6 +97,7 @@
         slots=4,
         state=incarnations.READY,
         software=version,
+        cold_until_log_ms=cold_ms,
     )
     apply(context, instances_seen=control_pb2.InstancesSeen(instances=[record]))
 
@@ -762,3 +764,44 @@
         stage=control_pb2.ROLLOUT_COMPLETED,
     )
     context.entry.rollouts.apply({"s": row})
+
+
+@when("servers of v2 begin their cold start")
+def start_cold(context):
+    announce(context, "v2", 3, cold_ms=5000)
+    context.reporting = [1, 2]
+
+
+@when("the servers of v1 are lost, and one of two entries reports")
+def lose_earlier(context):
+    gone = [control_pb2.InstanceName(instance=f"i-{n}") for n in (1, 2)]
+    apply(context, instances_gone=control_pb2.InstancesGone(instances=gone))
+    context.reporting = [2]
+    context.book = bookkeeping.Book(context.book.order)
+
+
+@then("it stays in its trial for {ms:d} ms")
+def check_stays(context, ms):
+    stages = run(context, context.reporting, context.log_ms + ms)
+    assert set(stages) <= {Stage.TRIAL}, stages
+
+
+@when("both entries report")
+def report_again(context):
+    context.stages = run(context, [1, 2], context.log_ms + 100)
+
+
+@then("it moves to all requests at once")
+def check_all(context):
+    assert context.stages == [Stage.ALL], context.stages
+
+
+@then("it stays in its trial if something speaks against v2")
+def check_doubt(context):
+    found = dataclasses.replace(
+        find_progress(context),
+        stage=Stage.TRIAL,
+        gate_verdict=rollout_verdict.Verdict.DOUBTFUL,
+    )
+    assert found.new_slots and not found.old_slots, found
+    assert rollout_steps.plan(found, rollout_steps.Limits()) is None, found
--- a/src/cardamomkeel/policy/rollout_steps.py
+++ b/src/cardamomkeel/policy/rollout_steps.py
@@ -88,7 +88,8 @@
         requests: Requests of the service since the order.
         requests_per_s: Its rate of requests at present; 0 if unknown.
         new_sent: Requests that were sent to the new version.
-        new_slots: Slots of the new servers that are ready and warm.
+        new_slots: Slots of the new servers that are ready and warm, or just
+            ready if there are no earlier ones.
         old_slots: Slots of the earlier servers that are ready.
         work_ms: Mean work time of the new version; 0 if unknown.
         all_confirmed: Whether every entry follows the newest step.
@@ -158,6 +159,8 @@
         return _plan_end(p)
     if p.elapsed_ms >= p.duration_ms:
         return Move(Stage.ROLLED_BACK, 0.0, _name_obstacle(p))
+    if p.stage is not Stage.ALL and _must_hurry(p):
+        return Move(Stage.ALL, 1.0, "no earlier server is ready any more")
     if p.stage is Stage.TRIAL:
         return _plan_trial(p, limits)
     if p.stage is Stage.RAMP:
@@ -174,6 +177,16 @@
     return _step_forward(p, length, Stage.FINAL, 1.0)
 
 
+def _must_hurry(p: Progress) -> bool:
+    """Returns whether only the new version can answer, and may."""
+    return (
+        p.new_slots > 0
+        and not p.old_slots
+        and p.all_confirmed
+        and p.gate_verdict < Verdict.DOUBTFUL
+    )
+
+
 def _plan_trial(p: Progress, limits: Limits) -> Move | None:
     if p.spent_share >= TRIAL_SHARE:
         if p.verdict is Verdict.UNDECIDED and p.spent_share < LONG_TRIAL_SHARE:
--- a/src/cardamomkeel/rollouts/bookkeeping.py
+++ b/src/cardamomkeel/rollouts/bookkeeping.py
@@ -250,9 +250,12 @@
 def _count_slots(
     row: control_pb2.RolloutRecord, tables: tables_lib.Tables, log_ms: int
 ) -> tuple[int, int]:
-    """Returns the slots of the new servers that are warm, and of the others."""
+    """Returns the slots of the new servers, and of the earlier ones.
+
+    New servers in cold start count only if there are no earlier ones.
+    """
     outs = {(out.data_centre, out.address) for out in tables.outs()}
-    new = old = 0
+    new = old = cold = 0
     for server in tables.instances():
         if server.service != row.service or server.state != incarnations.READY:
             continue
@@ -269,4 +272,6 @@
             old += server.slots
         elif server.cold_until_log_ms <= log_ms:
             new += server.slots
-    return new, old
+        else:
+            cold += server.slots
+    return (new, old) if old else (new + cold, 0)
