--- a/src/cardamomkeel/policy/rollout_steps.py
+++ b/src/cardamomkeel/policy/rollout_steps.py
@@ -86,7 +86,7 @@
         in_step_ms: The time since the last step.
         duration_ms: The time from the order to the deadline.
         requests: Requests of the service since the order.
-        requests_per_s: Its rate of requests at present; 0 if unknown.
+        requests_per_s: Its rate of requests at present, or since the order.
         new_sent: Requests that were sent to the new version.
         new_slots: Slots of the new servers that are ready and warm, or just
             ready if there are no earlier ones.
