--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -98,3 +98,71 @@
     When a target in trial is taken out of service
     Then no target that is taken out is in trial
     And targets of another part of the split get requests as before
+
+  Scenario: A broken link of one entry is no stop for everybody
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And it has 58 good answers of v1 and 2 good ones of v2
+    And the roll-out moves to all requests
+    And it has 0 good answers of v1 and 100 bad ones of v2
+    Then it has not stopped
+    When the roll-out moves to its ramp
+    And it has 58 good answers of v1 and 30 bad ones of v2
+    Then it has stopped
+
+  Scenario: Trouble of both versions after a change of the share is no stop
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And it has 580 good answers of v1 and 20 good ones of v2
+    And the roll-out moves to its ramp
+    And it has 20 bad answers of v1 and 20 bad ones of v2
+    Then it has not stopped
+
+  Scenario: A new leader compares no answers of different shares
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    And the entries report 970 answers of v1, 0 bad, and 30 of v2, 0 bad
+    And its leader moves it to its ramp
+    And the entries report 150 answers of v1, 30 bad, and 150 of v2, 30 bad
+    Then nothing speaks against v2
+    When a new leader hears of all this
+    Then nothing speaks against v2
+    And it knows of 360 requests to v2, and of 520 requests a second
+    When the entries report 50 answers of v1, 0 bad, and 50 of v2, 25 bad
+    Then v2 is bad
+    When a new leader hears of all this, and that an entry has stopped
+    Then v2 is bad
+
+  Scenario: A version that was rolled back stays barred from its service
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And it is withdrawn
+    And a roll-out to v3 is ordered and in its trial
+    Then all others may go to targets of v1 only
+    And no target of v2 is current
+    And there are slots of v1 only
+    When the roll-out reaches its completed step
+    And servers of v1 and v2 start again
+    Then no request may go to v2
+    When 20 more versions are rolled back
+    Then 16 versions are barred, but not v4
+    When a roll-out to v20 is ordered and in its trial
+    Then 16 versions are barred, but not v20
+
+  Scenario: A late row of an older order moves nothing
+    Given an entry with targets of v1 and v2
+    When a roll-out to v2 with 10% is in force
+    And a row of an older order arrives that has made more steps
+    Then 10% of the requests are drawn for some targets of v2
+    And all others may go to targets of v1 only
+
+  Scenario: The new version serves once the earlier servers are lost
+    Given a service with targets of version v1
+    When a roll-out to v2 is ordered
+    And servers of v2 begin their cold start
+    Then it stays in its trial for 1000 ms
+    When the servers of v1 are lost, and one of two entries reports
+    Then it stays in its trial for 300 ms
+    When both entries report
+    Then it moves to all requests at once
+    But it stays in its trial if something speaks against v2
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -84,7 +84,7 @@
 # State.
 
 
-def announce(context, version, number, sequence=1):
+def announce(context, version, number, sequence=1, cold_ms=0):
     record = control_pb2.InstanceRecord(
         address=f"10.0.0.{number}:80",
         instance=f"i-{number}",
@@ -95,6 +95,7 @@
         slots=4,
         state=incarnations.READY,
         software=version,
+        cold_until_log_ms=cold_ms,
     )
     apply(context, instances_seen=control_pb2.InstancesSeen(instances=[record]))
 
@@ -397,6 +398,11 @@
 def check_old_only(context):
     for wants_new in (False, True):
         assert context.entry.list_allowed(wants_new)[0] == {"v1"}
+    check_none_current(context)
+
+
+@then("no target of v2 is current")
+def check_none_current(context):
     assert not any(
         context.entry.targets.is_current(target)
         for target in context.entry.targets.get("s")
@@ -411,15 +417,19 @@
 
 @when("the entry is in touch, and {count:d} answers of v2 failed")
 def fail_answers(context, count):
+    context.entry.in_touch = True
+    answer(context, "v1", 200, False)
+    answer(context, "v2", count, True)
+
+
+def answer(context, version, count, failed):
+    """Lets the entry have answers of a version."""
     entry = context.entry
-    entry.in_touch = True
-    by_version = {t.software: t for t in entry.targets.get("s")}
-    for version, failed in (("v1", False),) * 200 + (("v2", True),) * count:
-        target = by_version[version]
-        # Its time does not count, since no loop runs here.
-        target.cold_until = entry.clock.now() + 1
-        watch = entry.rollouts.watch(target, ROUTE)
-        watch.end(failed)
+    targets = [t for t in entry.targets.get("s") if t.software == version]
+    # Its time does not count, since no loop runs here.
+    targets[0].cold_until = entry.clock.now() + 1
+    for _ in range(count):
+        entry.rollouts.watch(targets[0], ROUTE).end(failed)
 
 
 @then("it has stopped, and tells so in its datagrams and polls")
@@ -443,9 +453,9 @@
     context.entry.rollouts.apply({})
 
 
-@when("the roll-out reaches its final step")
-def make_final(context):
-    move(context, Stage.FINAL)
+@when("the roll-out reaches its {stage:w} step")
+def make_final(context, stage):
+    move(context, Stage[stage.upper()])
     context.entry.follow(context.tables)
 
 
