--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -18,8 +18,6 @@
 # The share of the memory that may hold answers of targets. Each is copied twice
 # on its way to the caller.
 ANSWERS_SHARE = 0.125
-# The largest share of a service's requests that leaves a zone with targets.
-LEAVING_SHARE = 0.6
 # Fields of the settings file that the program can't run without.
 REQUIRED_FIELDS = ("network.listen.front", "network.listen.ready")
 
@@ -31,14 +29,6 @@
     return int(limits.memory_mb * BYTES_PER_MB * ANSWERS_SHARE)
 
 
-def get_leaving(
-    file: node_file.NodeFile,
-) -> settings_lib.LeavingSettings:
-    """Returns which requests leave a zone; none if there is only one."""
-    share = LEAVING_SHARE if len(file.network.zones) > 1 else 0.0
-    return settings_lib.LeavingSettings(max_share=share)
-
-
 def make_settings(
     file: process.WatchedNodeFile,
 ) -> settings_lib.GatewaySettings:
@@ -66,7 +56,6 @@
         longest_hold_ms=timings.longest_hold_ms(bounds),
         link_bytes_per_s=own.limits.link_mbps * BYTES_PER_MBIT,
         buffer_bytes=get_buffer_bytes(own.limits),
-        leaving=get_leaving(current),
     )
 
 
