--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -8,7 +8,6 @@
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.platform import directory as directory_lib
 from cardamomkeel.platform import header_names
-from cardamomkeel.platform import node_file
 from cardamomkeel.platform import process
 from cardamomkeel.platform import process_memory
 from cardamomkeel.platform import timings
@@ -17,20 +16,10 @@
 
 # Bytes per second of 1 Mbit/s.
 BYTES_PER_MBIT = 125_000
-# The largest share of a service's requests that leaves a zone with targets.
-LEAVING_SHARE = 0.6
 # Fields of the settings file that the program can't run without.
 REQUIRED_FIELDS = ("network.listen.front", "network.listen.ready")
 
 
-def get_leaving(
-    file: node_file.NodeFile,
-) -> settings_lib.LeavingSettings:
-    """Returns which requests leave a zone; none if there is only one."""
-    share = LEAVING_SHARE if len(file.network.zones) > 1 else 0.0
-    return settings_lib.LeavingSettings(max_share=share)
-
-
 def make_settings(
     file: process.WatchedNodeFile,
 ) -> settings_lib.GatewaySettings:
@@ -62,7 +51,6 @@
         keep_addresses_ms=timings.keep_addresses_ms(bounds),
         longest_hold_ms=timings.longest_hold_ms(bounds),
         link_bytes_per_s=own.limits.link_mbps * BYTES_PER_MBIT,
-        leaving=get_leaving(current),
         buffer_bytes=process_memory.get_buffer_bytes(own.limits),
         connections=process_memory.get_connections(
             own.limits, process_limits.CALLERS_SHARE
