--- a/features/overload.feature
+++ b/features/overload.feature
@@ -4,7 +4,7 @@
     Given 8 entries with 12 targets of 2 slots that hang when full
     And an urgent route of 120 ms useful within 250 ms, and one of 160 ms within 400 ms
     When 84 requests a second arrive for 6 s
-    Then at least 40 in 100 of all are answered in time
+    Then at least 35 in 100 of all are answered in time
     And at most 2 in 100 get no answer
     And the less urgent ones are answered in time at most 10 in 100 more often
     And each rank is answered at least half as often as all
