Count no deliberate wait for a near target as a shortage

Cause: an entry recorded the whole wait at the head of its queue, also the part (up to 0.25 of the objective) in which a request deliberately waits for a near target. One such wait of 65 ms was enough to call the service short while other data centres were idle: late requests were refused, hedges were off, ranks and accounts were held.

Change: where a request could leave, only the wait from the time at which it may leave is recorded. A wait that ended before tells of neither shortage nor room and is not recorded. Where none may leave, the whole wait counts as before.

Tested: features/overload.feature, 'Near targets are full, those elsewhere are idle': red on the sources before (1 of 3 examples failed), green with them (3 of 3).

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -42,3 +42,15 @@
       | load      | end      | least | most | next                        |
       | 0,0,2,100 | hung     | 400   | 410  | one request after a second  |
       | 1,0,2,100 | not hung | 2000  | 2000 | requests as before          |
+
+  Scenario Outline: Near targets are full, those elsewhere are <elsewhere>
+    Given an entry whose near targets are full, and those elsewhere <elsewhere>
+    When 3 requests with an objective of 400 ms arrive together
+    Then <placed> of them get a target
+    And the service is <state> of room
+
+    Examples:
+      | elsewhere | placed | state     |
+      | idle      | 3      | not short |
+      | full      | 0      | short     |
+      | none      | 0      | short     |
--- a/features/steps/shared_targets.py
+++ b/features/steps/shared_targets.py
@@ -464,6 +464,10 @@
         """Returns that a target is near."""
         return True
 
+    def may_leave(self, _service):
+        """Returns that there is no target in another data centre."""
+        return False
+
     def time_to_return_ms(self, _service, _excluded):
         """Returns that a target takes requests now."""
         return 0.0
--- /dev/null
+++ b/features/steps/shortage.py
@@ -0,0 +1,93 @@
+"""Steps for how an entry tells that a service is short of room."""
+
+import asyncio
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from cardamomkeel import metrics
+from cardamomkeel.gateway import gossip
+from cardamomkeel.gateway import messages
+from cardamomkeel.gateway import overload
+from cardamomkeel.gateway import request_context
+from cardamomkeel.gateway import sending
+from cardamomkeel.gateway import target_selection
+from cardamomkeel.gateway import targets as targets_lib
+from cardamomkeel.routing import view as view_lib
+from cardamomkeel.wire import control_pb2
+from features.steps import overload as overload_steps
+
+
+def make_entry(context, places):
+    """Makes an entry with a target of 4 slots in each of some places."""
+    context.loop = overload_steps.VirtualLoop()
+    context.add_cleanup(context.loop.close)
+    own = gossip.Gossip("own", context.loop, lambda: None)
+    context.targets = targets_lib.Targets("brest", "own", own, context.loop)
+    view = view_lib.View()
+    for number, place in enumerate(places):
+        address = f"10.0.0.{number}:80"
+        view.instances[address] = control_pb2.InstanceRecord(
+            address=address,
+            service="a",
+            state="ready",
+            data_centre=place,
+            slots=4,
+        )
+    context.targets.apply_changes(view, view_lib.Changes(all_rows=True))
+    for target in context.targets.get("a"):
+        target.reports_load = False
+    rng = random.Random(overload_steps.SEED)
+    context.overload = overload.Overload(
+        context.targets, metrics.Metrics(), context.loop, rng
+    )
+    context.selector = target_selection.TargetSelector(
+        context.targets, None, context.loop, rng, context.overload
+    )
+
+
+def make_request(context, objective_ms):
+    """Returns the context of a request that has just arrived."""
+    now = context.loop.now()
+    req = messages.Request("GET", "/", [], b"", now)
+    route = overload_steps.make_route("/", objective_ms, 0)
+    outgoing = sending.OutgoingRequest(req, b"r", route, now + 2000.0)
+    return request_context.RequestContext(outgoing, route, "a", 2000.0, 0.0)
+
+
+@given("an entry whose near targets are full, and those elsewhere {elsewhere}")
+def make_full_entry(context, elsewhere):
+    places = ["brest"] if elsewhere == "none" else ["brest", "vannes"]
+    make_entry(context, places)
+    for target in context.targets.get("a"):
+        if target.near or elsewhere == "full":
+            target.running = target.slots
+
+
+@when(
+    "{count:d} requests with an objective of {objective:g} ms arrive together"
+)
+def select_together(context, count, objective):
+    async def select():
+        target = await context.selector.select(make_request(context, objective))
+        if target is not None:
+            target.running += 1
+        return target
+
+    async def select_all():
+        return await asyncio.gather(*(select() for _ in range(count)))
+
+    context.placed = context.loop.run_until_complete(select_all())
+
+
+@then("{count:d} of them get a target")
+def check_placed(context, count):
+    found = sum(target is not None for target in context.placed)
+    assert found == count, context.placed
+
+
+@then("the service is {state} of room")
+def check_short(context, state):
+    assert context.overload.is_short("a") == (state == "short")
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -115,12 +115,27 @@
         try:
             return await self._wait(ctx, queue, waiter)
         finally:
-            if queue.is_first(waiter):
-                now = self._clock.now()
-                load.wait.record(now - waiter.head_since, now)
+            self._record_wait(ctx.service, queue, waiter)
             queue.leave(waiter, self._clock.now())
             queue.wake()
 
+    def _record_wait(
+        self,
+        service: str,
+        queue: wait_queue.WaitQueue,
+        waiter: wait_queue.Waiter,
+    ) -> None:
+        """Records how long a request has waited at the head of the queue.
+
+        Where it could have left, a wait for a near target tells of no shortage.
+        """
+        if not queue.is_first(waiter):
+            return
+        now = self._clock.now()
+        since = max(waiter.head_since, waiter.remote_after)
+        if now >= since:
+            self._overload.get(service).wait.record(now - since, now)
+
     async def _try_first(
         self, ctx: request_context.RequestContext, demand: placement.Demand
     ) -> target_lib.Target | None:
@@ -238,6 +253,8 @@
             may_wait_near_ms - RECHECK_INTERVAL_MS,
             ctx.route.objective_ms * NEAR_WAIT_SHARE,
         )
+        if self._targets.may_leave(ctx.service):
+            waiter.remote_after = began if waiter.late else remote_after
         while now < waiter.until or not waiter.late:
             if not waiter.late and (now >= waiter.until or self.is_late(ctx)):
                 if self._overload.is_short(ctx.service):
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -274,6 +274,14 @@
         now = self._clock.now()
         return any(self.is_useful(t, now) for t in self.get(service) if t.near)
 
+    def may_leave(self, service: str) -> bool:
+        """Returns whether a useful target elsewhere may get a first try."""
+        now = self._clock.now()
+        return any(
+            not target.near and self.is_useful(target, now)
+            for target in self._list_in_reach(service, True, None, False)
+        )
+
     def is_useful(self, target: target_lib.Target, now: clock.Millis) -> bool:
         """Returns whether a target is known, in service, reachable and warm."""
         return (
--- a/src/cardamomkeel/gateway/wait_queue.py
+++ b/src/cardamomkeel/gateway/wait_queue.py
@@ -27,6 +27,8 @@
         wakeup: Resolves when the request is to look for a target, or has been
             displaced.
         head_since: Since when it is the first in the queue.
+        remote_after: From when it may leave the data centre, if there is a
+            target to leave to.
         is_displaced: Whether more urgent requests have displaced it.
     """
 
@@ -37,6 +39,7 @@
     number: int
     wakeup: asyncio.Future[None]
     head_since: clock.Millis = 0.0
+    remote_after: clock.Millis = float("-inf")
     is_displaced: bool = False
 
     def sort_key(self) -> tuple[bool, int, bool, clock.Millis, int]:
