Balance ranks only during a shortage

Cause: the balance of ranks adapted in calm too. Where urgent requests failed for other reasons (callers that gave up), the held share of the less urgent rank grew to its limit, and the next blip refused up to 70 in 100 of it at first.

Change: only ends during a shortage count; 3 s after the last one the balance begins anew.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -67,3 +67,14 @@
       | 1000, 0, 0, 0, 0     | 0     | not short |
       | 200, 0, 0, 200, 0, 0 | 0     | short     |
       | 200, 200, 200        | 1100  | short     |
+
+  Scenario Outline: Urgent requests fail <while>, less urgent ones don't
+    Given an entry with 1 of 20 urgent requests in time and all less urgent ones, <while>
+    When the service is short of room 300 ms later
+    Then <least> to <most> in 100 of the less urgent ones are refused at first
+
+    Examples:
+      | while                      | least | most |
+      | while there is room        | 0     | 0    |
+      | in a shortage              | 50    | 80   |
+      | in a shortage that is over | 0     | 0    |
--- a/features/steps/shortage.py
+++ b/features/steps/shortage.py
@@ -1,6 +1,7 @@
 """Steps for how an entry tells that a service is short of room."""
 
 import asyncio
+import copy
 import random
 
 from behave import given
@@ -48,11 +49,11 @@
     )
 
 
-def make_request(context, objective_ms):
+def make_request(context, objective_ms, rank=0):
     """Returns the context of a request that has just arrived."""
     now = context.loop.now()
     req = messages.Request("GET", "/", [], b"", now)
-    route = overload_steps.make_route("/", objective_ms, 0)
+    route = overload_steps.make_route("/", objective_ms, rank)
     outgoing = sending.OutgoingRequest(req, b"r", route, now + 2000.0)
     return request_context.RequestContext(outgoing, route, "a", 2000.0, 0.0)
 
@@ -110,3 +111,42 @@
 @when("no other arrives for {quiet:d} ms")
 def wait_quietly(context, quiet):
     context.loop.run_until_complete(asyncio.sleep(quiet / 1000))
+
+
+@given(
+    "an entry with 1 of 20 urgent requests in time and all less urgent ones, "
+    "{while_}"
+)
+def end_requests(context, while_):
+    make_entry(context, ["brest"])
+    load = context.overload.get("a")
+    for number in range(20):
+        context.loop.run_until_complete(asyncio.sleep(0.3))
+        if while_.startswith("in a shortage"):
+            load.wait.record(300.0, context.loop.now())
+        for rank in (0, 1):
+            ctx = make_request(context, 400.0, rank)
+            ctx.is_answered = rank == 1 or number == 0
+            context.overload.note_end(ctx, ran=True)
+    if while_ == "in a shortage that is over":
+        context.loop.run_until_complete(asyncio.sleep(20.0))
+
+
+@when("the service is short of room {later:d} ms later")
+def begin_shortage(context, later):
+    context.loop.run_until_complete(asyncio.sleep(later / 1000))
+    context.overload.get("a").wait.record(300.0, context.loop.now())
+
+
+@then(
+    "{least:d} to {most:d} in 100 of the less urgent ones are refused at first"
+)
+def check_held(context, least, most):
+    refused = 0
+    for _ in range(200):
+        ctx = make_request(context, 400.0, 1)
+        known = copy.deepcopy(context.overload.get("a").ranks)
+        refusal = asyncio.run(context.overload.admit(ctx))
+        context.overload.get("a").ranks = known
+        refused += refusal is not None
+    assert least <= refused / 2 <= most, refused
--- a/src/cardamomkeel/gateway/overload.py
+++ b/src/cardamomkeel/gateway/overload.py
@@ -120,9 +120,9 @@
             return None
         if ctx.useful_until - now < work_ms:
             return self._refuse(ctx, NOT_IN_TIME)
-        if self._rng.random() < load.ranks.held_share(ctx.priority):
+        if self._rng.random() < load.ranks.held_share(ctx.priority, now):
             # Counted here, since admitted requests are counted at their end.
-            load.ranks.record(ctx.priority, False, now)
+            load.ranks.record(ctx.priority, False, True, now)
             return self._refuse(ctx, HELD_RANK)
         return None
 
@@ -130,7 +130,9 @@
         """Records whether an admitted request was answered in time."""
         now = self._clock.now()
         in_time = ctx.is_answered and now <= ctx.useful_until
-        self.get(ctx.service).ranks.record(ctx.priority, in_time, now)
+        self.get(ctx.service).ranks.record(
+            ctx.priority, in_time, self.is_short(ctx.service), now
+        )
 
     def _refuse(
         self, ctx: request_context.RequestContext, reason: str
--- a/src/cardamomkeel/policy/rank_balance.py
+++ b/src/cardamomkeel/policy/rank_balance.py
@@ -19,6 +19,8 @@
 # Half-life of the counts: some requests of each rank at an entry that gets a
 # few a second.
 HALF_LIFE_MS = 3000.0
+# Another shortage this long after the last one is a new one.
+FORGET_MS = 3000.0
 # How fast the share of refused requests follows the difference.
 GAIN = 0.15
 MAX_HELD_SHARE = 0.7
@@ -54,15 +56,23 @@
 
     def __init__(self):
         self._ranks: dict[int, _Rank] = {}
+        self._short_at = float("-inf")
 
-    def record(self, rank: int, in_time: bool, now: clock.Millis) -> None:
+    def record(
+        self, rank: int, in_time: bool, is_short: bool, now: clock.Millis
+    ) -> None:
         """Records how a request ended and adapts the held share of its rank.
 
         Args:
             rank: Its rank.
             in_time: Whether it was answered within its objective.
+            is_short: Whether its service is short of room. If it is not, the
+                request tells nothing of how ranks share the room.
             now: The time.
         """
+        if not is_short:
+            return
+        self._note_shortage(now)
         known = self._ranks.setdefault(rank, _Rank(updated_at=now))
         for other in self._ranks.values():
             other.decay(now)
@@ -88,7 +98,19 @@
         held = rank.held + GAIN * too_much
         rank.held = min(MAX_HELD_SHARE, max(0.0, held))
 
-    def held_share(self, rank: int) -> float:
-        """Returns which share of the requests of a rank is to be refused."""
+    def held_share(self, rank: int, now: clock.Millis) -> float:
+        """Returns which share of the requests of a rank is to be refused now.
+
+        Args:
+            rank: The rank.
+            now: The time, while the service is short of room.
+        """
+        self._note_shortage(now)
         known = self._ranks.get(rank)
         return 0.0 if known is None else known.held
+
+    def _note_shortage(self, now: clock.Millis) -> None:
+        """Begins anew if the last shortage ended some time ago."""
+        if now - self._short_at > FORGET_MS:
+            self._ranks.clear()
+        self._short_at = now
