Record what a request waited before it becomes late

Cause: mark_late sets the time since when a request is at the head to now, so a request that became late at the head recorded no wait until then.

Change: the wait is recorded before the request is marked late.

Tested: features/overload.feature, 'A request that becomes late at the head of the queue': red on the sources before, green now; the feature 21 of 21.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -78,3 +78,8 @@
       | while there is room        | 0     | 0    |
       | in a shortage              | 50    | 80   |
       | in a shortage that is over | 0     | 0    |
+
+  Scenario: A request that becomes late at the head of the queue
+    Given an entry whose near targets are full, and those elsewhere none
+    When a request with an objective of 400 ms has waited for 300 ms, and still waits
+    Then the service is short of room
--- a/features/steps/shortage.py
+++ b/features/steps/shortage.py
@@ -150,3 +150,19 @@
         context.overload.get("a").ranks = known
         refused += refusal is not None
     assert least <= refused / 2 <= most, refused
+
+
+@when(
+    "a request with an objective of {objective:g} ms has waited for "
+    "{waited:d} ms, and still waits"
+)
+def wait_at_head(context, objective, waited):
+    async def end(task):
+        task.cancel()
+        await asyncio.wait([task])
+
+    select = context.selector.select(make_request(context, objective))
+    task = context.loop.create_task(select)
+    context.add_cleanup(lambda: context.loop.run_until_complete(end(task)))
+    context.loop.run_until_complete(asyncio.sleep(waited / 1000))
+    assert not task.done()
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -260,6 +260,7 @@
                 if self._overload.is_short(ctx.service):
                     self._overload.note_refusal(ctx, overload_lib.NOT_IN_TIME)
                     return None
+                self._record_wait(ctx.service, queue, waiter)
                 queue.mark_late(waiter, self._wait_until(ctx, True, began), now)
             if queue.is_first(waiter):
                 include_remote = waiter.late or now >= remote_after
