Count the slots of useful targets only

Cause: the mean time in which a slot comes free counted all targets of a service, also those out of service, leaving, cold, down or barred by a roll-out, so requests were expected to wait too little and joined the queue in vain.

Change: only useful targets count; while there is none, all do, as before.

Tested: features/overload.feature, 'One of two targets of 4 slots is ...': 5 of 6 examples red on the sources before, none now; the feature 27 of 27, features/shared_targets.feature 59 of 59.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -83,3 +83,16 @@
     Given an entry whose near targets are full, and those elsewhere none
     When a request with an objective of 400 ms has waited for 300 ms, and still waits
     Then the service is short of room
+
+  Scenario Outline: One of two targets of 4 slots is <state>
+    Given an entry with two targets of 4 slots, one of which is <state>
+    Then a slot comes free each <interval> ms where the work takes 160 ms
+
+    Examples:
+      | state          | interval |
+      | in service     | 20       |
+      | out of service | 40       |
+      | leaving        | 40       |
+      | cold           | 40       |
+      | down           | 40       |
+      | barred         | 40       |
--- a/features/steps/shortage.py
+++ b/features/steps/shortage.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import random
+import types
 
 from behave import given
 from behave import then
@@ -166,3 +167,28 @@
     context.add_cleanup(lambda: context.loop.run_until_complete(end(task)))
     context.loop.run_until_complete(asyncio.sleep(waited / 1000))
     assert not task.done()
+
+
+@given("an entry with two targets of 4 slots, one of which is {state}")
+def make_two_targets(context, state):
+    make_entry(context, ["brest", "brest"])
+    target, now = context.targets.get("a")[0], context.loop.now()
+    if state == "out of service":
+        target.is_out = True
+    elif state == "leaving":
+        context.targets.record_leaving(target)
+    elif state == "cold":
+        context.targets.begin_cold_start(target, 1000.0, now)
+    elif state == "down":
+        target.note_down(now)
+    elif state == "barred":
+        context.targets.rollouts = types.SimpleNamespace(
+            may_send=lambda other: other is not target
+        )
+
+
+@then("a slot comes free each {interval:g} ms where the work takes {work:g} ms")
+def check_interval(context, interval, work):
+    route = overload_steps.make_route("/", 400.0, 0)
+    assert context.targets.expect_ms("a", route) == work
+    assert context.targets.slot_interval_ms("a", route) == interval
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -341,8 +341,14 @@
     def slot_interval_ms(
         self, service: str, route: document_lib.Route
     ) -> clock.Millis:
-        """Returns the mean time in which one slot of a service comes free."""
-        slots = sum(target.slots for target in self.get(service))
+        """Returns the mean time in which one slot of a service comes free.
+
+        While no target is useful, it is that of all when they return.
+        """
+        now = self._clock.now()
+        targets = self.get(service)
+        useful = [t for t in targets if self.is_useful(t, now)]
+        slots = sum(target.slots for target in useful or targets)
         return self.expect_ms(service, route) / max(1, slots)
 
     def get_work(
