--- a/features/overload.feature
+++ b/features/overload.feature
@@ -42,3 +42,57 @@
       | load      | end      | least | most | next                        |
       | 0,0,2,100 | hung     | 400   | 410  | one request after a second  |
       | 1,0,2,100 | not hung | 2000  | 2000 | requests as before          |
+
+  Scenario Outline: Near targets are full, those elsewhere are <elsewhere>
+    Given an entry whose near targets are full, and those elsewhere <elsewhere>
+    When 3 requests with an objective of 400 ms arrive together
+    Then <placed> of them get a target
+    And the service is <state> of room
+
+    Examples:
+      | elsewhere | placed | state     |
+      | idle      | 3      | not short |
+      | full      | 0      | short     |
+      | none      | 0      | short     |
+
+  Scenario Outline: Requests wait <waits> ms at the head of the queue, one each 300 ms
+    Given an entry whose requests wait <waits> ms at the head of the queue, one each 300 ms
+    When no other arrives for <quiet> ms
+    Then the service is <state> of room
+
+    Examples:
+      | waits                | quiet | state     |
+      | 1000                 | 500   | short     |
+      | 1000                 | 1100  | not short |
+      | 1000, 0, 0, 0, 0     | 0     | not short |
+      | 200, 0, 0, 200, 0, 0 | 0     | short     |
+      | 200, 200, 200        | 1100  | short     |
+
+  Scenario Outline: Urgent requests fail <while>, less urgent ones don't
+    Given an entry with 1 of 20 urgent requests in time and all less urgent ones, <while>
+    When the service is short of room 300 ms later
+    Then <least> to <most> in 100 of the less urgent ones are refused at first
+
+    Examples:
+      | while                      | least | most |
+      | while there is room        | 0     | 0    |
+      | in a shortage              | 50    | 80   |
+      | in a shortage that is over | 0     | 0    |
+
+  Scenario: A request that becomes late at the head of the queue
+    Given an entry whose near targets are full, and those elsewhere none
+    When a request with an objective of 400 ms has waited for 300 ms, and still waits
+    Then the service is short of room
+
+  Scenario Outline: One of two targets of 4 slots is <state>
+    Given an entry with two targets of 4 slots, one of which is <state>
+    Then a slot comes free each <interval> ms where the work takes 160 ms
+
+    Examples:
+      | state          | interval |
+      | in service     | 20       |
+      | out of service | 40       |
+      | leaving        | 40       |
+      | cold           | 40       |
+      | down           | 40       |
+      | barred         | 40       |
--- a/src/cardamomkeel/gateway/targets.py
+++ b/src/cardamomkeel/gateway/targets.py
@@ -274,6 +274,14 @@
         now = self._clock.now()
         return any(self.is_useful(t, now) for t in self.get(service) if t.near)
 
+    def may_leave(self, service: str) -> bool:
+        """Returns whether a useful target elsewhere may get a first try."""
+        now = self._clock.now()
+        return any(
+            not target.near and self.is_useful(target, now)
+            for target in self._list_in_reach(service, True, None, False)
+        )
+
     def is_useful(self, target: target_lib.Target, now: clock.Millis) -> bool:
         """Returns whether a target is known, in service, reachable and warm."""
         return (
@@ -333,8 +341,14 @@
     def slot_interval_ms(
         self, service: str, route: document_lib.Route
     ) -> clock.Millis:
-        """Returns the mean time in which one slot of a service comes free."""
-        slots = sum(target.slots for target in self.get(service))
+        """Returns the mean time in which one slot of a service comes free.
+
+        While no target is useful, it is that of all when they return.
+        """
+        now = self._clock.now()
+        targets = self.get(service)
+        useful = [t for t in targets if self.is_useful(t, now)]
+        slots = sum(target.slots for target in useful or targets)
         return self.expect_ms(service, route) / max(1, slots)
 
     def get_work(
