--- a/features/steps/accounts.py
+++ b/features/steps/accounts.py
@@ -251,7 +251,7 @@
             assert got.status_code == 200, got
             outputs.append(got.text)
     assert any("admission_refusals" in text for text in outputs)
-    assert any("refused request" in text for text in outputs)
+    assert any("refused admission of request" in text for text in outputs)
     for key in context.keys:
         for text in outputs:
             assert key not in text, text
--- a/src/cardamomkeel/gateway/request_log.py
+++ b/src/cardamomkeel/gateway/request_log.py
@@ -18,7 +18,7 @@
         self._metrics = metrics
         self._clock = clk
         self._failed_limit = limits.Limit("answered request with error", clk)
-        self._refused_limit = limits.Limit("refused request", clk)
+        self._refused_limit = limits.Limit("refused admission of request", clk)
         self._rejected_limit = limits.Limit(
             "rejected request before routing", clk
         )
@@ -48,7 +48,7 @@
         if not self._refused_limit.may_write():
             return
         logger.info(
-            "refused request",
+            "refused admission of request",
             request_id=ctx.outgoing.request_id.decode("latin-1"),
             account=ctx.account.name if ctx.account is not None else "",
             status=refusal.status,
--- a/src/cardamomkeel/log_lines/requests.py
+++ b/src/cardamomkeel/log_lines/requests.py
@@ -28,7 +28,7 @@
         max_per_s=kinds.MAX_LINES_PER_S,
     ),
     kinds.Kind(
-        "refused request",
+        "refused admission of request",
         kinds.INFO,
         (
             "request_id",
