--- a/features/steps/shortage.py
+++ b/features/steps/shortage.py
@@ -19,12 +19,12 @@
 from cardamomkeel.gateway import targets as targets_lib
 from cardamomkeel.routing import view as view_lib
 from cardamomkeel.wire import control_pb2
-from features.steps import overload as overload_steps
+from features import virtual_time
 
 
 def make_entry(context, places):
     """Makes an entry with a target of 4 slots in each of some places."""
-    context.loop = overload_steps.VirtualLoop()
+    context.loop = virtual_time.VirtualLoop()
     context.add_cleanup(context.loop.close)
     own = gossip.Gossip("own", context.loop, lambda: None)
     context.targets = targets_lib.Targets("brest", "own", own, context.loop)
@@ -41,7 +41,7 @@
     context.targets.apply_changes(view, view_lib.Changes(all_rows=True))
     for target in context.targets.get("a"):
         target.reports_load = False
-    rng = random.Random(overload_steps.SEED)
+    rng = random.Random(1)
     context.overload = overload.Overload(
         context.targets, metrics.Metrics(), context.loop, rng
     )
@@ -54,7 +54,7 @@
     """Returns the context of a request that has just arrived."""
     now = context.loop.now()
     req = messages.Request("GET", "/", [], b"", now)
-    route = overload_steps.make_route("/", objective_ms, rank)
+    route = virtual_time.make_route("/", objective_ms, rank)
     outgoing = sending.OutgoingRequest(req, b"r", route, now + 2000.0)
     return request_context.RequestContext(outgoing, route, "a", 2000.0, 0.0)
 
@@ -189,6 +189,6 @@
 
 @then("a slot comes free each {interval:g} ms where the work takes {work:g} ms")
 def check_interval(context, interval, work):
-    route = overload_steps.make_route("/", 400.0, 0)
+    route = virtual_time.make_route("/", 400.0, 0)
     assert context.targets.expect_ms("a", route) == work
     assert context.targets.slot_interval_ms("a", route) == interval
