--- a/src/cardamomkeel/gateway/overload.py
+++ b/src/cardamomkeel/gateway/overload.py
@@ -118,7 +118,7 @@
             return self._refuse(ctx, OVER_SHARE)
         if not is_short:
             return None
-        if ctx.useful_until - now < work_ms:
+        if ctx.useful_until - now < work_ms and not load.wait.has_found_room():
             return self._refuse(ctx, NOT_IN_TIME)
         if self._rng.random() < load.ranks.held_share(ctx.priority, now):
             # Counted here, since admitted requests are counted at their end.
--- a/src/cardamomkeel/gateway/target_selection.py
+++ b/src/cardamomkeel/gateway/target_selection.py
@@ -93,10 +93,11 @@
         """
         queue = self._queues[ctx.service]
         late = self.is_late(ctx)
-        if late and self._overload.is_short(ctx.service):
+        load = self._overload.get(ctx.service)
+        may_wait = not late or not self._overload.is_short(ctx.service)
+        if not may_wait and not load.wait.has_found_room():
             self._overload.note_refusal(ctx, overload_lib.NOT_IN_TIME)
             return None
-        load = self._overload.get(ctx.service)
         if self._draws_new(ctx):
             target = await self.try_select(ctx, _demand(late))
             if target is not None:
@@ -105,8 +106,12 @@
         if not len(queue):
             target = await self._try_first(ctx, _demand(late))
             if target is not None:
-                load.wait.record(0.0, self._clock.now())
+                if may_wait:
+                    load.wait.record(0.0, self._clock.now())
                 return target
+        if not may_wait:
+            self._overload.note_refusal(ctx, overload_lib.NOT_IN_TIME)
+            return None
         if self._is_pointless(ctx):
             return None
         waiter = self._try_join(ctx, queue, late)
--- a/src/cardamomkeel/policy/admission_estimate.py
+++ b/src/cardamomkeel/policy/admission_estimate.py
@@ -77,6 +77,10 @@
             self._long_waits = 0
         return self._is_short
 
+    def has_found_room(self) -> bool:
+        """Returns whether the newest request found a target at once."""
+        return self._found_at_once > 0
+
     def _is_hiccup_over(self, now: clock.Millis) -> bool:
         return self._long_waits < MIN_LONG_WAITS and (
             self._found_at_once >= HICCUP_END_REQUESTS
