--- a/src/cardamomkeel/gateway/caller_connection.py
+++ b/src/cardamomkeel/gateway/caller_connection.py
@@ -468,6 +468,10 @@
         is_unused = not self._receiving and not self._writer.untaken
         return is_unused and not self._pipeline and not self._closing
 
+    def is_taking_answer(self) -> bool:
+        """Returns whether its caller has not taken all of its answers."""
+        return self._writer.untaken > 0
+
     def is_replaceable(self) -> bool:
         """Returns whether no request of it may run."""
         return not self._pipeline
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -96,11 +96,15 @@
 
     def _end_one(self) -> bool:
         """Ends an unused connection, else one that has stood still."""
-        return self.memory.end_stillest(
-            [c for c in self.connections if c.is_idle()]
-        ) or self.memory.end_stillest(
-            [c for c in self.connections if c.is_replaceable()],
-            memory_pressure.MIN_STILL_MS,
+        replaceable = [c for c in self.connections if c.is_replaceable()]
+        return (
+            self.memory.end_stillest([c for c in replaceable if c.is_idle()])
+            or self.memory.end_stillest(
+                [c for c in replaceable if not c.is_taking_answer()]
+            )
+            or self.memory.end_stillest(
+                replaceable, memory_pressure.MIN_STILL_MS
+            )
         )
 
     async def start(self, address: str) -> None:
