--- a/bench/platform.py
+++ b/bench/platform.py
@@ -25,6 +25,8 @@
 ENTRIES = "entries"
 ZONES = ("brest", "vannes", "rennes")
 START_TIMEOUT_S = 60.0
+# How many lines of each log are shown when a test gets no answer.
+LAST_LINES = 12
 _nets = itertools.count(os.getpid() % 200)
 
 SERVICES = ["dossier", "keepsake"]
@@ -200,13 +202,22 @@
         until = time.monotonic() + within_s
         for vm in itertools.cycle(self.cores):
             if time.monotonic() > until:
-                raise TimeoutError(f"{method} {path} got no clear answer")
+                raise TimeoutError(
+                    f"{method} {path} got no clear answer\n"
+                    + "\n".join(map(self.describe, self.cores))
+                )
             got = self.request(vm, method, path, body, raw)
             if got is not None and got.status_code < 500:
                 return got
             time.sleep(0.05)
         return None
 
+    def describe(self, vm):
+        """Returns whether a program runs, and its last lines of the log."""
+        last = vm.log().splitlines()[-LAST_LINES:]
+        status = vm.process.poll() if vm.process else "not started"
+        return "\n".join([f"{vm.name}, exit status {status}:", *last])
+
     def request(self, vm, method, path, body=None, raw=None):
         """Sends a request to one control VM; returns None without an answer."""
         content = raw if raw is not None else None
--- a/features/steps/log_disk.py
+++ b/features/steps/log_disk.py
@@ -75,11 +75,20 @@
     "only the file of a snapshot of index {index:d} and another term is written"
 )
 def replace_snapshot(context, index):
-    original = disk.DiskStorage._write_log
     snapshot = control_pb2.Snapshot(index=index, term=2)
-    with mock.patch.object(disk.DiskStorage, "_write_log"):
-        context.storage.save_snapshot(snapshot, [])
-    assert disk.DiskStorage._write_log is original
+    replace = os.replace
+
+    def crash_before_log(source, path):
+        if path.name == disk.LOG:
+            raise OSError(errno.EIO, "crash")
+        replace(source, path)
+
+    with mock.patch.object(disk.os, "replace", crash_before_log):
+        try:
+            context.storage.save_snapshot(snapshot, [])
+        except storage_lib.StorageFailedError:
+            return
+    raise AssertionError("both files were written")
 
 
 @then('it reads as "{outcome}"')
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -17,6 +17,7 @@
 from cardamomkeel.control import leases as leases_lib
 from cardamomkeel.control import leaving
 from cardamomkeel.control import signal
+from cardamomkeel.policy import log_compaction
 from cardamomkeel.replication import election_timer
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import replica as replica_lib
@@ -28,15 +29,16 @@
 from cardamomkeel.wire import control_grpc
 from cardamomkeel.wire import control_pb2
 
-# A log of this size can be read during a start; see docs/design/log.md.
-COMPACTION_MIN_ENTRIES = 2000
-# Each node adds a random number up to this, so that a majority of the nodes
-# does not compact at the same time.
-COMPACTION_JITTER_ENTRIES = 500
+# Pause after a compaction for which the disk had no room.
+COMPACTION_RETRY_MS = 1000.0
 # Turns of the event loop after which the notified senders have sent.
 SEND_YIELDS = 3
 # Pause after a second failure to reach a member, less than a heartbeat.
 RETRY_PAUSE_MS = 100.0
+# The slowest link that a request of any length is sent over in time.
+SLOWEST_BYTES_PER_MS = 2000.0
+# For a VM whose memory and disk are not known.
+DEFAULT_LOG_LIMITS = log_compaction.derive_limits(256e6, 256e6)
 
 logger = loguru.logger
 
@@ -75,8 +77,10 @@
         clk: clock.Clock,
         rng: random.Random,
         max_members: int = 0,
+        log_limits: log_compaction.Limits = DEFAULT_LOG_LIMITS,
     ):
         self.max_members = max_members
+        self._log_limits = log_limits
         self._clock = clk
         self._timings = timings
         self._channels = channels_lib.Channels(reach, clk)
@@ -101,9 +105,10 @@
         self.replica = replica_lib.Replica(
             stored, storage, timings, rng, clk.now()
         )
-        self._compact_after_entries = COMPACTION_MIN_ENTRIES + rng.randrange(
-            COMPACTION_JITTER_ENTRIES
-        )
+        self._compaction_jitter = rng.uniform(0, log_compaction.MAX_JITTER)
+        self._no_compaction_until = float("-inf")
+        # The length of the applied entries since the snapshot.
+        self._applied_bytes = 0
         self.history = history_lib.History(clk)
         self.applied = 0
         self._applied_at = clk.now()
@@ -116,6 +121,7 @@
         self.tables.load(self.replica.log.read_state())
         self.history.load(self.tables)
         self.applied = self.replica.log.snapshot.index
+        self._applied_bytes = 0
 
     def leader_address(self) -> str:
         """Returns the address of the leader; empty if there is none."""
@@ -168,19 +174,44 @@
             self.history.record(entry.command, done, self.tables, entry.index)
         self.applied = entry.index
         self._applied_at = self._clock.now()
+        self._applied_bytes += entry.ByteSize()
         term, pending = self._uncommitted.pop(entry.index, (0, None))
         if pending is not None:
             pending.result = done if term == entry.term else None
             pending.done.set()
 
     def _compact(self) -> None:
-        behind = self.applied - self.replica.log.snapshot.index
-        if behind < self._compact_after_entries:
+        log = self.replica.log
+        now = self._clock.now()
+        backlog = log_compaction.Backlog(
+            self.applied - log.snapshot.index,
+            self._applied_bytes,
+            log.snapshot_bytes,
+        )
+        is_due = log_compaction.is_due(
+            backlog,
+            self._log_limits,
+            self._compaction_jitter,
+            self.replica.is_log_needed(now),
+        )
+        if not is_due or now < self._no_compaction_until:
             return
         snapshot = control_pb2.Snapshot(index=self.applied)
         self.tables.save(snapshot.state)
-        self.replica.log.compact(snapshot)
-        logger.info("compacted the log", index=self.applied)
+        try:
+            log.compact(snapshot)
+        except storage_lib.OutOfSpaceError as exc:
+            self._no_compaction_until = now + COMPACTION_RETRY_MS
+            logger.warning("no room to compact the log", reason=str(exc))
+            return
+        self._applied_bytes = 0
+        logger.info(
+            "compacted the log",
+            index=self.applied,
+            entries=backlog.entries,
+            log_bytes=backlog.log_bytes,
+            snapshot_bytes=log.snapshot_bytes,
+        )
 
     def _update_role(self) -> None:
         ready = self.replica.is_ready
@@ -379,6 +410,7 @@
             req = replica.make_append_request(now, member)
             method, handle = "Append", replica.on_append_reply
             timeout_ms = self._append_timeout_ms(failures)
+        timeout_ms += req.ByteSize() / SLOWEST_BYTES_PER_MS
         reply = await self._call_member(member, method, req, timeout_ms)
         if not isinstance(reply, result.Success):
             return False
@@ -396,9 +428,15 @@
     async def propose(
         self, commands: list[control_pb2.Command]
     ) -> list[control_pb2.CommandResult] | None:
-        """Commits commands; returns None if the outcome is unknown here."""
+        """Commits commands; returns None if the outcome is unknown here.
+
+        Commands are refused together if one of them is too long.
+        """
         if not self.replica.is_ready or self._handing_over:
             return None
+        longest = max((cmd.ByteSize() for cmd in commands), default=0)
+        if longest > self._log_limits.command_bytes:
+            return [self._refuse_long_command(longest)] * len(commands)
         pending = [_PendingCommand(command) for command in commands]
         self._pending.extend(pending)
         self._has_pending.notify()
@@ -408,6 +446,20 @@
             return None
         return [waiting.result for waiting in pending]
 
+    def _refuse_long_command(self, size: int) -> control_pb2.CommandResult:
+        limit = self._log_limits.command_bytes
+        logger.warning(
+            "refused a long command", command_bytes=size, allowed_bytes=limit
+        )
+        return control_pb2.CommandResult(
+            status=control_pb2.STATUS_REFUSED,
+            message=(
+                f"the change takes {size} bytes in the log, and {limit} are "
+                "allowed; make it smaller, or give the control VMs more memory "
+                "and larger disks"
+            ),
+        )
+
     async def _run_batches(self) -> None:
         """Commits all pending commands with one sync of the disk."""
         while True:
--- a/src/cardamomkeel/daemons/control.py
+++ b/src/cardamomkeel/daemons/control.py
@@ -34,6 +34,7 @@
 from cardamomkeel.operators import routes_calls
 from cardamomkeel.operators import secret as secret_lib
 from cardamomkeel.operators import settings_calls
+from cardamomkeel.policy import log_compaction
 from cardamomkeel.replication import disk
 from cardamomkeel.replication import election_timer
 from cardamomkeel.replication import members
@@ -117,6 +118,9 @@
         cfg.reach,
         clk,
         random.Random(),
+        log_limits=log_compaction.derive_limits(
+            cfg.memory_bytes, cfg.disk_bytes
+        ),
     )
 
 
--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -98,9 +98,24 @@
     kinds.Kind(
         "compacted the log",
         kinds.INFO,
-        ("index",),
+        ("index", "entries", "log_bytes", "snapshot_bytes"),
         "Earlier entries of the log were replaced by a snapshot.",
     ),
+    kinds.Kind(
+        "no room to compact the log",
+        kinds.WARNING,
+        ("reason",),
+        "The disk has no room for a snapshot beside the log. The log stays in"
+        " use, and the VM tries again each second; free the disk before the log"
+        " fills it.",
+    ),
+    kinds.Kind(
+        "refused a long command",
+        kinds.WARNING,
+        ("command_bytes", "allowed_bytes"),
+        "A change takes more bytes than one entry of the log may have. It was"
+        " not made.",
+    ),
     kinds.Kind(
         "disk failed",
         kinds.ERROR,
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -135,6 +135,12 @@
         """Runs as a group member until a signal to stop or a disk failure."""
         cfg = self._make_settings()
         await self._prepare_data_folder(cfg)
+        await self._serve(cfg, self._load_node(cfg))
+
+    def _load_node(
+        self, cfg: process_settings.ControlSettings
+    ) -> node_lib.ControlNode:
+        """Loads the data folder; exits with an error if it is damaged."""
         loaded = disk.load(self._folder)
         if not isinstance(loaded, result.Success):
             logger.error("data folder is damaged", reason=str(loaded))
@@ -153,12 +159,13 @@
             self._clock,
             random.Random(),
             MAX_MEMBERS,
+            process_memory.get_log_limits(self._file.current.own.limits),
         )
         bounds = self._file.current.timeouts.bounds
         node.rollouts.limits = rollout_steps.Limits(
             bounds.exposure_share, bounds.exposure_slack
         )
-        await self._serve(cfg, node)
+        return node
 
     def _make_settings(self) -> process_settings.ControlSettings:
         return process_settings.ControlSettings(
--- a/src/cardamomkeel/platform/node_file.py
+++ b/src/cardamomkeel/platform/node_file.py
@@ -33,11 +33,13 @@
     Attributes:
         link_mbps: Capacity of the VM's network link in Mbit/s; 0 if unknown.
         memory_mb: Memory of the process in MB; 0 if unknown.
+        disk_mb: Size of the VM's disk in MB; 0 if unknown.
         max_fds: Descriptors of the process; 0 if unknown.
     """
 
     link_mbps: NonNegative = 0.0
     memory_mb: NonNegative = 0.0
+    disk_mb: NonNegative = 0.0
     max_fds: NonNegative = 0
 
 
--- a/src/cardamomkeel/platform/process_memory.py
+++ b/src/cardamomkeel/platform/process_memory.py
@@ -5,11 +5,15 @@
 
 from cardamomkeel.gateway import settings as settings_lib
 from cardamomkeel.platform import node_file
+from cardamomkeel.policy import log_compaction
 from cardamomkeel.policy import process_limits
 
 BYTES_PER_MB = 1_000_000
 # Taken where the system does not tell the size of the process.
 USUAL_IDLE_BYTES = 48_000_000
+# Of a VM whose memory or disk is not in the file.
+USUAL_MEMORY_BYTES = 256_000_000
+USUAL_DISK_BYTES = 256_000_000
 # Without a limit in the file; more would be no protection.
 MAX_DESCRIPTORS = 8192
 
@@ -32,6 +36,14 @@
     )
 
 
+def get_log_limits(limits: node_file.Limits) -> log_compaction.Limits:
+    """Returns what a control VM may log."""
+    return log_compaction.derive_limits(
+        limits.memory_mb * BYTES_PER_MB or USUAL_MEMORY_BYTES,
+        limits.disk_mb * BYTES_PER_MB or USUAL_DISK_BYTES,
+    )
+
+
 def get_connections(
     limits: node_file.Limits, share: float = process_limits.OTHER_PORTS_SHARE
 ) -> int:
--- a/src/cardamomkeel/replication/log.py
+++ b/src/cardamomkeel/replication/log.py
@@ -36,6 +36,7 @@
     Attributes:
         snapshot: The snapshot that precedes the entries, without its state,
             which is large and seldom needed.
+        snapshot_bytes: The length of the snapshot with its state.
         synced_index: The last index that is on the disk.
     """
 
@@ -45,6 +46,7 @@
         self._storage = storage
         self._entries = list(stored.entries)
         self.snapshot = _strip_state(stored.snapshot)
+        self.snapshot_bytes = stored.snapshot.ByteSize()
         self.synced_index = self.last_index
 
     @property
@@ -167,6 +169,10 @@
         Args:
             snapshot: The state at a committed index; this method fills in
                 its members and term.
+
+        Raises:
+            OutOfSpaceError: There is no room for it; the log stays as it is.
+            StorageFailedError: Another write failed.
         """
         snapshot.term = self.term_at(snapshot.index)
         snapshot.members.CopyFrom(self._members_at(snapshot.index))
@@ -183,6 +189,7 @@
         self._storage.save_snapshot(snapshot, remaining)
         self._entries = remaining
         self.snapshot = _strip_state(snapshot)
+        self.snapshot_bytes = snapshot.ByteSize()
         self.synced_index = self.last_index
 
     def read_state(self) -> control_pb2.State:
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -469,6 +469,14 @@
             return False
         return self.followers[member].match_index >= self.commit_index
 
+    def is_log_needed(self, now: clock.Millis) -> bool:
+        """Returns whether a live member lacks entries that this leader has."""
+        return any(
+            self.is_live(member, now)
+            and progress.match_index < self.commit_index
+            for member, progress in self.followers.items()
+        )
+
     # Follower.
 
     def _accept_leader(self, now: clock.Millis, term: int, leader: str) -> None:
--- a/src/cardamomkeel/replication/storage.py
+++ b/src/cardamomkeel/replication/storage.py
@@ -28,11 +28,15 @@
         self.error = error
 
 
+class OutOfSpaceError(StorageFailedError):
+    """There is no room for a snapshot; the storage can still be used."""
+
+
 class Storage(typing.Protocol):
     """Keeps the log, vote and snapshot across restarts.
 
     Each method raises StorageFailedError when a read or write fails; after
-    that every call raises it.
+    that every call raises it, except after an OutOfSpaceError.
 
     Entries are durable only after `sync` has returned.
     """
@@ -54,7 +58,12 @@
         snapshot: control_pb2.Snapshot,
         entries: list[control_pb2.LogEntry],
     ) -> None:
-        """Replaces the snapshot and the entries that follow it, and syncs."""
+        """Replaces the snapshot and the entries that follow it, and syncs.
+
+        Raises:
+            OutOfSpaceError: There is no room for both; nothing was changed.
+            StorageFailedError: Another write failed.
+        """
         ...
 
     def read_snapshot(self) -> control_pb2.Snapshot:
--- a/src/cardamomkeel/settings/process.py
+++ b/src/cardamomkeel/settings/process.py
@@ -12,6 +12,8 @@
 # Enough for the shares of requests, of answers from backend servers and of
 # answers from other entries.
 MIN_BUFFER_BYTES = 4 * 1024 * 1024
+# Below this the longest change of the settings text finds no room in the log.
+MIN_CONTROL_BYTES = 128_000_000
 
 
 Address = typing.Annotated[str, pydantic.AfterValidator(addresses.check)]
@@ -89,6 +91,9 @@
         reach: Addresses to connect to instead of others, if the network
             requires it.
         timings: Intervals and timeouts between the processes.
+        memory_bytes: The memory of this process. The log of changes fills at
+            most a sixteenth of it, and of the disk.
+        disk_bytes: The size of the disk with the data folder.
         log_level: The lowest level of log lines that are written.
     """
 
@@ -101,6 +106,8 @@
     control: dict[str, Address]
     reach: dict[Address, Address] = {}
     timings: Timings = Timings()
+    memory_bytes: int = pydantic.Field(256_000_000, ge=MIN_CONTROL_BYTES)
+    disk_bytes: int = pydantic.Field(256_000_000, ge=MIN_CONTROL_BYTES)
     log_level: str = "INFO"
 
 
