Limit bodies by the kind of request, and bound what a decoded one takes

Cause: the room held for a body counts the bytes received, while decoded JSON takes up to 30 times as many, and the errors of a long list more still. No kind of request had a length of its own.

Change: 16 KiB for all but a configuration, which may have a 256th of the memory, refused with 413 before it is read. A control VM keeps room for its log and one decoded configuration, decodes one at a time and 500 rows a turn; a list is validated up to its first error. Announcements to entries and gateways and the other ports have the short limit too.

--- a/features/announcements.feature
+++ b/features/announcements.feature
@@ -31,6 +31,11 @@
       | address | example.com   |
       | more    | anything      |
 
+  # Guards against announcements whose decoding takes many times their length.
+  Scenario: An announcement that is too long is refused
+    When an announcement of 20000 bytes is sent
+    Then the announcement is refused with status 413
+
   Scenario: A backend server that announces too many slots gets no more requests
     When the backend servers of dossier announce 100 slots
     And 40 callers each look up a path of their own in dossier
--- a/features/steps/announcements.py
+++ b/features/steps/announcements.py
@@ -104,6 +104,11 @@
     _announce(context, **{field: content})
 
 
+@when("an announcement of {length:d} bytes is sent")
+def announce_long(context, length):
+    _announce(context, more="x" * length)
+
+
 @then("the announcement is refused with status {status:d}")
 def check_refused(context, status):
     assert context.reply.status_code == status, context.reply.text
--- a/src/cardamomkeel/backend_servers/announcements.py
+++ b/src/cardamomkeel/backend_servers/announcements.py
@@ -76,10 +76,10 @@
         try:
             announcement = Announcement.model_validate_json(raw)
         except pydantic.ValidationError as exc:
+            wrong = exc.errors(include_input=False)[0]
             return result.Failure(
                 errors.AnnouncementError(
-                    f"wrong announcement: {exc.errors()[0]['loc']}: "
-                    f"{exc.errors()[0]['msg']}",
+                    f"wrong announcement: {wrong['loc']}: {wrong['msg']}",
                     "send what docs/backend-servers.md lists",
                 )
             )
--- a/src/cardamomkeel/callers/app.py
+++ b/src/cardamomkeel/callers/app.py
@@ -15,6 +15,7 @@
 from cardamomkeel.callers import answers
 from cardamomkeel.callers import http1
 from cardamomkeel.callers import requests
+from cardamomkeel.policy import body_limits
 from cardamomkeel.routing import decisions as decisions_lib
 from cardamomkeel.routing import messages
 from cardamomkeel.routing import router as router_lib
@@ -198,7 +199,10 @@
         reservation = self.share.create_reservation()
         try:
             raw = await requests.read_body(
-                receive, reservation, requests.get_content_length(scope)
+                receive,
+                reservation,
+                requests.get_content_length(scope),
+                body_limits.SHORT_BODY_BYTES,
             )
         finally:
             reservation.release()
--- a/src/cardamomkeel/daemons/gateway.py
+++ b/src/cardamomkeel/daemons/gateway.py
@@ -19,6 +19,7 @@
 from cardamomkeel.operators import app as operators_app
 from cardamomkeel.operators import history
 from cardamomkeel.operators import secret as secret_lib
+from cardamomkeel.policy import body_limits
 from cardamomkeel.policy import quota as quota_lib
 from cardamomkeel.settings import process
 
@@ -102,6 +103,7 @@
         ),
         program.clk,
         memory=program.memory,
+        body_limits=body_limits.ShortBodies(),
     )
     operators = operators_app.OperatorsApp(
         secret,
--- a/src/cardamomkeel/gateway/caller_connection.py
+++ b/src/cardamomkeel/gateway/caller_connection.py
@@ -216,6 +216,7 @@
         self._header_bytes = 0
         self._body.clear()
         self._body_bytes = 0
+        self._max_body_bytes = self._limits.body_bytes
         self._headers_done = False
         self._began_at = 0.0
 
@@ -259,9 +260,11 @@
         self._headers_done = True
         if self._closing:
             return
-        head = request_head.check(
-            self._parser.get_method(), self._headers, self._limits.body_bytes
+        method = self._parser.get_method()
+        self._max_body_bytes = self._server.get_body_limit(
+            method.decode("ascii"), self._url.decode("latin-1")
         )
+        head = request_head.check(method, self._headers, self._max_body_bytes)
         if head.expects_continue:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if head.length:
@@ -285,7 +288,7 @@
             return
         self._framing.count_body(len(body))
         self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
+        if self._body_bytes > self._max_body_bytes:
             raise request_head.RequestRejected(413)
         if self._body_bytes > self._room.wanted:
             self._hold_body(self._body_bytes + UNANNOUNCED_STEP_BYTES)
--- a/src/cardamomkeel/gateway/caller_server.py
+++ b/src/cardamomkeel/gateway/caller_server.py
@@ -27,5 +27,8 @@
     stopping: bool
     takes_no_more: bool
 
+    def get_body_limit(self, method: str, target: str) -> int:
+        """Returns how many bytes the body of a request may have."""
+
     def admit(self, conn: asyncio.Protocol) -> bool:
         """Registers a connection; returns False if there are too many."""
--- a/src/cardamomkeel/gateway/http_server.py
+++ b/src/cardamomkeel/gateway/http_server.py
@@ -11,6 +11,7 @@
 from cardamomkeel.gateway import held_memory
 from cardamomkeel.gateway import messages
 from cardamomkeel.log_lines import limits as log_limits
+from cardamomkeel.policy import body_limits as body_limits_lib
 from cardamomkeel.policy import memory_pressure
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.settings import addresses
@@ -50,6 +51,7 @@
         memory: held_memory.HeldMemory | None = None,
         max_connections: int = 0,
         body_copies: int = 1,
+        body_limits: body_limits_lib.BodyLimits | None = None,
     ):
         """Creates a server that does not listen yet.
 
@@ -60,6 +62,8 @@
             memory: The memory of the process; None for no limit.
             max_connections: How many connections may be open; 0 for no limit.
             body_copies: How often a body is held while it is handled.
+            body_limits: Limits bodies by the kind of their request, below the
+                limit for all; None for that limit alone.
         """
         self.handler = handler
         self.limits = limits
@@ -70,6 +74,7 @@
             held_memory.NO_LIMIT, clk
         )
         self.body_copies = body_copies
+        self._body_limits = body_limits
         self.turns = parse_turns.Turns()
         self._max_connections = max_connections
         self.in_flight = 0
@@ -82,6 +87,14 @@
         self._accepted += 1
         return caller_connection.Connection(self)
 
+    def get_body_limit(self, method: str, target: str) -> int:
+        """Returns how many bytes the body of a request may have."""
+        limit = self.limits().body_bytes
+        if self._body_limits is None:
+            return limit
+        path = target.partition("?")[0]
+        return min(limit, self._body_limits.get_limit(method, path))
+
     def admit(self, conn: caller_connection.Connection) -> bool:
         """Registers a connection; one that stood still may be ended for it.
 
--- a/src/cardamomkeel/platform/configurations.py
+++ b/src/cardamomkeel/platform/configurations.py
@@ -4,9 +4,11 @@
 knows the platform's field names; unknown fields are ignored.
 """
 
+import collections.abc
 import dataclasses
 import typing
 
+import anyio
 import orjson
 import pydantic
 from returns import result
@@ -23,9 +25,19 @@
 # answers of a download are long.
 _IDEMPOTENT = {"safe": True, "download": True, "unsafe": False}
 
+# Rows that are checked in one turn of the event loop.
+ROWS_PER_TURN = 500
+# A version is stored in 64 bits.
+MAX_VERSION_DIGITS = 16
+# An error may quote a value of any length.
+MAX_REASON_LENGTH = 500
+
 Number = typing.Annotated[float, pydantic.Field(strict=True)]
 Integer = typing.Annotated[int, pydantic.Field(strict=True)]
 Text = typing.Annotated[str, pydantic.Field(strict=True)]
+# Validation of a list ends with the first error. A text may have a million of
+# them, and each takes more memory than the value that it is about.
+Texts = typing.Annotated[list[Text], pydantic.FailFast()]
 
 
 def _to_kebab_case(name: str) -> str:
@@ -60,7 +72,7 @@
     priority: Integer = 0
     attempts: Integer
     service: Text | None = None
-    traffic_split: list[_Part] | None = None
+    traffic_split: list[_Part] | None = pydantic.Field(None, fail_fast=True)
     auth_exempt: typing.Annotated[bool, pydantic.Field(strict=True)] = False
 
 
@@ -77,7 +89,7 @@
 class _Tenant(_Row):
     # "Tenant" on the wire is the client account.
     name: Text
-    api_keys: list[Text] = []
+    api_keys: Texts = []
     priority: Integer | None = None
     rate_per_s: Number | None = None
     burst: Number | None = None
@@ -91,29 +103,33 @@
 
 
 class _Table(_Row):
-    columns: list[Text]
-    rows: list[list[typing.Any]]
+    columns: Texts
+    # Checked by `check`, since validation would copy each row.
+    rows: list[typing.Any]
 
-    def records(self) -> list[dict[str, typing.Any]]:
-        """Returns each row as a dict by column, without the null values.
+    def check(self) -> None:
+        """Checks that the rows fit the columns.
 
         Raises:
-            ValueError: A column is named twice, or a row has another number
-                of values than there are columns.
+            ValueError: A column is named twice, or a row is no list or has
+                another number of values than there are columns.
         """
         if len(set(self.columns)) != len(self.columns):
             raise ValueError("a column is named twice")
         for row in self.rows:
-            if len(row) != len(self.columns):
+            if not isinstance(row, list) or len(row) != len(self.columns):
                 raise ValueError("a row does not fit the columns")
-        return [
-            {
+
+    def iter_records(
+        self,
+    ) -> collections.abc.Iterator[dict[str, typing.Any]]:
+        """Yields each row as a dict by column, without the null values."""
+        for row in self.rows:
+            yield {
                 name: value
                 for name, value in zip(self.columns, row, strict=True)
                 if value is not None
             }
-            for row in self.rows
-        ]
 
 
 class _Configuration(_Row):
@@ -154,9 +170,11 @@
         ValueError: The value is not a version.
     """
     if isinstance(value, int):
-        if value < 0:
-            raise ValueError("a version is below 0")
+        if not 0 <= value < 16**MAX_VERSION_DIGITS:
+            raise ValueError("a version is out of range")
         return value
+    if len(value) > MAX_VERSION_DIGITS:
+        raise ValueError(f"a version has more than {MAX_VERSION_DIGITS} digits")
     if not value or not all(c in "0123456789abcdefABCDEF" for c in value):
         raise ValueError(f"{value!r} is no version")
     return int(value, 16)
@@ -207,17 +225,48 @@
     return services
 
 
-def _decode(raw: bytes) -> tuple[int, int, dict[str, typing.Any]]:
-    decoded = _Configuration.model_validate(orjson.loads(raw))
-    routes = [_Route.model_validate(row) for row in decoded.routes.records()]
-    services = [_Service.model_validate(r) for r in decoded.services.records()]
+Row = typing.TypeVar("Row", bound=_Row)
+Value = typing.TypeVar("Value")
+# Does a part of the work before each `yield`, and returns the result.
+Steps = collections.abc.Generator[None, None, Value]
+
+
+def _convert_rows(
+    table: _Table,
+    kind: type[Row],
+    make: collections.abc.Callable[[Row], Value],
+) -> Steps[list[Value]]:
+    table.check()
+    converted = []
+    for record in table.iter_records():
+        converted.append(make(kind.model_validate(record)))
+        if len(converted) % ROWS_PER_TURN == 0:
+            yield
+    return converted
+
+
+def _decode(raw: bytes) -> Steps[tuple[_Configuration, bytes]]:
+    """Returns a configuration and its fingerprint."""
+    content = orjson.loads(raw)
+    yield
+    fingerprint = change.make_fingerprint(content)
+    yield
+    return _Configuration.model_validate(content), fingerprint
+
+
+def _make_content(decoded: _Configuration) -> Steps[dict[str, typing.Any]]:
     limits = decoded.limits
+    services = yield from _convert_rows(
+        decoded.services, _Service, lambda row: row
+    )
     accounts = None
     if decoded.tenants is not None:
-        tenants = map(_Tenant.model_validate, decoded.tenants.records())
-        accounts = [_make_account(row) for row in tenants]
-    content = {
-        "routes": [_make_route(row) for row in routes],
+        accounts = yield from _convert_rows(
+            decoded.tenants, _Tenant, _make_account
+        )
+    routes = yield from _convert_rows(decoded.routes, _Route, _make_route)
+    return {
+        "routes": routes,
         "services": _make_services(services),
         "limits": {
             "header_bytes": limits.max_header_bytes,
@@ -227,32 +276,53 @@
         },
         "accounts": accounts,
     }
-    number = parse_version(decoded.version)
-    return number, parse_version(decoded.base_version), content
 
 
-def parse(raw: bytes) -> result.Result[Configuration, errors.Error]:
-    """Parses a configuration, or returns why it is invalid."""
+def _parse(raw: bytes) -> Steps[result.Result[Configuration, errors.Error]]:
     try:
-        number, base_number, content = _decode(raw)
-    except (ValueError, TypeError) as exc:
+        decoded, fingerprint = yield from _decode(raw)
+        number = parse_version(decoded.version)
+        base_number = parse_version(decoded.base_version)
+        content = yield from _make_content(decoded)
+    except (ValueError, TypeError, RecursionError) as exc:
+        reason = str(exc)[:MAX_REASON_LENGTH]
         return result.Failure(
             errors.SettingsError(
-                f"the configuration can't be read: {exc}",
-                REMEDY,
+                f"the configuration can't be read: {reason}", REMEDY
             )
         )
+    yield
     checked = structs.convert(
         content, document_lib.RoutesDocument, "the configuration", REMEDY
     )
-    if not isinstance(checked, result.Success):
-        return result.Failure(checked.failure())
-    return result.Success(
-        Configuration(
-            number,
-            base_number,
-            checked.unwrap(),
-            change.make_fingerprint(orjson.loads(raw)),
-            raw,
+    return checked.map(
+        lambda document: Configuration(
+            number, base_number, document, fingerprint, raw
         )
     )
+
+
+def parse(raw: bytes) -> result.Result[Configuration, errors.Error]:
+    """Parses a configuration, or returns why it is invalid."""
+    steps = _parse(raw)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as ended:
+            return ended.value
+
+
+async def parse_in_turns(
+    raw: bytes,
+) -> result.Result[Configuration, errors.Error]:
+    """Parses a configuration like `parse`, in many turns of the event loop.
+
+    Heartbeats and elections would wait for as long as a long one takes.
+    """
+    steps = _parse(raw)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as ended:
+            return ended.value
+        await anyio.sleep(0)
--- a/src/cardamomkeel/platform/control_api.py
+++ b/src/cardamomkeel/platform/control_api.py
@@ -15,6 +15,7 @@
 from cardamomkeel.platform import configurations
 from cardamomkeel.platform import heartbeats
 from cardamomkeel.platform import rollouts
+from cardamomkeel.policy import body_limits
 from cardamomkeel.routes import change
 from cardamomkeel.routes import document as document_lib
 from cardamomkeel.routes import packing
@@ -65,6 +66,19 @@
     address: str
 
 
+class BodyLimits:
+    """Allows short bodies, and longer ones for configurations."""
+
+    def __init__(self, configuration_bytes: int):
+        self._configuration_bytes = configuration_bytes
+
+    def get_limit(self, method: str, path: str) -> int:
+        """Returns the limit in bytes."""
+        if (method, path) == ("PUT", CONFIG):
+            return self._configuration_bytes
+        return body_limits.SHORT_BODY_BYTES
+
+
 class ControlApi:
     """Handles requests of operators and backend servers."""
 
@@ -94,6 +108,8 @@
         )
         self._rejected_log_limit = limits.Limit("rejected heartbeat", clk)
         self._services: tuple[int, frozenset[str]] = (0, frozenset())
+        # One at a time, since each takes many times the memory of its text.
+        self._decoding = anyio.Lock()
         self._rollouts = rollouts.Rollouts(calls, GIVEN_UP_CHECK_MS)
 
     async def handle(self, req: messages.Request) -> messages.Response:
@@ -197,7 +213,8 @@
     # Operators.
 
     async def _put_config(self, raw: bytes) -> messages.Response:
-        parsed = configurations.parse(raw)
+        async with self._decoding:
+            parsed = await configurations.parse_in_turns(raw)
         if not isinstance(parsed, result.Success):
             logger.warning(
                 "rejected configuration", reason=str(parsed.failure())
--- a/src/cardamomkeel/platform/core.py
+++ b/src/cardamomkeel/platform/core.py
@@ -48,8 +48,6 @@
 # How long calls that have arrived may take after the leadership was handed
 # over; longer than the search for the new leader.
 FINISH_CALLS_MS = 1500.0
-# A configuration takes this multiple of its length while it is checked.
-BODY_COPIES = 4
 
 logger = loguru.logger
 
@@ -82,7 +80,8 @@
             poll_timeout_ms=timings.POLL_TIMEOUT_MS,
         )
         self._memory = held_memory.HeldMemory(
-            process_memory.get_buffer_bytes(current.own.limits), self._clock
+            process_memory.get_control_buffer_bytes(current.own.limits),
+            self._clock,
         )
         self._server = http_server.HttpServer(
             _UnavailableHandler(),
@@ -91,7 +90,10 @@
             max_connections=process_memory.get_connections(
                 current.own.limits, process_limits.CALLERS_SHARE
             ),
-            body_copies=BODY_COPIES,
+            body_copies=process_memory.BODY_COPIES,
+            body_limits=control_api.BodyLimits(
+                process_memory.get_configuration_bytes(current.own.limits)
+            ),
         )
         self._status_servers: list[http_server.HttpServer] = []
         self._stop = anyio.Event()
--- a/src/cardamomkeel/platform/front.py
+++ b/src/cardamomkeel/platform/front.py
@@ -11,6 +11,7 @@
 from cardamomkeel.platform import process
 from cardamomkeel.platform import process_memory
 from cardamomkeel.platform import timings
+from cardamomkeel.policy import body_limits
 from cardamomkeel.policy import process_limits
 from cardamomkeel.policy import quota as quota_lib
 
@@ -93,6 +94,7 @@
                     program.clk,
                     memory=program.memory,
                     max_connections=connections,
+                    body_limits=body_limits.ShortBodies(),
                 )
                 await server.start(address)
                 servers.append(server)
--- a/src/cardamomkeel/platform/heartbeats.py
+++ b/src/cardamomkeel/platform/heartbeats.py
@@ -57,7 +57,7 @@
     try:
         http_headers.check_id(instance)
         beat = _Heartbeat.model_validate(orjson.loads(raw))
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         return result.Failure(
             errors.AnnouncementError(
                 f"the heartbeat of {instance} can't be read: {exc}",
--- a/src/cardamomkeel/platform/process.py
+++ b/src/cardamomkeel/platform/process.py
@@ -21,6 +21,7 @@
 from cardamomkeel.platform import early_listening
 from cardamomkeel.platform import node_file
 from cardamomkeel.platform import process_memory
+from cardamomkeel.policy import body_limits
 
 # The file may change without a signal, so it is checked at this interval.
 FILE_CHECK_INTERVAL_MS = 1000.0
@@ -132,7 +133,11 @@
     connections = process_memory.get_connections(file.current.own.limits)
     servers = [
         http_server.HttpServer(
-            handler, clk, memory=memory, max_connections=connections
+            handler,
+            clk,
+            memory=memory,
+            max_connections=connections,
+            body_limits=body_limits.ShortBodies(),
         )
         for _ in range(2)
     ]
--- a/src/cardamomkeel/platform/process_memory.py
+++ b/src/cardamomkeel/platform/process_memory.py
@@ -9,6 +9,9 @@
 from cardamomkeel.policy import process_limits
 
 BYTES_PER_MB = 1_000_000
+# How often a control VM holds a configuration beside its decoded form: as
+# received, as command, as entry of the log and on its way to other members.
+BODY_COPIES = 4
 # Taken where the system does not tell the size of the process.
 USUAL_IDLE_BYTES = 48_000_000
 # Of a VM whose memory or disk is not in the file.
@@ -36,6 +39,25 @@
     )
 
 
+def get_configuration_bytes(limits: node_file.Limits) -> int:
+    """Returns how long the text of a configuration may be."""
+    memory_bytes = limits.memory_mb * BYTES_PER_MB or USUAL_MEMORY_BYTES
+    return int(memory_bytes * process_limits.CONFIGURATION_SHARE)
+
+
+def get_control_buffer_bytes(limits: node_file.Limits) -> int:
+    """Returns how many bytes of requests a control VM may hold.
+
+    Room stays for the log and for one configuration that is decoded.
+    """
+    decoded = process_limits.get_decode_budget(get_configuration_bytes(limits))
+    logged = get_log_limits(limits).log_bytes
+    return max(
+        get_buffer_bytes(limits) - decoded - logged,
+        BODY_COPIES * get_configuration_bytes(limits) * 2,
+    )
+
+
 def get_log_limits(limits: node_file.Limits) -> log_compaction.Limits:
     """Returns what a control VM may log."""
     return log_compaction.derive_limits(
--- a/src/cardamomkeel/policy/process_limits.py
+++ b/src/cardamomkeel/policy/process_limits.py
@@ -9,6 +9,11 @@
 MEMORY_SHARE = 0.86
 # A process whose idle size leaves less than this part still serves.
 MIN_BUDGET_SHARE = 0.125
+# The part of its memory that the text of one configuration may fill.
+CONFIGURATION_SHARE = 1 / 256
+# How many times its length a decoded JSON text takes at most. An empty object
+# has three bytes in a list, and takes up to 96 once it is decoded.
+DECODED_COPIES = 32
 # Descriptors that the system reserves for the files of the program.
 RESERVED_DESCRIPTORS = 200
 # One port's callers may use half of the rest; targets, control, other entries,
@@ -32,6 +37,15 @@
     return int(max(free, memory_bytes * MIN_BUDGET_SHARE))
 
 
+def get_decode_budget(longest: int) -> int:
+    """Returns how many bytes the longest text takes once it is decoded.
+
+    Args:
+        longest: The length of the text, in bytes.
+    """
+    return longest * DECODED_COPIES
+
+
 def get_connections(descriptors: int, share: float) -> int:
     """Returns how many connections callers of one port may have open.
 
--- a/src/cardamomkeel/settings/page.py
+++ b/src/cardamomkeel/settings/page.py
@@ -8,6 +8,9 @@
 import pydantic
 import pydantic_core
 
+from cardamomkeel.callers import requests
+from cardamomkeel.policy import body_limits
+from cardamomkeel.policy import process_limits
 from cardamomkeel.routes import document
 from cardamomkeel.settings import process
 from cardamomkeel.settings import services
@@ -55,9 +58,37 @@
     parts = [INTRODUCTION]
     for heading, model in SECTIONS.items():
         parts.append(_render_section(heading, model))
+    parts.append(_render_body_limits())
     return "\n".join(parts)
 
 
+def _render_body_limits() -> str:
+    share = round(1 / process_limits.CONFIGURATION_SHARE)
+    rows = {
+        "announcements, heartbeats, orders, reads": (
+            f"{body_limits.SHORT_BODY_BYTES} bytes"
+        ),
+        "a configuration, to a control VM on the platform": (
+            f"1/{share} of `memory-mb`"
+        ),
+        "requests of callers to a gateway": "`body_bytes` of the routes",
+        "requests of callers to an entry": f"{requests.MAX_BODY_BYTES} bytes",
+        "calls of operators": f"{requests.MAX_BODY_BYTES} bytes",
+    }
+    lines = [
+        "## Lengths of request bodies",
+        "",
+        "A longer body is refused with 413: by its announced length before "
+        "any of it",
+        "is read, else as soon as its parts pass the limit.",
+        "",
+        "| request | at most |",
+        "|---|---|",
+        *(f"| {what} | {limit} |" for what, limit in rows.items()),
+    ]
+    return "\n".join(lines) + "\n"
+
+
 class _Setting(typing.NamedTuple):
     """A setting of a pydantic model or a msgspec struct."""
 
