Show that an answer that is cut anywhere is no answer

Another operator saw a target stop within the head of its answer and close: callers got a 200 with an empty or short body, framed as whole.

--- a/bench/fake_servers.py
+++ b/bench/fake_servers.py
@@ -68,7 +68,9 @@
         shed: Whether every request gets the documented shed answer.
         silent: Whether received bytes are ignored, so that no request is
             answered.
-        cut: Whether answers are truncated.
+        cut: Whether answers are truncated in their body.
+        cut_at: Where else answers are truncated, see `truncate`; empty for
+            nowhere.
         refuse: Whether new connections are closed at once.
         announce: Whether the stand-in announces itself.
         tells_state: Whether answers have a header that reports a cold state.
@@ -88,6 +90,7 @@
     shed: bool = False
     silent: bool = False
     cut: bool = False
+    cut_at: str = ""
     refuse: bool = False
     state: str = "ready"
     announce: bool = True
@@ -294,7 +297,7 @@
         }
         size = int(self.headers.get("answer-bytes", "0"))
         answer["padding"] = "x" * size
-        run.whole = not server.cut
+        run.whole = not server.cut and not server.cut_at
         headers = {}
         if server.tells_state and server.cold_runs:
             headers[STATE_HEADER] = "cold"
@@ -309,9 +312,34 @@
             self.transport.write(head + body[: len(body) // 2])
             self.transport.close()
             return
+        if self.server.cut_at:
+            self.transport.write(truncate(head, body, self.server.cut_at))
+            self.transport.close()
+            return
         self.transport.write(head + body)
 
 
+def truncate(head: bytes, body: bytes, where: str) -> bytes:
+    """Returns the first part of an answer, which ends in a certain place.
+
+    Args:
+        head: The head, with a length.
+        body: The body.
+        where: The place.
+    """
+    if where == "in the last chunk":
+        lines = head.split(b"\r\n")
+        lines[1] = b"Transfer-Encoding: chunked"
+        return b"\r\n".join(lines) + b"%x\r\n%b\r\n0\r\n" % (len(body), body)
+    ends = {
+        "in the status line": head.index(b"\r\n") - 1,
+        "in a header": len(head) - len(b"son\r\n\r\n"),
+        "before the blank line": len(head) - len(b"\r\n"),
+        "in the body": len(head) + len(body) // 2,
+    }
+    return (head + body)[: ends[where]]
+
+
 class Lateness:
     """Measures how late the event loop of this process runs its tasks.
 
