Fail a call on a connection that closes while the call waits for it

What callers saw: while the disks of five control VMs were full one after another, the leader ended with a traceback; orders waited for another leader. An entry that opens its stream at such a moment would end too.

Cause: grpclib removes the transport of a closed connection, and a call that is about to use it ends with an AttributeError, which nobody handles. A VM whose disk is full closes all of its connections.

Change: a channel checks its connection right before a call uses it, without a turn of the event loop in between, and reports an OSError.

--- a/features/control_port.feature
+++ b/features/control_port.feature
@@ -40,6 +40,21 @@
       | Read            |
       | ChangeMembers   |
 
+  # Guards against a control VM that ends while another one, whose disk is full,
+  # closes its connections to start again.
+  Scenario Outline: The connection to a control VM closes <when>
+    Given a control VM that leads a group of one
+    And connections to it that close <when>
+    When a command is proposed to it
+    Then the call ends with an error
+    When its rows are polled
+    Then the poll ends without an answer
+
+    Examples:
+      | when                                  |
+      | before the call that opened it begins |
+      | while the call waits for it           |
+
   Scenario Outline: A control VM replies with <what>
     Given a control VM whose replies are <what>
     When a command is proposed to it
--- a/features/steps/control_port.py
+++ b/features/steps/control_port.py
@@ -9,11 +9,13 @@
 import tempfile
 import threading
 import time
+from unittest import mock
 
 import anyio
 from behave import given
 from behave import then
 from behave import when
+from grpclib import client as grpc_client
 from h2 import config as h2_config
 from h2 import connection as h2_connection
 from h2 import events as h2_events
@@ -480,6 +482,27 @@
     )
 
 
+@given("connections to it that close {moment}")
+def close_connections(context, moment):
+    context.raw_address = context.vm.address
+    create = grpc_client.Channel._create_connection
+
+    async def create_closing(channel):
+        protocol = await create(channel)
+        if moment == "while the call waits for it":
+            channel._protocol = protocol
+            channel.close()
+            return None
+        protocol.processor.close("the peer goes away")
+        return protocol
+
+    patch = mock.patch.object(
+        grpc_client.Channel, "_create_connection", create_closing
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @when("a command is proposed to it")
 def propose_to_raw(context):
     context.reply = context.loop_thread.run(propose(context.raw_address))
--- a/src/cardamomkeel/control/channels.py
+++ b/src/cardamomkeel/control/channels.py
@@ -4,11 +4,11 @@
 import typing
 
 import anyio
-from grpclib import client as grpc_client
 from returns import result
 
 from cardamomkeel import clock
 from cardamomkeel import errors
+from cardamomkeel.control import grpc_channel
 from cardamomkeel.control import grpc_errors
 from cardamomkeel.settings import addresses
 
@@ -23,7 +23,7 @@
 class _Connection:
     """An open connection."""
 
-    channel: grpc_client.Channel
+    channel: grpc_channel.Channel
     used_at: clock.Millis
     in_flight: int = 0
 
@@ -54,7 +54,7 @@
         if address not in self._channels:
             host, port = addresses.split(self._reach.get(address, address))
             self._channels[address] = _Connection(
-                grpc_client.Channel(host, port), self._clock.now()
+                grpc_channel.Channel(host, port), self._clock.now()
             )
         return self._channels[address]
 
--- a/src/cardamomkeel/control/poll_stream.py
+++ b/src/cardamomkeel/control/poll_stream.py
@@ -9,6 +9,7 @@
 import loguru
 
 from cardamomkeel import clock
+from cardamomkeel.control import grpc_channel
 from cardamomkeel.control import grpc_errors
 from cardamomkeel.control import row_batches
 from cardamomkeel.control import signal
@@ -180,7 +181,7 @@
         host, port = addresses_lib.split(
             self._reach.get(opened.address, opened.address)
         )
-        channel = grpc_client.Channel(host, port)
+        channel = grpc_channel.Channel(host, port)
         try:
             with opened.scope:
                 stub = control_grpc.ControlStub(channel)
