End a leader whose disk fails in a call of another VM

A leader whose disk is full while a VM joins or leaves, or an operator changes the members, stays the leader although it can store nothing more. The next change finds out, and gets no acknowledgement at its first try.

Cause: these calls changed the log directly, so that the storage's error ended the call, but not the node's tasks.

Evidence: on the code before, "The disk of the leader fails during a call of Join" and "... of ChangeMembers" fail: the node still runs after 1 s.

Change: ControlNode.propose_members passes the error on, as for votes and appends, and is the only way to change the members.

--- a/features/control_port.feature
+++ b/features/control_port.feature
@@ -40,6 +40,18 @@
       | Read            |
       | ChangeMembers   |
 
+  # Guards against a leader that goes on after a write has failed in a call of
+  # another VM: it acknowledges nothing more, and nobody else is elected.
+  Scenario Outline: The disk of the leader fails during a call of <method>
+    Given a control VM that leads a group of one
+    When its disk fails and <method> is sent to it
+    Then it ends for its disk within 1000 ms
+
+    Examples:
+      | method        |
+      | Join          |
+      | ChangeMembers |
+
   # Guards against a control VM that ends while another one, whose disk is full,
   # closes its connections to start again.
   Scenario Outline: The connection to a control VM closes <when>
--- a/features/steps/control_port.py
+++ b/features/steps/control_port.py
@@ -482,6 +482,36 @@
     )
 
 
+@when("its disk fails and {method} is sent to it")
+def call_without_disk(context, method):
+    vm = context.vm
+    req = make_messages(vm)[method]
+    if method == "Join":
+        # A group with this limit takes in VMs that nobody has announced.
+        vm.node.max_members = 7
+        req.member.id, req.member.name = "b.first", "b"
+    failing = mock.Mock(side_effect=OSError("the disk is full"))
+    patch = mock.patch.object(disk.DiskStorage, "_write", failing)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    data = req.SerializeToString()
+    service_name = "Replication" if method in REPLICATION else "Control"
+    call = send_call(
+        vm.address,
+        f"/cardamomkeel.wire.{service_name}/{method}",
+        HEADER.pack(False, len(data)) + data,
+    )
+    context.loop_thread.run(call)
+
+
+@then("it ends for its disk within {ms:d} ms")
+def check_ended(context, ms):
+    until = time.monotonic() + ms / 1000
+    while not context.vm.has_ended:
+        assert time.monotonic() < until, "it goes on"
+        time.sleep(0.02)
+
+
 @given("connections to it that close {moment}")
 def close_connections(context, moment):
     context.raw_address = context.vm.address
--- a/src/cardamomkeel/control/leader_tasks.py
+++ b/src/cardamomkeel/control/leader_tasks.py
@@ -152,21 +152,17 @@
         dead = self._find_dead_voter(now)
         can_spare = members_lib.can_spare_voter(replica.members)
         if dead is not None and (learners or can_spare):
-            self._propose_members(
+            self._node.propose_members(
                 members_lib.without_member(replica.members, dead.name)
             )
             logger.warning("removed unresponsive member", member=dead.id)
         elif learners:
             member = learners[0]
-            self._propose_members(
+            self._node.propose_members(
                 members_lib.with_voter(replica.members, member.id)
             )
             logger.info("promoting learner to voter", member=member.id)
 
-    def _propose_members(self, changed: control_pb2.Members) -> None:
-        if self._node.replica.propose_members(changed) is not None:
-            self._node.apply_committed()
-
     def _find_dead_voter(self, now: clock.Millis) -> control_pb2.Member | None:
         """Returns an unresponsive voter that may be replaced automatically."""
         replica = self._node.replica
--- a/src/cardamomkeel/control/membership.py
+++ b/src/cardamomkeel/control/membership.py
@@ -79,10 +79,9 @@
 ) -> bool:
     """Commits a membership; returns False if the outcome is unknown."""
     replica = node.replica
-    index = replica.propose_members(changed)
+    index = node.propose_members(changed)
     if index is None:
         return False
-    node.apply_committed()
     while replica.is_leader and replica.commit_index < index:
         await node.member_acked.wait(clock.seconds(COMMIT_POLL_MS))
     return replica.commit_index >= index
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -1,5 +1,7 @@
 """One control VM: a replica, its state and the tasks of a leader."""
 
+import collections.abc
+import contextlib
 import dataclasses
 import random
 import typing
@@ -251,14 +253,32 @@
         Raises:
             StorageFailedError: The disk failed to store the state.
         """
-        try:
+        with self._end_on_storage_failure():
             reply = handler(self._clock.now(), req)
             self.apply_committed()
+        return reply
+
+    def propose_members(self, changed: control_pb2.Members) -> int | None:
+        """Appends a membership change; see `Replica.propose_members`.
+
+        Raises:
+            StorageFailedError: The disk failed to store the change.
+        """
+        with self._end_on_storage_failure():
+            index = self.replica.propose_members(changed)
+            if index is not None:
+                self.apply_committed()
+        return index
+
+    @contextlib.contextmanager
+    def _end_on_storage_failure(self) -> collections.abc.Iterator[None]:
+        """Ends `run` if the storage fails in a call from another task."""
+        try:
+            yield
         except storage_lib.StorageFailedError as exc:
             self._failure = exc
             self._storage_failed.set()
             raise
-        return reply
 
     # Tasks.
 
--- a/src/cardamomkeel/control/service.py
+++ b/src/cardamomkeel/control/service.py
@@ -89,9 +89,8 @@
                 message=f"{member.name} is not expected; an operator adds it "
                 f"with `cardamomkeel member add {member.name}`"
             )
-        if replica.propose_members(changed) is None:
+        if self._node.propose_members(changed) is None:
             return control_pb2.JoinReply(message="another change is open")
-        self._node.apply_committed()
         return control_pb2.JoinReply(accepted=True)
 
 
