Play full disks, one after another, while an operator makes changes

Another operator saw disks of counted machines that were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered, while all processes ran.

Programs write their output through a pipe in tests, since a limit on the length of files would hold for their log too.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import resource
 import secrets
 import shutil
 import signal
@@ -74,6 +75,7 @@
         self.folder = fleet.folder / name
         self.folder.mkdir()
         self.process = None
+        self._max_file_bytes = None
 
     def start(self):
         """Writes the settings file and starts the program."""
@@ -112,16 +114,42 @@
             ),
             encoding="utf-8",
         )
-        log = open(self.folder / "log", "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cardamomkeel.platform", self.role],
             env={**os.environ, "CARDAMOMKEEL_NODE_FILE": str(path)},
-            stdout=log,
-            stderr=log,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
         )
-        log.close()
+        # Not written by the process itself, whose disk may be full.
+        threading.Thread(
+            target=self._copy_log, args=(self.process.stdout,), daemon=True
+        ).start()
+        self._limit_files()
         self.bootstrap = False
 
+    def _copy_log(self, output):
+        with output, open(self.folder / "log", "ab", buffering=0) as log:
+            while data := output.read1():
+                log.write(data)
+
+    def set_file_limit(self, size):
+        """Lets no file of the program grow beyond a size, as on a full disk.
+
+        Args:
+            size: The size in bytes; None for no limit.
+        """
+        self._max_file_bytes = size
+        self._limit_files()
+
+    def _limit_files(self):
+        if self.process is None or self.process.poll() is not None:
+            return
+        size = self._max_file_bytes
+        soft = resource.RLIM_INFINITY if size is None else size
+        limit = resource.RLIMIT_FSIZE
+        hard = resource.prlimit(self.process.pid, limit)[1]
+        resource.prlimit(self.process.pid, limit, (soft, hard))
+
     def kill(self, number=signal.SIGKILL):
         """Sends a signal to the program, and waits until it exits."""
         self.process.send_signal(number)
