--- a/features/steps/polls.py
+++ b/features/steps/polls.py
@@ -68,6 +68,8 @@
         move_entry(context, "entry-1", name)
         deployment.relays.heal()
     context.broken = name
+    # A failed check must not leave the fault to the next scenario.
+    context.add_cleanup(end_faults, context)
     if fault == "killed":
         deployment.controls[name].kill()
     elif fault == "frozen":
