Report writes to the disk that may cost an election

The logs only showed join requests that were not accepted.

Cause: not told by anything that the programs wrote. Hypotheses were a busy processor, a slow start and a slow disk.

Change: a vote, an append, a tick or a commit that took over 300 ms, which is the least election time, is a line "slow disk" with its duration.

A vote that is saved for longer than the least election time comes too late for its request.

--- a/features/control_port.feature
+++ b/features/control_port.feature
@@ -52,6 +52,11 @@
       | Join          |
       | ChangeMembers |
 
+  Scenario: A disk that stalls is reported
+    Given a control VM that leads a group of one
+    When a command is proposed while a sync takes 400 ms
+    Then it reports a slow disk of 400 ms or more
+
   # Guards against a control VM that ends while another one, whose disk is full,
   # closes its connections to start again.
   Scenario Outline: The connection to a control VM closes <when>
--- a/features/steps/control_port.py
+++ b/features/steps/control_port.py
@@ -20,6 +20,7 @@
 from h2 import connection as h2_connection
 from h2 import events as h2_events
 from h2 import exceptions as h2_exceptions
+import loguru
 from returns import result
 
 from bench import deployment as deployment_lib
@@ -504,6 +505,26 @@
     context.loop_thread.run(call)
 
 
+@when("a command is proposed while a sync takes {ms:d} ms")
+def propose_with_slow_disk(context, ms):
+    context.lines = []
+    sink = loguru.logger.add(
+        lambda line: context.lines.append(line.record), level="WARNING"
+    )
+    context.add_cleanup(loguru.logger.remove, sink)
+
+    slow = mock.Mock(side_effect=lambda _: time.sleep(ms / 1000))
+    with mock.patch.object(disk.os, "fdatasync", slow):
+        context.loop_thread.run(propose(context.vm.address))
+
+
+@then("it reports a slow disk of {ms:d} ms or more")
+def check_slow_disk(context, ms):
+    found = [r for r in context.lines if r["message"] == "slow disk"]
+    assert found, context.lines
+    assert found[0]["extra"]["took_ms"] >= ms, found[0]["extra"]
+
+
 @then("it ends for its disk within {ms:d} ms")
 def check_ended(context, ms):
     until = time.monotonic() + ms / 1000
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -37,6 +37,8 @@
 SEND_YIELDS = 3
 # Pause after a second failure to reach a member, less than a heartbeat.
 RETRY_PAUSE_MS = 100.0
+# A write to the disk that takes longer may cost an election.
+SLOW_DISK_MS = 300.0
 # The slowest link that a request of any length is sent over in time.
 SLOWEST_BYTES_PER_MS = 2000.0
 # For a VM whose memory and disk are not known.
@@ -253,7 +255,7 @@
         Raises:
             StorageFailedError: The disk failed to store the state.
         """
-        with self._end_on_storage_failure():
+        with self._end_on_storage_failure(), self._report_slow_disk():
             reply = handler(self._clock.now(), req)
             self.apply_committed()
         return reply
@@ -270,6 +272,15 @@
                 self.apply_committed()
         return index
 
+    @contextlib.contextmanager
+    def _report_slow_disk(self) -> collections.abc.Iterator[None]:
+        """Logs that a step which writes to the disk took long."""
+        started_at = self._clock.now()
+        yield
+        took_ms = self._clock.now() - started_at
+        if took_ms >= SLOW_DISK_MS:
+            logger.warning("slow disk", took_ms=round(took_ms))
+
     @contextlib.contextmanager
     def _end_on_storage_failure(self) -> collections.abc.Iterator[None]:
         """Ends `run` if the storage fails in a call from another task."""
@@ -300,7 +311,9 @@
     async def _run_timers(self) -> None:
         while True:
             now = self._clock.now()
-            for req in self.replica.tick(now):
+            with self._report_slow_disk():
+                requests = self.replica.tick(now)
+            for req in requests:
                 self._start_task(self._request_vote, req)
             self.apply_committed()
             self._start_senders()
@@ -501,8 +514,9 @@
             self._send_due.notify()
             for _ in range(SEND_YIELDS):
                 await anyio.sleep(0)
-            self.replica.sync()
-            self.apply_committed()
+            with self._report_slow_disk():
+                self.replica.sync()
+                self.apply_committed()
             await anyio.sleep(0)
 
     async def confirm_leadership(self, since: clock.Millis) -> bool:
--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -116,6 +116,14 @@
         "A change takes more bytes than one entry of the log may have. It was"
         " not made.",
     ),
+    kinds.Kind(
+        "slow disk",
+        kinds.WARNING,
+        ("took_ms",),
+        "A write to the disk took so long that this VM may lose its leader or"
+        " its place as leader; it does nothing else meanwhile. A VM that did"
+        " not run for this time says the same.",
+    ),
     kinds.Kind(
         "disk failed",
         kinds.ERROR,
