Fill the disks of all control VMs of the product, one after another

Then a change is accepted within 10 s and is in force at every entry within 6 s, and all three follow a leader.

--- a/features/control_repair.feature
+++ b/features/control_repair.feature
@@ -33,6 +33,15 @@
       | leader   |
       | follower |
 
+  # Guards against a group that takes no changes any more after the disk of each
+  # of its VMs was full for a while.
+  @fixture.small
+  Scenario: The disks of all control VMs are full, one after another
+    When each control VM exits for its full disk in turn, and starts while it is still full
+    Then a change of the settings is accepted within 10 s
+    And every entry has it in force within 6 s
+    And every control VM runs and follows a leader
+
   @fixture.small
   Scenario: Operators change the control group
     When an operator removes control-4 and adds it
--- a/features/steps/control_repair.py
+++ b/features/steps/control_repair.py
@@ -11,6 +11,8 @@
 from bench import deployment as deployment_lib
 
 SPARE_BYTES = 50_000
+# How long a control VM runs on a disk that is still full.
+FULL_S = 2.0
 
 
 def control_process(context, name):
@@ -104,27 +106,40 @@
     if role == "follower":
         others = set(deployment.controls) - {context.limited}
         context.limited = min(others)
-    log = deployment.folder / f"{context.limited}-data" / "log"
-    # The process still has to write to its own log file.
-    size = log.stat().st_size + SPARE_BYTES
+    fill_disk(context, SPARE_BYTES)
+
+
+def fill_disk(context, spare_bytes):
+    """Lets the log of a control VM grow by some bytes; returns the old limit.
+
+    The process still has to write to its own log file.
+    """
+    log = context.deployment.folder / f"{context.limited}-data" / "log"
+    size = log.stat().st_size + spare_bytes
     pid = control_process(context, context.limited).pid
-    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, size))
+    unlimited = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, unlimited[1]))
+    return unlimited
 
 
 @when("a large change of the settings is sent to another control VM")
 def send_change(context):
-    text = context.deployment.shape.text + " " * 2 * SPARE_BYTES
+    change_text(context, 1, 2 * SPARE_BYTES)
+
+
+def change_text(context, base, spaces):
+    """Appends some spaces to the text through a VM whose disk has room."""
     deployment = context.deployment
     follower = next(n for n in deployment.controls if n != context.limited)
     body = {
-        "text": text,
-        "base_revision": 1,
-        "change_id": "change-on-a-full-disk",
+        "text": deployment.shape.text + " " * spaces,
+        "base_revision": base,
+        "change_id": f"change-{base}-on-a-full-disk",
         "operator": "tests",
     }
     address = deployment.control_operators[follower]
     got = deployment.call(address, "/v1/apply", body).json()
-    assert got.get("revision") == 2, got
+    assert got.get("revision") == base + 1, got
 
 
 @then("it exits with status {status:d} and reports the disk")
@@ -136,6 +151,38 @@
     assert "can't be written" in log, log
 
 
+@when(
+    "each control VM exits for its full disk in turn, and starts while it is "
+    "still full"
+)
+def fill_disks_in_turn(context):
+    deployment = context.deployment
+    for revision, name in enumerate(sorted(deployment.controls), start=1):
+        context.limited = name
+        process = control_process(context, name)
+        limit = fill_disk(context, SPARE_BYTES)
+        change_text(context, revision, 2 * SPARE_BYTES * revision)
+        deployment_lib.wait_for(lambda p=process: not p.is_running(), 10, "end")
+        process.start()
+        fill_disk(context, 0)
+        time.sleep(FULL_S)
+        if process.is_running():
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
+        else:
+            process.start()
+        deployment_lib.wait_for(
+            lambda name=name: deployment.dump_control(name).get("leader"),
+            10,
+            f"{name} follows a leader",
+        )
+
+
+@then("every control VM runs and follows a leader")
+def check_all_follow(context):
+    for name in context.deployment.controls:
+        assert context.deployment.dump_control(name)["leader"], name
+
+
 @when("an operator removes {name} and adds it")
 def remove_and_add(context, name):
     context.deployment.operate("/v1/member-remove", {"name": name})
