Let control VMs with slow disks elect and keep a leader

Callers saw: while a sync of the disks took 0.4 s or more, a control group had no leader. Changes were refused with 503, entries lost their leases and refused requests with "this entry can't confirm its settings".

Cause: a VM does nothing else while it writes, and no timeout allowed for it. A candidate waited 300 ms for a vote that is written first; a voter's election timeout counted from before its write; a new leader synced before it sent its first entry; a leader stepped down after a long write of its own or of its followers; votes that came late were dropped.

Evidence: three VMs whose syncs took 0.4 to 1.2 s had no leader for over 160 s (each step logged as "slow disk").

Change: the time of a write is excluded from the election timeout; a candidate waits while it can still win, and late votes count; a new leader sends before it syncs; replies tell the slowest recent write, by which leaders, requests and operators' calls wait longer; a vote is written once instead of twice. Timeouts with fast disks are unchanged.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -26,6 +26,8 @@
 ENTRIES = "entries"
 ZONES = ("brest", "vannes", "rennes")
 START_TIMEOUT_S = 60.0
+# Programs with this folder in their path have a `sitecustomize` for slow disks.
+SLOW_DISK = pathlib.Path(__file__).parent / "slow_disk"
 # How many lines of each log are shown when a test gets no answer.
 LAST_LINES = 12
 _nets = itertools.count(os.getpid() % 200)
@@ -116,7 +118,7 @@
         )
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cardamomkeel.platform", self.role],
-            env={**os.environ, "CARDAMOMKEEL_NODE_FILE": str(path)},
+            env=self._make_environment(path),
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
         )
@@ -127,6 +129,17 @@
         self._limit_files()
         self.bootstrap = False
 
+    def _make_environment(self, path):
+        env = {**os.environ, "CARDAMOMKEEL_NODE_FILE": str(path)}
+        if self.fleet.can_slow_disks:
+            env["PYTHONPATH"] = str(SLOW_DISK)
+            env["SLOW_DISK_FILE"] = str(self.folder / SLOW_DISK.name)
+        return env
+
+    def slow_disk(self, least_ms, most_ms):
+        """Makes each sync of the program's disk take longer, at random."""
+        (self.folder / SLOW_DISK.name).write_text(f"{least_ms} {most_ms}")
+
     def _copy_log(self, output):
         with output, open(self.folder / "log", "ab", buffering=0) as log:
             while data := output.read1():
@@ -177,10 +190,19 @@
         relays: Relays between entries and backend servers; None for direct
             connections.
         limits: The resource limits that the settings files name.
+        can_slow_disks: Whether `Vm.slow_disk` may be called.
     """
 
-    def __init__(self, fronts=2, cores=3, relayed=False, limits=None):
+    def __init__(
+        self,
+        fronts=2,
+        cores=3,
+        relayed=False,
+        limits=None,
+        can_slow_disks=False,
+    ):
         self.limits = limits or {}
+        self.can_slow_disks = can_slow_disks
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
         self.net = f"127.{10 + next(_nets) % 200}.{secrets.randbelow(250)}"
         self.port = 20000 + secrets.randbelow(8000)
--- a/features/log_replication.feature
+++ b/features/log_replication.feature
@@ -99,3 +99,35 @@
     Given a group of replicas control-1 control-2 control-3
     When the other replicas restart in turn, 20 times
     Then the same leader still leads in the same term
+
+  Scenario: The election timeout counts from the end of a slow write
+    # Guards against a voter that campaigns at once since its vote was written
+    # for longer than an election takes.
+    Given a group of replicas control-1 control-2 control-3
+    When a follower votes and needs 2000 ms to write that
+    Then it does not campaign within 500 ms of the end of the write
+
+  Scenario: A candidate waits for votes that are written slowly
+    Given a group of replicas control-1 control-2 control-3
+    When the votes for a candidate arrive 2000 ms after its requests
+    Then it leads in the term of these votes
+
+  Scenario: A candidate that can't win any more campaigns again soon
+    Given a group of replicas control-1 control-2 control-3
+    When the votes for a candidate are refused
+    Then it campaigns again within 1200 ms
+
+  Scenario: A late vote counts while the candidate prepares another campaign
+    Given a group of replicas control-1 control-2 control-3
+    When one vote for a candidate is refused, and the other one is late
+    Then it leads in the term of these votes
+
+  Scenario: A leader waits longer for followers that write slowly
+    Given a group of replicas control-1 control-2 control-3
+    When the followers report writes of 1000 ms and are silent for 1500 ms
+    Then it is still the leader
+
+  Scenario: A leader waits no longer for followers that write fast
+    Given a group of replicas control-1 control-2 control-3
+    When the followers report writes of 0 ms and are silent for 1500 ms
+    Then it is no longer the leader
--- a/features/replicas.py
+++ b/features/replicas.py
@@ -108,6 +108,8 @@
             if handler == "handle_vote":
                 for vote in requester.on_vote_reply(self.now, req, reply):
                     self._request(sender, vote.to, handler, vote)
+                # A new leader leaves the sync of its first entry to the caller.
+                requester.sync()
             elif handler == "handle_append":
                 requester.on_append_reply(self.now, req, sent_at, reply)
             else:
--- a/features/steps/control_repair.py
+++ b/features/steps/control_repair.py
@@ -13,6 +13,8 @@
 SPARE_BYTES = 50_000
 # How long a control VM runs on a disk that is still full.
 FULL_S = 2.0
+ENDING_S = 1.0
+LAST_LINES = 20
 
 
 def control_process(context, name):
@@ -168,13 +170,24 @@
         time.sleep(FULL_S)
         if process.is_running():
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
-        else:
+            # It may be ending since a write failed before.
+            time.sleep(ENDING_S)
+        if not process.is_running():
             process.start()
-        deployment_lib.wait_for(
-            lambda name=name: deployment.dump_control(name).get("leader"),
-            10,
-            f"{name} follows a leader",
-        )
+        try:
+            deployment_lib.wait_for(
+                lambda name=name: deployment.dump_control(name).get("leader"),
+                10,
+                f"{name} follows a leader",
+            )
+        except TimeoutError as exc:
+            raise TimeoutError(f"{exc}\n{read_end(process)}") from exc
+
+
+def read_end(process):
+    """Returns whether a process runs, and its last lines of the log."""
+    lines = process.log.read_text().splitlines()[-LAST_LINES:]
+    return "\n".join([f"running: {process.is_running()}", *lines])
 
 
 @then("every control VM runs and follows a leader")
--- a/features/steps/log_replication.py
+++ b/features/steps/log_replication.py
@@ -544,3 +544,119 @@
 def check_undisturbed(context):
     assert context.group.leader() is context.leader
     assert context.leader.term == context.term
+
+
+@when("a follower votes and needs {ms:d} ms to write that")
+def vote_slowly(context, ms):
+    group = context.group
+    name = get_follower_name(context)
+    context.voter = group.replicas[name]
+    # Its leader has been silent for an election.
+    group.now += election_timer.Timings().election_most_ms
+    req = make_vote_request(context, context.voter.id, "control-9")
+    assert context.voter.handle_vote(group.now, req).granted
+    group.now += ms
+    context.voter.record_write(group.now, ms)
+
+
+@then("it does not campaign within {ms:d} ms of the end of the write")
+def check_no_campaign(context, ms):
+    until = context.group.now + ms
+    while context.group.now < until:
+        assert not context.voter.tick(context.group.now)
+        context.group.now += replicas.STEP_MS
+
+
+def start_campaign(context):
+    """Lets a follower win its pre-vote; sets its vote requests."""
+    group = context.group
+    candidate = group.replicas[get_follower_name(context)]
+    context.candidate = candidate
+    pre_votes = []
+    while not pre_votes:
+        group.now += replicas.STEP_MS
+        pre_votes = candidate.tick(group.now)
+    reply = control_pb2.VoteReply(term=candidate.term, granted=True)
+    for req in pre_votes:
+        votes = candidate.on_vote_reply(group.now, req, reply)
+        context.votes = votes or getattr(context, "votes", [])
+    context.campaign_term = candidate.term
+    assert len(context.votes) == len(pre_votes), context.votes
+
+
+def answer_vote(context, req, granted):
+    reply = control_pb2.VoteReply(term=context.campaign_term, granted=granted)
+    return context.candidate.on_vote_reply(context.group.now, req, reply)
+
+
+def tick_candidate(context, ms):
+    """Returns the vote requests that a candidate sends within a time."""
+    sent = []
+    until = context.group.now + ms
+    while context.group.now < until and not sent:
+        context.group.now += replicas.STEP_MS
+        sent = context.candidate.tick(context.group.now)
+    return sent
+
+
+@when("the votes for a candidate arrive {ms:d} ms after its requests")
+def delay_votes(context, ms):
+    start_campaign(context)
+    assert not tick_candidate(context, ms)
+    for req in context.votes:
+        answer_vote(context, req, granted=True)
+
+
+@when("the votes for a candidate are refused")
+def refuse_votes(context):
+    start_campaign(context)
+    for req in context.votes:
+        answer_vote(context, req, granted=False)
+
+
+@when("one vote for a candidate is refused, and the other one is late")
+def refuse_one_vote(context):
+    start_campaign(context)
+    refused, late = context.votes
+    answer_vote(context, refused, granted=False)
+    failed = context.candidate.on_vote_failure
+    failed(context.group.now, late)
+    assert tick_candidate(context, 1200), "no further campaign"
+    answer_vote(context, late, granted=True)
+
+
+@then("it leads in the term of these votes")
+def check_leads(context):
+    assert context.candidate.is_leader
+    assert context.candidate.term == context.campaign_term
+
+
+@then("it campaigns again within {ms:d} ms")
+def check_campaigns_again(context, ms):
+    assert tick_candidate(context, ms)
+
+
+@when(
+    "the followers report writes of {write_ms:d} ms and are silent for "
+    "{ms:d} ms"
+)
+def stop_answering(context, write_ms, ms):
+    group, leader = context.group, context.leader
+    for member in list(leader.followers):
+        req = leader.make_append_request(group.now, member)
+        reply = control_pb2.AppendReply(
+            term=leader.term,
+            accepted=True,
+            match_index=leader.log.last_index,
+            slow_write_ms=write_ms,
+        )
+        leader.on_append_reply(group.now, req, group.now, reply)
+    until = group.now + ms
+    while group.now < until:
+        group.now += replicas.STEP_MS
+        leader.tick(group.now)
+
+
+@then("it is no longer the leader")
+def check_stepped_down(context):
+    assert not context.leader.is_leader
--- /dev/null
+++ b/features/steps/slow_disks.py
@@ -0,0 +1,77 @@
+"""Steps about control VMs whose disks are slow."""
+
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import platform as platform_lib
+
+LEADS = "became leader"
+
+
+@given("{count:d} control VMs that have accepted a change")
+def start_fleet(context, count):
+    context.fleet = platform_lib.Fleet(
+        fronts=0, cores=count, can_slow_disks=True
+    )
+    context.add_cleanup(context.fleet.close)
+    context.fleet.start()
+    context.number = 0
+    send_changes(context, 1)
+
+
+@given("each sync of their disks takes {least_ms:d} to {most_ms:d} ms")
+def slow_down(context, least_ms, most_ms):
+    for vm in context.fleet.cores:
+        vm.slow_disk(least_ms, most_ms)
+    context.elections = len(find_elections(context))
+
+
+def find_elections(context):
+    """Returns when each leader was elected, and its VM."""
+    return sorted(
+        (json.loads(line)["time"], vm.name)
+        for vm in context.fleet.cores
+        for line in vm.log().splitlines()
+        if LEADS in line
+    )
+
+
+@when("{count:d} changes are sent, one after another")
+def send_changes(context, count):
+    context.got = []
+    for _ in range(count):
+        context.number += 1
+        config = platform_lib.make_config(context.number, context.number - 1)
+        context.got.append(
+            context.fleet.call_control("PUT", "/-/config", config)
+        )
+
+
+@when("the leader is killed")
+def kill_leader(context):
+    _, name = find_elections(context)[-1]
+    [leader] = [vm for vm in context.fleet.cores if vm.name == name]
+    leader.kill()
+
+
+@when("all of them are killed and start again")
+def restart_all(context):
+    for vm in context.fleet.cores:
+        vm.kill()
+    for vm in context.fleet.cores:
+        vm.start()
+
+
+@then("each is accepted within 20 s")
+def check_accepted(context):
+    # The calls raise an error after this time.
+    assert all(got.status_code == 200 for got in context.got), context.got
+
+
+@then("at most {count:d} leaders have been elected since")
+def check_elections(context, count):
+    elections = find_elections(context)[context.elections :]
+    assert len(elections) <= count, elections
--- a/src/cardamomkeel/control/group_calls.py
+++ b/src/cardamomkeel/control/group_calls.py
@@ -21,6 +21,8 @@
 # How long to wait for the answer of the leader.
 ATTEMPT_MS = 800.0
 RETRY_PAUSE_MS = 30.0
+# How much longer both may take while disks are slow.
+MAX_WRITE_ALLOWANCE_MS = 1000.0
 
 
 class GroupCalls:
@@ -48,9 +50,10 @@
 
         Returns:
             The result of `run_locally`, the reply of the leader, or None after
-            `TIMEOUT_MS`.
+            `TIMEOUT_MS` and what slow disks need.
         """
-        with anyio.move_on_after(clock.seconds(TIMEOUT_MS)):
+        timeout_ms = TIMEOUT_MS + self._get_write_allowance_ms()
+        with anyio.move_on_after(clock.seconds(timeout_ms)):
             while True:
                 if self._node.replica.is_ready:
                     outcome = await run_locally()
@@ -63,11 +66,16 @@
                 await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
         return None
 
+    def _get_write_allowance_ms(self) -> clock.Millis:
+        allowance_ms = self._node.replica.write_allowance_ms(self._clock.now())
+        return min(MAX_WRITE_ALLOWANCE_MS, allowance_ms)
+
     async def _call_leader(
         self, address: str, method: str, req: typing.Any
     ) -> typing.Any:
+        timeout_ms = ATTEMPT_MS + self._get_write_allowance_ms()
         reply = await self._channels.call(
-            address, control_grpc.ControlStub, method, req, ATTEMPT_MS
+            address, control_grpc.ControlStub, method, req, timeout_ms
         )
         if not isinstance(reply, result.Success):
             return None
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -37,7 +37,7 @@
 SEND_YIELDS = 3
 # Pause after a second failure to reach a member, less than a heartbeat.
 RETRY_PAUSE_MS = 100.0
-# A write to the disk that takes longer may cost an election.
+# A write to the disk that takes longer is logged.
 SLOW_DISK_MS = 300.0
 # The slowest link that a request of any length is sent over in time.
 SLOWEST_BYTES_PER_MS = 2000.0
@@ -92,6 +92,8 @@
         self._uncommitted: dict[int, tuple[int, _PendingCommand]] = {}
         self._has_pending = signal.Signal()
         self._send_due = signal.Signal()
+        # Notified when the time of the next campaign may be earlier.
+        self._timer_set = signal.Signal()
         self._senders: set[str] = set()
         self._was_ready = False
         self._handing_over = False
@@ -255,7 +257,7 @@
         Raises:
             StorageFailedError: The disk failed to store the state.
         """
-        with self._end_on_storage_failure(), self._report_slow_disk():
+        with self._end_on_storage_failure(), self._watch_disk():
             reply = handler(self._clock.now(), req)
             self.apply_committed()
         return reply
@@ -266,18 +268,20 @@
         Raises:
             StorageFailedError: The disk failed to store the change.
         """
-        with self._end_on_storage_failure():
+        with self._end_on_storage_failure(), self._watch_disk():
             index = self.replica.propose_members(changed)
             if index is not None:
                 self.apply_committed()
         return index
 
     @contextlib.contextmanager
-    def _report_slow_disk(self) -> collections.abc.Iterator[None]:
-        """Logs that a step which writes to the disk took long."""
+    def _watch_disk(self) -> collections.abc.Iterator[None]:
+        """Excludes a step that writes to the disk from the timeouts."""
         started_at = self._clock.now()
         yield
-        took_ms = self._clock.now() - started_at
+        now = self._clock.now()
+        took_ms = now - started_at
+        self.replica.record_write(now, took_ms)
         if took_ms >= SLOW_DISK_MS:
             logger.warning("slow disk", took_ms=round(took_ms))
 
@@ -311,31 +315,56 @@
     async def _run_timers(self) -> None:
         while True:
             now = self._clock.now()
-            with self._report_slow_disk():
-                requests = self.replica.tick(now)
-            for req in requests:
-                self._start_task(self._request_vote, req)
+            await self._advance_election(self.replica.tick, now)
+            wait_ms = max(1.0, self.replica.next_tick_at(now) - now)
+            await self._timer_set.wait(clock.seconds(wait_ms))
+
+    async def _advance_election(self, step: typing.Callable, *args) -> None:
+        """Runs a step of the replica and what it asks for.
+
+        Args:
+            step: A method of the replica that returns vote requests.
+            *args: The arguments of the method.
+        """
+        was_leader = self.replica.is_leader
+        with self._watch_disk():
+            requests = step(*args)
             self.apply_committed()
-            self._start_senders()
-            wake_at = self.replica.next_tick_at(now)
-            await anyio.sleep(clock.seconds(max(1.0, wake_at - now)))
+        for req in requests:
+            self._start_task(self._request_vote, req)
+        self._start_senders()
+        if self.replica.is_leader and not was_leader:
+            await self._sync_after_sending()
 
     def _start_task(self, func: typing.Callable, *args) -> None:
         if self._tasks is not None:
             self._tasks.start_soon(func, *args)
 
     async def _request_vote(self, req: control_pb2.VoteRequest) -> None:
-        reply = await self._call_member(
-            req.to, "Vote", req, self._timings.election_least_ms
+        # A pre-vote is not written to the disk.
+        timeout_ms = (
+            self._timings.election_least_ms
+            if req.pre_vote
+            else self._timings.vote_wait_ms
         )
-        if not isinstance(reply, result.Success):
-            return
+        reply = await self._call_member(req.to, "Vote", req, timeout_ms)
         now = self._clock.now()
-        follow_up = self.replica.on_vote_reply(now, req, reply.unwrap())
-        for vote in follow_up:
-            self._start_task(self._request_vote, vote)
-        self.apply_committed()
-        self._start_senders()
+        if isinstance(reply, result.Success):
+            await self._advance_election(
+                self.replica.on_vote_reply, now, req, reply.unwrap()
+            )
+        else:
+            self.replica.on_vote_failure(now, req)
+        self._timer_set.notify()
+
+    async def _sync_after_sending(self) -> None:
+        """Syncs new entries once they are on their way to the others."""
+        self._send_due.notify()
+        for _ in range(SEND_YIELDS):
+            await anyio.sleep(0)
+        with self._watch_disk():
+            self.replica.sync()
+            self.apply_committed()
 
     async def _call_member(
         self,
@@ -443,12 +472,14 @@
             req = replica.make_append_request(now, member)
             method, handle = "Append", replica.on_append_reply
             timeout_ms = self._append_timeout_ms(failures)
+        timeout_ms += replica.write_allowance_ms(now)
         timeout_ms += req.ByteSize() / SLOWEST_BYTES_PER_MS
         reply = await self._call_member(member, method, req, timeout_ms)
         if not isinstance(reply, result.Success):
             return False
-        handle(self._clock.now(), req, now, reply.unwrap())
-        self.apply_committed()
+        with self._watch_disk():
+            handle(self._clock.now(), req, now, reply.unwrap())
+            self.apply_committed()
         self.member_acked.notify()
         return True
 
@@ -510,13 +541,7 @@
             for offset, pending in enumerate(batch):
                 index = span[0] + offset
                 self._uncommitted[index] = (self.replica.term, pending)
-            # Followers are sent the entries before the local disk syncs them.
-            self._send_due.notify()
-            for _ in range(SEND_YIELDS):
-                await anyio.sleep(0)
-            with self._report_slow_disk():
-                self.replica.sync()
-                self.apply_committed()
+            await self._sync_after_sending()
             await anyio.sleep(0)
 
     async def confirm_leadership(self, since: clock.Millis) -> bool:
--- a/src/cardamomkeel/log_lines/control.py
+++ b/src/cardamomkeel/log_lines/control.py
@@ -120,9 +120,9 @@
         "slow disk",
         kinds.WARNING,
         ("took_ms",),
-        "A write to the disk took so long that this VM may lose its leader or"
-        " its place as leader; it does nothing else meanwhile. A VM that did"
-        " not run for this time says the same.",
+        "A write to the disk took long; this VM does nothing else meanwhile,"
+        " and elections wait longer for it. A VM that did not run for this"
+        " time says the same.",
     ),
     kinds.Kind(
         "disk failed",
--- a/src/cardamomkeel/replication/election_timer.py
+++ b/src/cardamomkeel/replication/election_timer.py
@@ -17,6 +17,11 @@
 # Each voter adds this times its position to either delay, so that two seldom
 # campaign at the same time.
 POSITION_STEP_HEARTBEATS = 0.5
+# How long a candidate waits for votes, in election timeouts. A voter writes its
+# vote to the disk before it answers.
+VOTE_WAIT_TIMEOUTS = 5
+# The random part of the pause after a lost campaign, in writes to a slow disk.
+MAX_RETRY_WRITES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,6 +32,11 @@
     election_least_ms: clock.Millis = 600.0
     election_most_ms: clock.Millis = 1200.0
 
+    @property
+    def vote_wait_ms(self) -> clock.Millis:
+        """How long a candidate waits for the votes of others."""
+        return VOTE_WAIT_TIMEOUTS * self.election_most_ms
+
 
 class ElectionTimer:
     """The time of the next campaign of one replica.
@@ -47,6 +57,7 @@
         # Campaigns that failed since the timer was last reset.
         self._failed_campaigns = 0
         self.due_at: clock.Millis = float("inf")
+        self._planned_at: clock.Millis = float("inf")
 
     def start(self, now: clock.Millis, position: int) -> None:
         """Sets the first, short timeout after the start of the replica.
@@ -64,13 +75,43 @@
             FIRST_CAMPAIGN_MAX_HEARTBEATS,
         )
 
-    def reset(self, now: clock.Millis) -> None:
-        """Restarts the timer with a full random timeout."""
+    def reset(self, now: clock.Millis, write_ms: clock.Millis = 0.0) -> None:
+        """Restarts the timer with a full random timeout.
+
+        Args:
+            now: The time.
+            write_ms: How long a write to the disk may take.
+        """
         self._failed_campaigns = 0
-        self.due_at = now + self._rng.uniform(
-            self._timings.election_least_ms, self._timings.election_most_ms
+        self._planned_at = float("inf")
+        self.due_at = (
+            now
+            + write_ms
+            + self._rng.uniform(
+                self._timings.election_least_ms, self._timings.election_most_ms
+            )
         )
 
+    def wait_for_votes(self, now: clock.Millis) -> None:
+        """Postpones the next campaign while votes are being written."""
+        self._planned_at = self.due_at
+        self.due_at = now + self._timings.vote_wait_ms
+
+    def stop_waiting(self, write_ms: clock.Millis) -> None:
+        """Restores the time before `wait_for_votes`.
+
+        Args:
+            write_ms: How long a write to the disk may take. Candidates whose
+                votes crossed would otherwise campaign together again.
+        """
+        delay_ms = self._rng.uniform(0.0, MAX_RETRY_WRITES * write_ms)
+        self.due_at = min(self.due_at, self._planned_at + delay_ms)
+
+    def postpone(self, ms: clock.Millis) -> None:
+        """Excludes a time in which the replica could do nothing."""
+        self.due_at += ms
+        self._planned_at += ms
+
     def plan_next_campaign(self, now: clock.Millis, position: int) -> None:
         """Sets the timer for the next campaign if the one that starts fails.
 
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -18,8 +18,13 @@
 from cardamomkeel.replication import log as log_lib
 from cardamomkeel.replication import members as members_lib
 from cardamomkeel.replication import storage as storage_lib
+from cardamomkeel.replication import write_delay
 from cardamomkeel.wire import control_pb2
 
+# An entry is acknowledged after a write of the member, which may have to wait
+# for a write of the leader.
+WRITES_PER_ACK = 2
+
 
 class Role(enum.Enum):
     """The role of a replica in its group."""
@@ -57,8 +62,12 @@
         self._storage = storage
         self._timings = timings
         self._voted_for = stored.hard_state.voted_for
+        self._pre_votes: set[str] = set()
+        # The votes of this term. They count while this replica prepares its
+        # next campaign as well: some are written for long.
         self._votes: set[str] = set()
-        self._campaign_term = 0
+        # Voters that are likely to answer, while a candidate waits for them.
+        self._awaited: set[str] = set()
         self._term_start = 0
         self._leader_since = now
         self.id = stored.hard_state.member_id
@@ -72,6 +81,10 @@
         self.members = self.log.find_members()
         self.followers = followers_lib.Followers(self.id, self.log)
         self._leader_seen_at = float("-inf")
+        self._own_writes, self._others_writes = (
+            write_delay.WriteDelay(timings.heartbeat_ms, timings.vote_wait_ms)
+            for _ in range(2)
+        )
         self._election_timer = election_timer.ElectionTimer(timings, rng)
         self._election_timer.start(now, self._get_position())
 
@@ -126,11 +139,29 @@
         if now < self._election_timer.due_at or not self.is_voter:
             return []
         self._election_timer.plan_next_campaign(now, self._get_position())
-        return self._start_campaign(now, pre_vote=True)
+        return self._start_pre_vote(now)
+
+    def record_write(self, now: clock.Millis, took_ms: clock.Millis) -> None:
+        """Excludes the time of a write to the disk from the timeouts.
+
+        Args:
+            now: The time at which the write ended.
+            took_ms: How long it took, and nothing else was done.
+        """
+        self._own_writes.record(now, took_ms)
+        self._election_timer.postpone(took_ms)
+
+    def write_allowance_ms(self, now: clock.Millis) -> clock.Millis:
+        """Returns how much longer members may take because of slow disks."""
+        return max(
+            self._own_writes.recent_ms(now), self._others_writes.recent_ms(now)
+        )
 
     def _check_quorum(self, now: clock.Millis) -> None:
         """Steps down without recent contact to a majority."""
-        oldest_ack_at = now - self._timings.election_least_ms
+        patience_ms = self._timings.election_least_ms
+        patience_ms += WRITES_PER_ACK * self.write_allowance_ms(now)
+        oldest_ack_at = now - patience_ms
         if max(self.quorum_acked_at(now), self._leader_since) < oldest_ack_at:
             self._become_follower(now, self.term, "")
 
@@ -165,28 +196,54 @@
         self.role = Role.FOLLOWER if self.is_voter else Role.LEARNER
         self.leader = leader
         self.followers.clear()
-        self._election_timer.reset(now)
+        self._votes = set()
+        self._reset_election_timer(now)
+
+    def _reset_election_timer(self, now: clock.Millis) -> None:
+        self._election_timer.reset(now, self._own_writes.recent_ms(now))
 
-    def _start_campaign(
-        self, now: clock.Millis, pre_vote: bool, is_transfer: bool = False
+    def _has_majority(self, votes: set[str]) -> bool:
+        counted = votes & set(members_lib.voters(self.members))
+        return len(counted) >= members_lib.quorum(self.members)
+
+    def _start_pre_vote(
+        self, now: clock.Millis
+    ) -> list[control_pb2.VoteRequest]:
+        """Asks the other voters whether they would vote for this replica."""
+        self.leader = ""
+        self.role = Role.PRE_CANDIDATE
+        self._pre_votes = {self.id}
+        if self._has_majority(self._pre_votes):
+            return self._start_election(now)
+        return self._make_vote_requests(self.term + 1, pre_vote=True)
+
+    def _start_election(
+        self, now: clock.Millis, is_transfer: bool = False
     ) -> list[control_pb2.VoteRequest]:
+        """Starts a new term and requests the votes of the other voters.
+
+        The caller has to call `sync` if that makes this replica the leader.
+        """
         self.leader = ""
-        self.role = Role.PRE_CANDIDATE if pre_vote else Role.CANDIDATE
-        if not pre_vote:
-            self._save_hard_state(self.term + 1, self.id)
-        self._campaign_term = self.term + 1 if pre_vote else self.term
+        self.role = Role.CANDIDATE
+        self._save_hard_state(self.term + 1, self.id)
         self._votes = {self.id}
-        if len(self._votes) >= members_lib.quorum(self.members):
-            return self._handle_majority(now)
+        if self._has_majority(self._votes):
+            self._become_leader(now)
+            return []
+        return self._make_vote_requests(self.term, handed_over=is_transfer)
+
+    def _make_vote_requests(
+        self, term: int, **kind: bool
+    ) -> list[control_pb2.VoteRequest]:
         return [
             control_pb2.VoteRequest(
                 to=voter,
                 candidate=self.id,
-                term=self._campaign_term,
+                term=term,
                 last_index=self.log.last_index,
                 last_term=self.log.last_term,
-                pre_vote=pre_vote,
-                handed_over=is_transfer,
+                **kind,
             )
             for voter in members_lib.voters(self.members)
             if voter != self.id
@@ -220,15 +277,10 @@
         expected = (self.id, self.leader, self.term)
         if (req.to, req.leader, req.term) != expected or not self.is_voter:
             return []
-        self._election_timer.reset(now)
-        return self._start_campaign(now, pre_vote=False, is_transfer=True)
+        self._reset_election_timer(now)
+        return self._start_election(now, is_transfer=True)
 
-    def _handle_majority(
-        self, now: clock.Millis
-    ) -> list[control_pb2.VoteRequest]:
-        """Starts the election after a won pre-vote, or becomes the leader."""
-        if self.role is Role.PRE_CANDIDATE:
-            return self._start_campaign(now, pre_vote=False)
+    def _become_leader(self, now: clock.Millis) -> None:
         self.role = Role.LEADER
         self.leader = self._last_leader = self.id
         self._leader_since = now
@@ -236,8 +288,6 @@
         self.followers.track(self.members)
         self._term_start = self.log.last_index + 1
         self._append_as_leader([control_pb2.LogEntry(noop=True)])
-        self.sync()
-        return []
 
     def handle_vote(
         self, now: clock.Millis, req: control_pb2.VoteRequest
@@ -245,14 +295,21 @@
         """Grants or refuses a vote."""
         reason = self._refuse_vote(now, req)
         if not reason and not req.pre_vote:
-            if req.term > self.term:
+            is_newer = req.term > self.term
+            self._save_hard_state(req.term, req.candidate)
+            if is_newer:
                 self._become_follower(now, req.term, "")
-            self._save_hard_state(self.term, req.candidate)
-            self._election_timer.reset(now)
+            self._reset_election_timer(now)
         return control_pb2.VoteReply(
-            term=self.term, granted=not reason, reason=reason
+            term=self.term,
+            granted=not reason,
+            reason=reason,
+            slow_write_ms=self._get_slow_write_ms(now),
         )
 
+    def _get_slow_write_ms(self, now: clock.Millis) -> int:
+        return int(self._own_writes.recent_ms(now))
+
     def _refuse_vote(
         self, now: clock.Millis, req: control_pb2.VoteRequest
     ) -> str:
@@ -283,20 +340,50 @@
         req: control_pb2.VoteRequest,
         reply: control_pb2.VoteReply,
     ) -> list[control_pb2.VoteRequest]:
-        """Counts a vote and returns the requests of the next round, if any."""
+        """Counts a vote and returns the requests of the next round, if any.
+
+        The caller has to call `sync` if this replica has become the leader.
+        """
+        self._others_writes.record(now, reply.slow_write_ms)
         if reply.term > self.term and not reply.granted:
             self._become_follower(now, reply.term, "")
             return []
-        expected_role = Role.PRE_CANDIDATE if req.pre_vote else Role.CANDIDATE
-        if self.role is not expected_role or req.term != self._campaign_term:
+        if not self._is_vote_open(req):
             return []
         if not reply.granted:
+            self.on_vote_failure(now, req)
+            return []
+        votes = self._pre_votes if req.pre_vote else self._votes
+        votes.add(req.to)
+        if not self._has_majority(votes):
             return []
-        self._votes.add(req.to)
-        counted = self._votes & set(members_lib.voters(self.members))
-        if len(counted) < members_lib.quorum(self.members):
+        if not req.pre_vote:
+            self._become_leader(now)
             return []
-        return self._handle_majority(now)
+        requests = self._start_election(now)
+        # The other voters may be down.
+        self._awaited = self._pre_votes - {self.id}
+        self._election_timer.wait_for_votes(now)
+        return requests
+
+    def _is_vote_open(self, req: control_pb2.VoteRequest) -> bool:
+        """Returns whether the answer to a vote request still counts."""
+        if req.pre_vote:
+            is_open = self.role is Role.PRE_CANDIDATE
+            return is_open and req.term == self.term + 1
+        is_open = self.role in (Role.CANDIDATE, Role.PRE_CANDIDATE)
+        return is_open and req.term == self.term and self.id in self._votes
+
+    def on_vote_failure(
+        self, now: clock.Millis, req: control_pb2.VoteRequest
+    ) -> None:
+        """Stops waiting for votes once those that may come are too few."""
+        is_open = self.role is Role.CANDIDATE and req.term == self.term
+        if req.pre_vote or not is_open:
+            return
+        self._awaited.discard(req.to)
+        if not self._has_majority(self._votes | self._awaited):
+            self._election_timer.stop_waiting(self._own_writes.recent_ms(now))
 
     # Leader.
 
@@ -395,6 +482,7 @@
         progress = self._record_ack(now, req, sent_at, reply)
         if progress is None:
             return
+        self._others_writes.record(now, reply.slow_write_ms)
         if reply.accepted:
             progress.record_match(reply.match_index, self.log.last_index)
             self._advance_commit()
@@ -493,6 +581,13 @@
         if req.term < self.term:
             return control_pb2.AppendReply(term=self.term)
         self._accept_leader(now, req.term, req.leader)
+        reply = self._store_entries(req)
+        reply.slow_write_ms = self._get_slow_write_ms(now)
+        return reply
+
+    def _store_entries(
+        self, req: control_pb2.AppendRequest
+    ) -> control_pb2.AppendReply:
         if req.previous_index < self.log.snapshot.index:
             # Every leader has all committed entries, so both logs match up
             # to the commit index.
