--- a/src/cardamomkeel/control/group_calls.py
+++ b/src/cardamomkeel/control/group_calls.py
@@ -21,7 +21,7 @@
 # How long to wait for the answer of the leader.
 ATTEMPT_MS = 800.0
 RETRY_PAUSE_MS = 30.0
-# How much longer both may take while disks are slow.
+# By how much slow disks may extend `TIMEOUT_MS` and `ATTEMPT_MS`.
 MAX_WRITE_ALLOWANCE_MS = 1000.0
 
 
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -162,7 +162,7 @@
         return WRITES_PER_ACK * self.write_allowance_ms(now)
 
     def _oldest_ack_at(self, now: clock.Millis) -> clock.Millis:
-        """Returns when the last request to a live member was sent at least."""
+        """Returns the earliest time of a request that shows a member live."""
         return now - self._timings.election_least_ms - self.ack_delay_ms(now)
 
     def _check_quorum(self, now: clock.Millis) -> None:
@@ -367,7 +367,7 @@
             self._become_leader(now)
             return []
         requests = self._start_election(now)
-        # The other voters may be down.
+        # Voters that have not answered the pre-vote may be down.
         self._awaited = self._pre_votes - {self.id}
         self._election_timer.wait_for_votes(now)
         return requests
