--- a/features/steps/control_repair.py
+++ b/features/steps/control_repair.py
@@ -13,7 +13,6 @@
 SPARE_BYTES = 50_000
 # How long a control VM runs on a disk that is still full.
 FULL_S = 2.0
-ENDING_S = 1.0
 LAST_LINES = 20
 
 
@@ -170,9 +169,7 @@
         time.sleep(FULL_S)
         if process.is_running():
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
-            # It may be ending since a write failed before.
-            time.sleep(ENDING_S)
-        if not process.is_running():
+        else:
             process.start()
         try:
             deployment_lib.wait_for(
