--- a/features/steps/slow_disks.py
+++ b/features/steps/slow_disks.py
@@ -48,12 +48,8 @@
 
 def find_elections(context):
     """Returns when each leader was elected, and its VM."""
-    return sorted(
-        (json.loads(line)["time"], vm.name)
-        for vm in context.fleet.cores
-        for line in vm.log().splitlines()
-        if LEADS in line
-    )
+    elections = map(json.loads, find_lines(context, LEADS))
+    return sorted((row["time"], row["process_name"]) for row in elections)
 
 
 @when("{count:d} changes are sent, one after another")
