Allow for both requests when a member with a slow disk counts as silent

Cause: the leader judges by the time at which it sent the last acknowledged request, and allowed two writes for the answer. That answer waits for a write of the member and one of the leader; the next request is sent only then, and its answer waits for two writes more.

Evidence: with the silence logged, a removed member had acknowledged a request sent 2,316 ms before; the slowest write took 851 ms, so that 2,302 ms were allowed. In between lay a sync of the leader, a write of the member and another sync of the leader.

Change: four writes are allowed. The same allowance keeps a leader from stepping down, which takes longer now while writes are slow; with fast disks it is 0 as before.

--- a/features/log_replication.feature
+++ b/features/log_replication.feature
@@ -127,6 +127,13 @@
     When the followers report writes of 1000 ms and are silent for 1500 ms
     Then it is still the leader
 
+  Scenario: A leader waits for the request after the last acknowledged one
+    # Guards against the removal of a live voter: its last acknowledgement and
+    # the next one each waited for a write of both.
+    Given a group of replicas control-1 control-2 control-3
+    When the followers report writes of 1000 ms and are silent for 4500 ms
+    Then it is still the leader
+
   Scenario: A leader waits no longer for followers that write fast
     Given a group of replicas control-1 control-2 control-3
     When the followers report writes of 0 ms and are silent for 1500 ms
--- a/src/cardamomkeel/replication/replica.py
+++ b/src/cardamomkeel/replication/replica.py
@@ -21,9 +21,10 @@
 from cardamomkeel.replication import write_delay
 from cardamomkeel.wire import control_pb2
 
-# An entry is acknowledged after a write of the member, which may have to wait
-# for a write of the leader.
-WRITES_PER_ACK = 2
+# An acknowledgement takes a write of the member, and is read after a write of
+# the leader. The request after the last acknowledged one is sent only then, and
+# takes as long.
+WRITES_PER_ACK = 4
 
 
 class Role(enum.Enum):
