Answer changes that take longer to commit than a client waits

What callers saw: with disks whose syncs take about a second, operators' changes got 503 from every control VM for as long as that lasted, though a leader was in office and committed.

Cause: a client sends a command again after 1 s without an answer, and the leader appended it once more each time; a commit that took longer was never answered. The leader also synced without a pause, and does nothing else during a sync, so that each step of a message waited for one.

Change: a command that is sent again before it is committed waits for the first one; a client waits twice as long for a control VM after each timeout; after a sync longer than a heartbeat the leader handles messages for as long before the next batch. With fast disks nothing changes but the first. A failed scenario prints what control VMs logged about slow disks and elections.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -23,6 +23,8 @@
 CONTROL = "cardamomkeel.daemons.control"
 ENTRY = "cardamomkeel.daemons.entry"
 HOST = "127.0.0.1"
+# Programs with this folder in their path have a `sitecustomize` for slow disks.
+SLOW_DISK = pathlib.Path(__file__).parent / "slow_disk"
 # Generous, for a busy machine; tests check no guarantee with it.
 START_TIMEOUT_S = 60.0
 
@@ -146,10 +148,17 @@
 class Process:
     """One process that a test starts and stops."""
 
-    def __init__(self, name: str, args: list[str], log: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        args: list[str],
+        log: pathlib.Path,
+        env: dict[str, str] | None = None,
+    ):
         self.name = name
         self._args = args
         self.log = log
+        self._env = env or {}
         self._popen: subprocess.Popen | None = None
 
     def start(self) -> None:
@@ -159,7 +168,7 @@
                 [sys.executable, "-m", *self._args],
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+                env=os.environ | {"PYTHONUNBUFFERED": "1"} | self._env,
             )
 
     @property
@@ -208,6 +217,9 @@
         callers_addresses: The callers' addresses of the entries, by name.
     """
 
+    # The file that tells control VMs how slow their disks are.
+    _SLOW_DISK_FILE = "slow_disk"
+
     def __init__(
         self,
         folder: pathlib.Path,
@@ -215,12 +227,14 @@
         timings: dict[str, int] | None = None,
         entry_settings: dict[str, typing.Any] | None = None,
         relays: relay_lib.Relays | None = None,
+        can_slow_disks: bool = False,
     ):
         self.folder = folder
         self.shape = shape
         self._timings = timings or {}
         self._entry_settings = entry_settings or {}
         self.relays = relays
+        self._can_slow_disks = can_slow_disks
         self.folder.mkdir(parents=True, exist_ok=True)
         self.secret_file = folder / "secret"
         self.secret_file.write_text(secrets.token_hex(16))
@@ -296,8 +310,25 @@
             name,
             [CONTROL, "run", "--settings", str(path)],
             self.folder / f"{name}.log",
+            self._make_control_environment(),
         )
 
+    def _make_control_environment(self) -> dict[str, str]:
+        if not self._can_slow_disks:
+            return {}
+        return {
+            "PYTHONPATH": str(SLOW_DISK),
+            "SLOW_DISK_FILE": str(self.folder / self._SLOW_DISK_FILE),
+        }
+
+    def slow_disks(self, least_ms: int, most_ms: int) -> None:
+        """Makes each sync of all control VMs take longer, at random.
+
+        The deployment has to be created with `can_slow_disks`.
+        """
+        path = self.folder / self._SLOW_DISK_FILE
+        path.write_text(f"{least_ms} {most_ms}")
+
     def _make_entry(self, name: str, number: int) -> None:
         path = self._write(
             name,
--- a/bench/full_disks.py
+++ b/bench/full_disks.py
@@ -11,6 +11,7 @@
 import threading
 import time
 
+from bench import control_logs
 from bench import platform as platform_lib
 
 # `ack-ms` of the platform.
@@ -112,6 +113,8 @@
             self._check_newest("at the end")
             self._restart_all()
             self._check_newest("after a restart of all")
+            if self.problems:
+                self._add_logs()
         finally:
             fleet.close()
         return self.problems
@@ -256,6 +259,10 @@
                     break
                 time.sleep(0.1)
 
+    def _add_logs(self):
+        for vm in self.fleet.cores:
+            self.problems += control_logs.find_notable(vm.folder / "log")
+
     def _read_version(self, vm):
         got = self.fleet.request(vm, "GET", "/-/config")
         if got is None or got.status_code != 200:
--- a/features/control_port.feature
+++ b/features/control_port.feature
@@ -57,6 +57,12 @@
     When a command is proposed while a sync takes 400 ms
     Then it reports a slow disk of 400 ms or more
 
+  Scenario: A command that is sent again before it is committed
+    # Guards against a commit for each repetition while the disk is slow.
+    Given a control VM that leads a group of one
+    When the same command is proposed 5 times at once
+    Then all get the same result, and the log has 1 entry more
+
   # Guards against a control VM that ends while another one, whose disk is full,
   # closes its connections to start again.
   Scenario Outline: The connection to a control VM closes <when>
--- a/features/environment.py
+++ b/features/environment.py
@@ -9,6 +9,7 @@
 import behave
 
 from bench import caller
+from bench import control_logs
 from bench import deployment as deployment_lib
 from bench import platform as platform_lib
 from bench import relay
@@ -28,12 +29,18 @@
 }
 
 
-def _run_deployment(context, shape, relayed=False, entry_settings=None):
+def _run_deployment(
+    context, shape, relayed=False, entry_settings=None, can_slow_disks=False
+):
     """Yields a running deployment and removes it afterwards."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="cardamomkeel-"))
     relays = relay.Relays() if relayed else None
     deployment = deployment_lib.Deployment(
-        folder, shape, entry_settings=entry_settings, relays=relays
+        folder,
+        shape,
+        entry_settings=entry_settings,
+        relays=relays,
+        can_slow_disks=can_slow_disks,
     )
     context.deployment = deployment
     context.caller = caller.Caller(
@@ -63,6 +70,13 @@
     yield from _run_deployment(context, shape, relayed=True)
 
 
+@behave.fixture
+def small_slow_disks(context):
+    """Starts a deployment whose control VMs may get slow disks."""
+    shape = deployment_lib.make_small(AR_GWENN_SKOUARN)
+    yield from _run_deployment(context, shape, can_slow_disks=True)
+
+
 @behave.fixture
 def small_short_keep(context):
     shape = deployment_lib.make_small(AR_GWENN_SKOUARN)
@@ -170,6 +184,7 @@
 FIXTURES = {
     "fixture.small": small,
     "fixture.small_relayed": small_relayed,
+    "fixture.small_slow_disks": small_slow_disks,
     "fixture.small_short_keep": small_short_keep,
     "fixture.many_targets": many_targets,
     "fixture.sparse_relayed": sparse_relayed,
@@ -188,3 +203,16 @@
     """Sets up the fixture that the tag of a feature or scenario names."""
     if tag.startswith("fixture."):
         behave.use_fixture(FIXTURES[tag], context)
+
+
+def after_step(context, step):
+    """Prints why the control group may have been unavailable."""
+    if step.status.name not in ("failed", "error"):
+        return
+    logs = []
+    if "deployment" in context:
+        logs += [vm.log for vm in context.deployment.controls.values()]
+    if "fleet" in context:
+        logs += [vm.folder / "log" for vm in context.fleet.cores]
+    for log in logs:
+        print(*control_logs.find_notable(log), sep="\n")
--- a/features/slow_disks.feature
+++ b/features/slow_disks.feature
@@ -35,3 +35,11 @@
     When 6 changes are sent, one after another
     Then each is accepted within 20 s
     And no member has been removed
+
+  @fixture.small_slow_disks
+  Scenario: Changes are accepted while entries commit as well
+    # Guards against changes that stay unanswered under a live leader: each
+    # repeated one was a commit more, and the leader did little but sync.
+    Given each sync of the deployment's disks takes 700 to 1200 ms
+    When an operator takes a data centre out and brings it back, 3 times
+    Then each of these calls was answered within 20 s
--- a/features/steps/control_port.py
+++ b/features/steps/control_port.py
@@ -518,6 +518,27 @@
         context.loop_thread.run(propose(context.vm.address))
 
 
+@when("the same command is proposed {count:d} times at once")
+def propose_at_once(context, count):
+    node = context.vm.node
+    context.last_index = node.replica.log.last_index
+
+    async def propose_all():
+        return await asyncio.gather(
+            *(propose(context.vm.address) for _ in range(count))
+        )
+
+    context.replies = context.loop_thread.run(propose_all())
+
+
+@then("all get the same result, and the log has {count:d} entry more")
+def check_appended_once(context, count):
+    results = {str(reply.unwrap().results) for reply in context.replies}
+    assert len(results) == 1, context.replies
+    added = context.vm.node.replica.log.last_index - context.last_index
+    assert added == count, added
+
+
 @then("it reports a slow disk of {ms:d} ms or more")
 def check_slow_disk(context, ms):
     found = [r for r in context.lines if r["message"] == "slow disk"]
--- a/features/steps/slow_disks.py
+++ b/features/steps/slow_disks.py
@@ -1,6 +1,7 @@
 """Steps about control VMs whose disks are slow."""
 
 import json
+import time
 
 from behave import given
 from behave import then
@@ -94,3 +95,25 @@
 def check_not_removed(context):
     removed = find_lines(context, REMOVED)
     assert not removed, removed
+
+
+@given(
+    "each sync of the deployment's disks takes {least_ms:d} to {most_ms:d} ms"
+)
+def slow_deployment_down(context, least_ms, most_ms):
+    context.deployment.slow_disks(least_ms, most_ms)
+
+
+@when("an operator takes a data centre out and brings it back, {count:d} times")
+def take_out_repeatedly(context, count):
+    context.took_s = []
+    data_centre = context.deployment.shape.data_centres[0]
+    for path in ["/v1/take-out", "/v1/bring-back"] * count:
+        sent_at = time.monotonic()
+        context.deployment.change_data_centre(path, data_centre)
+        context.took_s.append(time.monotonic() - sent_at)
+
+
+@then("each of these calls was answered within {limit_s:d} s")
+def check_answered(context, limit_s):
+    assert max(context.took_s) <= limit_s, context.took_s
--- a/src/cardamomkeel/control/client.py
+++ b/src/cardamomkeel/control/client.py
@@ -1,5 +1,6 @@
 """Calls to the leader of the control group."""
 
+import collections
 import typing
 
 import anyio
@@ -13,8 +14,9 @@
 
 # Pause before the next control VM is called, shorter than an election.
 RETRY_PAUSE_MS = 50.0
-# How long to wait for one control VM before the next one is called: enough for
-# a commit, or for a former leader to find out that it lost its leadership.
+# How long to wait for one control VM at first before the next one is called:
+# enough for a commit, or for a former leader to find out that it lost its
+# leadership.
 ATTEMPT_MS = 1000.0
 # The same for a change of members, which may need two commits.
 MEMBERS_ATTEMPT_MS = 2000.0
@@ -63,10 +65,12 @@
         Args:
             method: The name of the gRPC method.
             req: The message to send.
-            attempt_ms: How long to wait for one answer.
+            attempt_ms: How long to wait for the first answer of a control VM.
+                Each timeout doubles it for this VM, whose disk may be slow.
             timeout_ms: How long all attempts may take together.
         """
         until = self._clock.now() + timeout_ms
+        timeouts = collections.Counter()
         reason = "no leader is known"
         while True:
             remaining_ms = until - self._clock.now()
@@ -79,12 +83,10 @@
                     )
                 )
             address = self._pick_address()
+            wait_ms = min(attempt_ms * 2 ** timeouts[address], remaining_ms)
+            started_at = self._clock.now()
             reply = await self._channels.call(
-                address,
-                control_grpc.ControlStub,
-                method,
-                req,
-                min(attempt_ms, remaining_ms),
+                address, control_grpc.ControlStub, method, req, wait_ms
             )
             if isinstance(reply, result.Success):
                 if reply.unwrap().leader:
@@ -93,6 +95,8 @@
                 reason = f"{address} does not lead"
                 self._leader = reply.unwrap().leader_address
             else:
+                if self._clock.now() - started_at >= wait_ms:
+                    timeouts[address] += 1
                 reason = str(reply.failure())
                 self._leader = ""
             await anyio.sleep(clock.seconds(RETRY_PAUSE_MS))
--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import hashlib
 import random
 import typing
 
@@ -49,9 +50,17 @@
 
 @dataclasses.dataclass
 class _PendingCommand:
-    """A command that is not committed yet."""
+    """A command that is not committed yet.
+
+    Attributes:
+        command: The command.
+        digest: A digest of the command without its time.
+        done: Set once the outcome is known, or known to stay unknown.
+        result: The result; None while the outcome is unknown.
+    """
 
     command: control_pb2.Command
+    digest: bytes
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     result: control_pb2.CommandResult | None = None
 
@@ -89,6 +98,8 @@
         self._timings = timings
         self._channels = channels_lib.Channels(reach, clk)
         self._pending: list[_PendingCommand] = []
+        # The commands that are not committed yet, by digest.
+        self._open: dict[bytes, _PendingCommand] = {}
         self._uncommitted: dict[int, tuple[int, _PendingCommand]] = {}
         self._has_pending = signal.Signal()
         self._send_due = signal.Signal()
@@ -183,8 +194,17 @@
         self._applied_bytes += entry.ByteSize()
         term, pending = self._uncommitted.pop(entry.index, (0, None))
         if pending is not None:
-            pending.result = done if term == entry.term else None
-            pending.done.set()
+            self._finish(pending, done if term == entry.term else None)
+
+    def _finish(
+        self,
+        pending: _PendingCommand,
+        outcome: control_pb2.CommandResult | None,
+    ) -> None:
+        """Wakes the callers that wait for a command."""
+        del self._open[pending.digest]
+        pending.result = outcome
+        pending.done.set()
 
     def _compact(self) -> None:
         log = self.replica.log
@@ -241,7 +261,7 @@
 
     def _fail_uncommitted(self) -> None:
         for _, pending in self._uncommitted.values():
-            pending.done.set()
+            self._finish(pending, None)
         self._uncommitted = {}
 
     def handle(self, handler: typing.Callable, req: typing.Any) -> typing.Any:
@@ -494,22 +514,32 @@
     ) -> list[control_pb2.CommandResult] | None:
         """Commits commands; returns None if the outcome is unknown here.
 
-        Commands are refused together if one of them is too long.
+        Commands are refused together if one of them is too long. A command
+        that is sent again before it is committed is not appended again: its
+        callers would wait for one commit after the other if each takes longer
+        than they wait for an answer.
         """
         if not self.replica.is_ready or self._handing_over:
             return None
         longest = max((cmd.ByteSize() for cmd in commands), default=0)
         if longest > self._log_limits.command_bytes:
             return [self._refuse_long_command(longest)] * len(commands)
-        pending = [_PendingCommand(command) for command in commands]
-        self._pending.extend(pending)
-        self._has_pending.notify()
+        pending = [self._enqueue(command) for command in commands]
         for waiting in pending:
             await waiting.done.wait()
         if any(waiting.result is None for waiting in pending):
             return None
         return [waiting.result for waiting in pending]
 
+    def _enqueue(self, command: control_pb2.Command) -> _PendingCommand:
+        """Queues a command for the next batch, unless it is queued already."""
+        digest = hashlib.blake2b(command.SerializeToString()).digest()
+        if digest not in self._open:
+            pending = self._open[digest] = _PendingCommand(command, digest)
+            self._pending.append(pending)
+            self._has_pending.notify()
+        return self._open[digest]
+
     def _refuse_long_command(self, size: int) -> control_pb2.CommandResult:
         limit = self._log_limits.command_bytes
         logger.warning(
@@ -536,13 +566,23 @@
             span = self.replica.propose([p.command for p in batch])
             if span is None:
                 for pending in batch:
-                    pending.done.set()
+                    self._finish(pending, None)
                 continue
             for offset, pending in enumerate(batch):
                 index = span[0] + offset
                 self._uncommitted[index] = (self.replica.term, pending)
+            started_at = self._clock.now()
             await self._sync_after_sending()
-            await anyio.sleep(0)
+            pause_ms = self._get_batch_pause_ms(self._clock.now() - started_at)
+            await anyio.sleep(clock.seconds(pause_ms))
+
+    def _get_batch_pause_ms(self, sync_ms: clock.Millis) -> clock.Millis:
+        """Returns how long to wait before the next batch.
+
+        Nothing else is done during a sync. After a slow one the messages that
+        arrived meanwhile get as much time as it took.
+        """
+        return 0.0 if sync_ms < self._timings.heartbeat_ms else sync_ms
 
     async def confirm_leadership(self, since: clock.Millis) -> bool:
         """Waits until a majority acknowledged this leader after a time.
