Pause for a heartbeat only after a slow sync

Cause: the leader's pause before the next batch was as long as the sync, so that each stall counted twice.

Change: the pause is a heartbeat, whatever the sync took.

--- a/src/cardamomkeel/control/node.py
+++ b/src/cardamomkeel/control/node.py
@@ -579,10 +579,11 @@
     def _get_batch_pause_ms(self, sync_ms: clock.Millis) -> clock.Millis:
         """Returns how long to wait before the next batch.
 
-        Nothing else is done during a sync. After a slow one the messages that
-        arrived meanwhile get as much time as it took.
+        Nothing else is done during a sync. A slow one leaves time after it to
+        read and answer the messages that arrived meanwhile.
         """
-        return 0.0 if sync_ms < self._timings.heartbeat_ms else sync_ms
+        heartbeat_ms = self._timings.heartbeat_ms
+        return 0.0 if sync_ms < heartbeat_ms else heartbeat_ms
 
     async def confirm_leadership(self, since: clock.Millis) -> bool:
         """Waits until a majority acknowledged this leader after a time.
