--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Behave fixtures, which scenarios and features select by their tags."""
 
 import dataclasses
+import itertools
 import json
 import pathlib
 import shutil
@@ -214,5 +215,5 @@
         logs += [vm.log for vm in context.deployment.controls.values()]
     if "fleet" in context:
         logs += [vm.folder / "log" for vm in context.fleet.cores]
-    for log in logs:
-        print(*control_logs.find_notable(log), sep="\n")
+    for line in itertools.chain(*map(control_logs.find_notable, logs)):
+        print(line)
--- a/src/cardamomkeel/control/pending_commands.py
+++ b/src/cardamomkeel/control/pending_commands.py
@@ -7,9 +7,9 @@
 
 from cardamomkeel.wire import control_pb2
 
-# The kinds that carry an identifier of their own. A repeated one has no effect,
-# whatever was committed since; another order may undo one of another kind, so
-# that its repetition has to be committed after that order.
+# The kinds that carry an identifier of their own: repeating one has no effect,
+# whatever was committed in between. A command of another kind may have been
+# undone in between, and is committed again.
 IDENTIFIED_KINDS = frozenset(
     [
         "apply_routes",
